--- /dev/null
+++ b/cmd/cardamomctl/main.go
@@ -0,0 +1,4 @@
+// Command cardamomctl is the command line for operators.
+package main
+
+func main() {}
