--- /dev/null
+++ b/internal/decision/reducer/attempts.go
@@ -0,0 +1,276 @@
+package reducer
+
+import (
+	"fmt"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// attempts holds the retry budget.
+type attempts struct {
+	// retries is the number of retries that may be made now.
+	retries float64
+}
+
+// maxRetrySavings bounds the retries that quiet times save up.
+const maxRetrySavings = 10
+
+func newAttempts() attempts { return attempts{retries: maxRetrySavings} }
+
+// earnRetry adds one request's share to the retry budget.
+func (s *State) earnRetry(profile specifier.Profile) {
+	s.retries = min(maxRetrySavings, s.retries+profile.RetryBudget)
+}
+
+// spendRetry takes one retry out of the budget.
+func (s *State) spendRetry() bool {
+	if s.retries < 1 {
+		return false
+	}
+	s.retries--
+	return true
+}
+
+// start sends r to its reserved target.
+func (s *State) start(r *request) {
+	r.phase = phaseRunning
+	r.number++
+	r.started = false
+	s.lead(r)
+	s.note(r.id, StepAttempt, r.target.name, "")
+	rank, _ := r.class.Rank()
+	s.emit(Start{
+		Attempt: r.attempt(), Target: r.target.name, Address: r.target.spec.Address,
+		Incarnation: r.target.incarnation, Deadline: r.deadline,
+		StallTimeout: r.profile.StallTimeout.Duration,
+		Priority:     len(identifier.Classes()) - rank,
+		Version:      r.version, Keys: r.keys, ResumeOffset: r.delivered,
+	})
+}
+
+// running returns the request of a, if a is its present attempt.
+func (s *State) running(a identifier.Attempt) *request {
+	r := s.requests[a.Request]
+	if r == nil || r.phase != phaseRunning || r.number != a.Number {
+		return nil
+	}
+	return r
+}
+
+func (s *State) onAttemptStarted(ev AttemptStarted) {
+	r := s.running(ev.Attempt)
+	if r == nil || r.started {
+		return
+	}
+	r.started = true
+	s.onAnswerFrom(r.target, ev.Incarnation)
+	s.prefilled(r)
+	s.remember(r, r.target.name)
+	s.unlead(r)
+	s.note(r.id, StepStarted, r.target.name, fmt.Sprintf("%d tokens from cache", ev.CachedTokens))
+}
+
+// onAnswerFrom notes that t answered under the given incarnation.
+func (s *State) onAnswerFrom(t *target, seen identifier.Incarnation) {
+	if seen > t.incarnation {
+		s.onIncarnationSeen(t.name, seen, true)
+	}
+	t.succeeded()
+}
+
+func (s *State) onAttemptDone(ev AttemptDone) {
+	r := s.running(ev.Attempt)
+	if r == nil {
+		return
+	}
+	t := r.target
+	s.onAnswerFrom(t, ev.Incarnation)
+	s.unlead(r)
+	s.release(r)
+	if r.prompt != nil && s.targets[t.name] == t {
+		s.keep(r, t)
+	}
+	if r.claimed {
+		s.emit(RecordAnswer{Request: r.id})
+	}
+	s.note(r.id, StepFinished, t.name, "")
+	s.emit(Finish{Request: r.id})
+	s.forget(r)
+}
+
+func (s *State) onAttemptFailed(ev AttemptFailed) {
+	r := s.running(ev.Attempt)
+	if r == nil {
+		return
+	}
+	t := r.target
+	s.blame(t, ev)
+	s.unlead(r)
+	s.release(r)
+	r.phase = phaseQueued
+	r.index = -1
+	r.mayHaveRun = r.mayHaveRun || !ev.Proven
+	r.delivered = max(r.delivered, ev.Delivered)
+	if ev.Reason == FailureCaller {
+		s.giveBackClaim(r)
+		s.forget(r)
+		return
+	}
+	s.retryOrRefuse(r, t, ev)
+}
+
+// blame updates what is known of a target after a failed attempt.
+func (s *State) blame(t *target, ev AttemptFailed) {
+	if ev.Incarnation > t.incarnation {
+		s.onIncarnationSeen(t.name, ev.Incarnation, true)
+	}
+	switch ev.Reason {
+	case FailureUnreachable, FailureBroken, FailureStalled:
+		t.failed(s.now)
+		s.suspectCold(t, ev)
+	}
+}
+
+// suspectCold treats a target as cold after a reset, until a report or a
+// handshake shows that the same incarnation still runs.
+func (s *State) suspectCold(t *target, ev AttemptFailed) {
+	if ev.Reason == FailureStalled || t.cold {
+		return
+	}
+	t.cold = true
+	t.heard = s.now
+}
+
+func (s *State) retryOrRefuse(r *request, t *target, ev AttemptFailed) {
+	if why := s.noRetry(r, ev); why != "" {
+		kind := RefusalTargetFailed
+		if ev.Reason == FailureDeadline {
+			kind = RefusalDeadline
+		}
+		s.refuse(r, kind, fmt.Sprintf("target %q: %s: %s (%s)", t.name, ev.Reason, ev.Detail, why), retryAfterFailure)
+		return
+	}
+	if ev.Reason != FailureIncarnation {
+		r.tried[t.name] = true
+	}
+	if len(r.tried) >= len(s.byService[r.service]) {
+		clear(r.tried)
+	}
+	s.rebind(r)
+	step := StepRetried
+	if r.delivered > 0 {
+		step = StepResumed
+	}
+	s.note(r.id, step, t.name, string(ev.Reason))
+	s.requeue(r)
+}
+
+// retryAfterFailure is when a caller should come back after a failed target.
+const retryAfterFailure = time.Second
+
+// noRetry returns why r must not be tried again, or "".
+func (s *State) noRetry(r *request, ev AttemptFailed) string {
+	switch {
+	case ev.Reason == FailureDeadline || !s.now.Before(r.deadline):
+		return "the deadline passed"
+	case !r.repeatable && !ev.Proven:
+		return "it may have run and must not run twice"
+	case r.number >= max(1, r.profile.MaxAttempts):
+		return fmt.Sprintf("after %d attempts", r.number)
+	case !s.spendRetry():
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
+func (s *State) onCallerGone(ev CallerGone) {
+	r := s.requests[ev.Request]
+	if r == nil || r.phase == phaseRunning {
+		return
+	}
+	s.removeQueued(r)
+	s.abandonPreparation(r)
+	s.giveBackClaim(r)
+	s.forget(r)
+}
+
+// abandonPreparation undoes what r holds before it was sent.
+func (s *State) abandonPreparation(r *request) {
+	s.unlead(r)
+	s.release(r)
+	r.index = -1
+}
+
+// refuse ends r without a whole answer.
+func (s *State) refuse(r *request, kind RefusalKind, message string, retryAfter time.Duration) {
+	run := r.runState()
+	s.giveBackClaim(r)
+	s.note(r.id, StepRefused, "", message)
+	s.emit(Refuse{Request: r.id, Kind: kind, Message: message, Run: run, RetryAfter: retryAfter})
+	s.forget(r)
+}
+
+// forget ends the daemon's knowledge of r.
+func (s *State) forget(r *request) {
+	if r.leader != nil {
+		r.leader.followers = without(r.leader.followers, r)
+	}
+	delete(s.requests, r.id)
+}
+
+func without(list []*request, r *request) []*request {
+	for i, other := range list {
+		if other == r {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+func (s *State) startClaim(r *request) {
+	s.removeQueued(r)
+	r.phase = phaseClaiming
+	s.emit(Claim{
+		Request: r.id, Team: r.team, IdempotencyKey: r.idempotencyKey,
+		Fingerprint: r.call.Fingerprint, Deadline: r.deadline,
+	})
+}
+
+func (s *State) onClaimSettled(ev ClaimSettled) {
+	r := s.requests[ev.Request]
+	if r == nil || r.phase != phaseClaiming {
+		if ev.Outcome == ClaimWon {
+			s.emit(ReleaseClaim{Request: ev.Request, Team: ev.Team, IdempotencyKey: ev.IdempotencyKey})
+		}
+		return
+	}
+	s.note(r.id, StepClaimed, "", string(ev.Outcome))
+	switch ev.Outcome {
+	case ClaimWon:
+		r.claimed = true
+		s.requeue(r)
+	case ClaimAnswered:
+		s.emit(Replay{Request: r.id})
+		s.forget(r)
+	case ClaimHeld:
+		r.mayHaveRun = true
+		s.refuse(r, RefusalClaimed, "a request with this Idempotency-Key was sent before and its outcome is not known", claimRetry)
+	case ClaimMismatch:
+		s.refuse(r, RefusalKeyMismatch, "the Idempotency-Key was used for a different request", 0)
+	case ClaimUnsettled:
+		s.refuse(r, RefusalClaimUnsettled, "the claim could not be settled at the platform; nothing was sent", claimRetry)
+	}
+}
+
+// claimRetry is when a caller should repeat a request whose claim failed.
+const claimRetry = 2 * time.Second
+
+// giveBackClaim releases the claim of a request that has not run.
+func (s *State) giveBackClaim(r *request) {
+	if r.claimed && !r.mayHaveRun {
+		s.emit(ReleaseClaim{Request: r.id, Team: r.team, IdempotencyKey: r.idempotencyKey})
+	}
+	r.claimed = false
+}
--- /dev/null
+++ b/internal/decision/reducer/effects.go
@@ -0,0 +1,223 @@
+package reducer
+
+import (
+	"net/netip"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Effect is something that the executor must do. The set of effects is closed.
+type Effect interface{ isEffect() }
+
+// RunState says whether a request has run, as far as it is known.
+type RunState string
+
+// The run states.
+const (
+	RunNot     RunState = "not-run"
+	RunUnknown RunState = "unknown"
+	RunDone    RunState = "ran"
+)
+
+// RefusalKind classifies refusals for callers.
+type RefusalKind string
+
+// The kinds of refusal.
+const (
+	RefusalUnauthenticated RefusalKind = "unauthenticated"
+	RefusalForbidden       RefusalKind = "forbidden"
+	RefusalUnknownService  RefusalKind = "unknown-service"
+	RefusalInvalid         RefusalKind = "invalid"
+	RefusalTooLarge        RefusalKind = "too-large"
+	RefusalTeamLimit       RefusalKind = "team-limit"
+	RefusalOverload        RefusalKind = "overload"
+	RefusalDeadline        RefusalKind = "deadline"
+	RefusalNoTarget        RefusalKind = "no-target"
+	RefusalNotReady        RefusalKind = "not-ready"
+	RefusalClaimed         RefusalKind = "claimed"
+	RefusalKeyMismatch     RefusalKind = "key-mismatch"
+	RefusalClaimUnsettled  RefusalKind = "claim-unsettled"
+	RefusalTargetFailed    RefusalKind = "target-failed"
+	RefusalKeyMissing      RefusalKind = "idempotency-key-missing"
+)
+
+// Refuse ends a request without a whole answer.
+type Refuse struct {
+	Request identifier.Request
+	Kind    RefusalKind
+	Message string
+	Run     RunState
+	// RetryAfter is when the caller should come back; zero when that won't help.
+	RetryAfter time.Duration
+}
+
+// Lookup asks a store which leading blocks it can serve.
+type Lookup struct {
+	Request identifier.Request
+	Store   identifier.Store
+	Address netip.AddrPort
+	Keys    []identifier.BlockKey
+	Timeout time.Duration
+}
+
+// Import orders an engine to import blocks.
+type Import struct {
+	Request        identifier.Request
+	Target         identifier.Target
+	TargetAddress  netip.AddrPort
+	Store          identifier.Store
+	StoreAddress   netip.AddrPort
+	Model          identifier.Model
+	Version        identifier.WeightVersion
+	Blocks         []StoredBlock
+	BytesPerSecond int64
+	Timeout        time.Duration
+}
+
+// Export orders an engine to export blocks.
+type Export struct {
+	Target         identifier.Target
+	TargetAddress  netip.AddrPort
+	Store          identifier.Store
+	StoreAddress   netip.AddrPort
+	Keys           []identifier.BlockKey
+	BytesPerSecond int64
+	Timeout        time.Duration
+}
+
+// Start sends a request to a target. From here on it may have run.
+type Start struct {
+	Attempt identifier.Attempt
+	Target  identifier.Target
+	Address netip.AddrPort
+	// Incarnation is the only one the request may reach; 0 when none is known yet.
+	Incarnation identifier.Incarnation
+	// Deadline ends the attempt.
+	Deadline time.Time
+	// StallTimeout is how long the answer may make no progress.
+	StallTimeout time.Duration
+	Priority     int
+	// Version and Keys are set for prompts.
+	Version identifier.WeightVersion
+	Keys    []identifier.BlockKey
+	// ResumeOffset is the number of tokens the caller already has.
+	ResumeOffset int
+}
+
+// Finish ends a request whose answer is whole.
+type Finish struct{ Request identifier.Request }
+
+// Claim claims a request that must not run twice.
+type Claim struct {
+	Request        identifier.Request
+	Team           identifier.Team
+	IdempotencyKey string
+	Fingerprint    string
+	Deadline       time.Time
+}
+
+// ReleaseClaim gives back a claim of a request that did not run.
+type ReleaseClaim struct {
+	Request        identifier.Request
+	Team           identifier.Team
+	IdempotencyKey string
+}
+
+// RecordAnswer stores the answer of a claimed request.
+type RecordAnswer struct{ Request identifier.Request }
+
+// Replay sends the recorded answer of a claimed request.
+type Replay struct{ Request identifier.Request }
+
+// AskPermit asks a cold target's owner for leave to run one request.
+type AskPermit struct {
+	Owner   identifier.Host
+	Request identifier.Request
+	Target  identifier.Target
+	Term    time.Duration
+}
+
+// ReturnPermit tells a cold target's owner that a permit is no longer used.
+type ReturnPermit struct {
+	Owner   identifier.Host
+	Request identifier.Request
+	Target  identifier.Target
+}
+
+// AnswerPermit answers a PermitAsked.
+type AnswerPermit struct {
+	Call    uint64
+	Granted bool
+	// RetryAfter is when to ask again.
+	RetryAfter time.Duration
+}
+
+// WantTargets states which targets this daemon should own.
+type WantTargets struct{ Targets []identifier.Target }
+
+// ReadTargets states which targets' load this daemon reads.
+type ReadTargets struct{ Targets []TargetAddress }
+
+// TargetAddress is a target and where to reach it.
+type TargetAddress struct {
+	Target  identifier.Target
+	Address netip.AddrPort
+	// Model is true for an engine, which also has cache events.
+	Model bool
+}
+
+// DropConnections closes idle connections to a target's earlier incarnation.
+type DropConnections struct{ Target identifier.Target }
+
+// ShareLoad passes a change of a target's state on to peers at once.
+type ShareLoad struct{ Load LoadObserved }
+
+// Drained reports that no request is left after DrainStarted.
+type Drained struct{}
+
+// Note records one step of a request for traces and explanations.
+type Note struct {
+	Request identifier.Request
+	Step    Step
+	Target  identifier.Target
+	Detail  string
+}
+
+// Step names one step of a request.
+type Step string
+
+// The steps of a request.
+const (
+	StepAdmitted Step = "admitted"
+	StepQueued   Step = "queued"
+	StepDecided  Step = "decided"
+	StepClaimed  Step = "claimed"
+	StepImported Step = "imported"
+	StepAttempt  Step = "attempt"
+	StepStarted  Step = "started"
+	StepRetried  Step = "retried"
+	StepResumed  Step = "resumed"
+	StepFinished Step = "finished"
+	StepRefused  Step = "refused"
+)
+
+func (Refuse) isEffect()          {}
+func (Lookup) isEffect()          {}
+func (Import) isEffect()          {}
+func (Export) isEffect()          {}
+func (Start) isEffect()           {}
+func (Finish) isEffect()          {}
+func (Claim) isEffect()           {}
+func (ReleaseClaim) isEffect()    {}
+func (RecordAnswer) isEffect()    {}
+func (Replay) isEffect()          {}
+func (AskPermit) isEffect()       {}
+func (ReturnPermit) isEffect()    {}
+func (AnswerPermit) isEffect()    {}
+func (WantTargets) isEffect()     {}
+func (ReadTargets) isEffect()     {}
+func (DropConnections) isEffect() {}
+func (ShareLoad) isEffect()       {}
+func (Drained) isEffect()         {}
+func (Note) isEffect()            {}
--- /dev/null
+++ b/internal/decision/reducer/placement.go
@@ -0,0 +1,19 @@
+package reducer
+
+import "github.com/zeebo/xxh3"
+
+// weightOf returns the rendezvous weight of member for key.
+func weightOf(key, member string) uint64 {
+	return xxh3.HashStringSeed(member, xxh3.HashString(key))
+}
+
+// first returns the member with the highest rendezvous weight for key.
+func first(key string, members []string) string {
+	best, bestWeight := "", uint64(0)
+	for _, member := range members {
+		if w := weightOf(key, member); best == "" || w > bestWeight {
+			best, bestWeight = member, w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/decision/reducer/routing.go
@@ -0,0 +1,241 @@
+package reducer
+
+import (
+	"fmt"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/cache/hasher"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/scorer"
+)
+
+// routing holds the targets and chooses among them.
+type routing struct {
+	targets   map[identifier.Target]*target
+	byService map[identifier.Service][]*target
+	// turn counts the choices of the round-robin policy.
+	turn int
+}
+
+func newRouting() routing {
+	return routing{
+		targets:   map[identifier.Target]*target{},
+		byService: map[identifier.Service][]*target{},
+	}
+}
+
+// choice is a target for a request and how to use it.
+type choice struct {
+	target *target
+	plan   scorer.Plan
+}
+
+// place moves a queued request on: to its target, to its claim, or behind
+// another request that computes the same prefix. It returns false when no target
+// has room.
+func (s *State) place(r *request) bool {
+	if !r.repeatable && !r.claimed {
+		if _, ok := s.choose(r); !ok {
+			return false
+		}
+		s.startClaim(r)
+		return true
+	}
+	if s.follow(r) {
+		return true
+	}
+	c, ok := s.choose(r)
+	if !ok {
+		return false
+	}
+	s.note(r.id, StepDecided, c.target.name, fmt.Sprintf("first token in %s, import %d blocks, compute %d tokens", c.plan.FirstToken, c.plan.ImportBlocks, c.plan.ComputedTokens))
+	s.reserve(r, c)
+	if c.plan.ImportBlocks > 0 {
+		s.startImport(r, c)
+		return true
+	}
+	s.start(r)
+	return true
+}
+
+// reserve takes a place on the chosen target.
+func (s *State) reserve(r *request, c choice) {
+	r.target = c.target
+	r.computing = c.plan.ComputedTokens
+	c.target.inflight++
+	c.target.pendingTokens += r.computing
+}
+
+// release gives back r's place on its target.
+func (s *State) release(r *request) {
+	if r.target == nil {
+		return
+	}
+	r.target.inflight--
+	s.prefilled(r)
+	r.target = nil
+}
+
+// prefilled takes r's tokens off those that wait for prefill.
+func (s *State) prefilled(r *request) {
+	r.target.pendingTokens -= r.computing
+	r.computing = 0
+}
+
+// choose returns the best target with room for r under its profile's policy.
+func (s *State) choose(r *request) (choice, bool) {
+	candidates := s.byService[r.service]
+	switch r.profile.Policy {
+	case specifier.PolicyRoundRobin:
+		return s.chooseInTurn(r, candidates)
+	case specifier.PolicyLeastLoaded:
+		return s.chooseLeastLoaded(r, candidates)
+	case specifier.PolicyAffinity:
+		return s.chooseByAffinity(r, candidates)
+	default:
+		if r.call != nil {
+			return s.chooseLeastLoaded(r, candidates)
+		}
+		return s.chooseByFirstToken(r, candidates)
+	}
+}
+
+// usable reports whether t can take r now.
+func (s *State) usable(t *target, r *request) bool {
+	if !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
+		return false
+	}
+	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+		return false
+	}
+	return s.hasRoom(t)
+}
+
+func (s *State) chooseInTurn(r *request, candidates []*target) (choice, bool) {
+	for range candidates {
+		s.turn++
+		t := candidates[s.turn%len(candidates)]
+		if s.usable(t, r) {
+			return choice{target: t, plan: s.plainPlan(r, t)}, true
+		}
+	}
+	return choice{}, false
+}
+
+func (s *State) chooseLeastLoaded(r *request, candidates []*target) (choice, bool) {
+	var best *target
+	bestLoad := 0.0
+	for _, t := range candidates {
+		if !s.usable(t, r) {
+			continue
+		}
+		load := float64(t.load()) / float64(max(1, s.limit(t)))
+		if t.spec.DataCentre != s.cfg.DataCentre {
+			load += remoteLoadPenalty
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = t, load
+		}
+	}
+	if best == nil {
+		return choice{}, false
+	}
+	return choice{target: best, plan: s.plainPlan(r, best)}, true
+}
+
+// remoteLoadPenalty is the share of load that a target of another data centre
+// counts as more loaded.
+const remoteLoadPenalty = 0.25
+
+// chooseByAffinity takes the first target with room in the rendezvous order of
+// the prompt's first block.
+func (s *State) chooseByAffinity(r *request, candidates []*target) (choice, bool) {
+	if len(r.keys) == 0 {
+		return s.chooseLeastLoaded(r, candidates)
+	}
+	var best *target
+	var bestWeight uint64
+	key := r.keys[0].String()
+	for _, t := range candidates {
+		if !s.usable(t, r) {
+			continue
+		}
+		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+			best, bestWeight = t, w
+		}
+	}
+	if best == nil {
+		return choice{}, false
+	}
+	return choice{target: best, plan: s.plainPlan(r, best)}, true
+}
+
+// plainPlan computes the whole prompt on t.
+func (s *State) plainPlan(r *request, t *target) scorer.Plan {
+	if r.prompt == nil {
+		return scorer.Plan{}
+	}
+	return scorer.Best(scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens}, s.scored(t, 0), scorer.Link{})
+}
+
+// chooseByFirstToken takes the target with the shortest expected time to the
+// first token. Among equal ones the rendezvous order of the prefix decides, so
+// that all daemons agree on a home for it.
+func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
+	cached := s.cachedBlocks(r)
+	home := s.homeOf(r, candidates)
+	link := s.linkFor(r)
+	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored)}
+	var best choice
+	for _, t := range candidates {
+		if !s.usable(t, r) {
+			continue
+		}
+		blocks := cached[t.name]
+		plan := scorer.Best(prompt, s.scored(t, blocks), link)
+		score := plan.FirstToken
+		if t == home {
+			score -= homeBonus
+		}
+		if best.target == nil || score < best.plan.FirstToken {
+			best = choice{target: t, plan: plan}
+			best.plan.FirstToken = score
+		}
+	}
+	return best, best.target != nil
+}
+
+// homeBonus is by how much a prefix's home target may be slower than others and
+// still be chosen.
+const homeBonus = 50 * time.Millisecond
+
+// homeOf returns the rendezvous choice for r's first block, usable or not.
+func (s *State) homeOf(r *request, candidates []*target) *target {
+	if len(r.keys) == 0 {
+		return nil
+	}
+	key := r.keys[0].String()
+	var best *target
+	var bestWeight uint64
+	for _, t := range candidates {
+		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) {
+			continue
+		}
+		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+			best, bestWeight = t, w
+		}
+	}
+	return best
+}
+
+// scored describes t to the scorer.
+func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
+	waiting := max(t.pendingTokens, t.reportedQueue)
+	wait := time.Duration(float64(waiting) / t.rate() * float64(time.Second))
+	st := scorer.Target{QueueWait: wait, PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
+	if t.spec.DataCentre != s.cfg.DataCentre {
+		st.Penalty = s.profileOf(t.spec.Service).SpillOverPenalty.Duration
+	}
+	return st
+}
--- /dev/null
+++ b/internal/decision/reducer/targets.go
@@ -0,0 +1,195 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// target is what the daemon knows of one target.
+type target struct {
+	name identifier.Target
+	spec specifier.Target
+
+	// incarnation is 0 until the target was heard of.
+	incarnation identifier.Incarnation
+	cold        bool
+	// warmSince is when the incarnation was first known to be warm.
+	warmSince time.Time
+
+	// reported is the number of running and queued requests of the last report,
+	// and inflightThen the daemon's own at that time.
+	reported      int
+	reportedQueue int
+	inflightThen  int
+	heard         time.Time
+	prefillRate   float64
+
+	// inflight counts this daemon's requests on the target, imports included.
+	inflight int
+	// pendingTokens counts this daemon's tokens that wait for prefill there.
+	pendingTokens int
+
+	health
+}
+
+// health is the circuit breaker of one target.
+type health struct {
+	failures int
+	// openUntil is when a target that failed may be tried again.
+	openUntil time.Time
+}
+
+const (
+	// breakerFailures is the number of failures in a row that opens the breaker.
+	breakerFailures = 3
+	// breakerBase is the first time for which the breaker stays open.
+	breakerBase = 500 * time.Millisecond
+	// breakerMax is the longest time for which the breaker stays open.
+	breakerMax = 8 * time.Second
+)
+
+func (h *health) succeeded() { *h = health{} }
+
+func (h *health) failed(now time.Time) {
+	h.failures++
+	if h.failures < breakerFailures {
+		return
+	}
+	wait := breakerBase << min(h.failures-breakerFailures, 5)
+	h.openUntil = now.Add(min(wait, breakerMax))
+}
+
+func (h *health) open(now time.Time) bool { return now.Before(h.openUntil) }
+
+// defaultPrefillRate is the assumed prefill rate of a target that has told none,
+// in tokens per second.
+const defaultPrefillRate = 8000
+
+// rate returns the target's prefill rate in tokens per second.
+func (t *target) rate() float64 {
+	if t.prefillRate > 0 {
+		return t.prefillRate
+	}
+	return defaultPrefillRate
+}
+
+// load estimates the requests on the target now, those of other daemons included.
+func (t *target) load() int {
+	return max(t.inflight, t.reported+t.inflight-t.inflightThen)
+}
+
+// rebuildTargets brings the known targets in line with the configuration.
+func (s *State) rebuildTargets() {
+	for name, spec := range s.fleet.Targets {
+		known := s.targets[name]
+		if known == nil || known.spec.Address != spec.Address {
+			known = &target{name: name, cold: true}
+			s.targets[name] = known
+		}
+		known.spec = spec
+	}
+	for name := range s.targets {
+		if _, ok := s.fleet.Targets[name]; !ok {
+			delete(s.targets, name)
+		}
+	}
+	s.byService = map[identifier.Service][]*target{}
+	for _, t := range s.targets {
+		s.byService[t.spec.Service] = append(s.byService[t.spec.Service], t)
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *target) int {
+			if a.name < b.name {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (s *State) onLoadObserved(ev LoadObserved) {
+	t := s.targets[ev.Target]
+	if t == nil || ev.Incarnation < t.incarnation {
+		return
+	}
+	asOf := s.now.Add(-ev.Age)
+	if ev.Incarnation == t.incarnation && asOf.Before(t.heard) {
+		return
+	}
+	s.onIncarnationSeen(ev.Target, ev.Incarnation, ev.Cold)
+	t.reported = ev.Running + ev.Queued
+	t.reportedQueue = ev.QueuedTokens
+	t.inflightThen = t.inflight
+	t.heard = asOf
+	if ev.PrefillTokensPerSecond > 0 {
+		t.prefillRate = ev.PrefillTokensPerSecond
+	}
+}
+
+// onIncarnationSeen makes a target cold as soon as a new incarnation is seen, and
+// starts its ramp when the incarnation says that it is warm.
+func (s *State) onIncarnationSeen(name identifier.Target, seen identifier.Incarnation, cold bool) {
+	t := s.targets[name]
+	if t == nil || seen < t.incarnation || seen == 0 {
+		return
+	}
+	if seen > t.incarnation {
+		s.renew(t, seen)
+	}
+	if cold && !t.cold {
+		t.cold = true
+		s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: seen, Cold: true}})
+	}
+	if !cold && t.cold {
+		t.cold = false
+		t.warmSince = s.now
+	}
+}
+
+// renew forgets what was known of a target's earlier incarnation.
+func (s *State) renew(t *target, seen identifier.Incarnation) {
+	first := t.incarnation == 0
+	t.incarnation = seen
+	t.cold = true
+	t.reported, t.reportedQueue, t.inflightThen = 0, 0, t.inflight
+	t.heard = time.Time{}
+	t.health = health{}
+	s.forgetCacheOf(t.name)
+	if first {
+		return
+	}
+	s.emit(DropConnections{Target: t.name})
+	s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: seen, Cold: true}})
+}
+
+func (s *State) onTargetUnreachable(ev TargetUnreachable) {
+	if t := s.targets[ev.Target]; t != nil {
+		t.failed(s.now)
+	}
+}
+
+// limit returns how many requests t may run now, by this daemon's knowledge.
+func (s *State) limit(t *target) int {
+	if t.cold {
+		return t.spec.ColdLimit
+	}
+	profile := s.profileOf(t.spec.Service)
+	steps, stepTime := profile.RampSteps, profile.RampStepTime.Duration
+	if steps <= 0 || stepTime <= 0 {
+		return t.spec.WarmLimit
+	}
+	step := min(steps, 1+int(s.now.Sub(t.warmSince)/stepTime))
+	return t.spec.ColdLimit + (t.spec.WarmLimit-t.spec.ColdLimit)*step/steps
+}
+
+// hasRoom reports whether this daemon may send t one more request. A cold target
+// is used by its owner only, or by leave of its owner.
+func (s *State) hasRoom(t *target) bool {
+	if t.cold {
+		return s.coldRoom(t)
+	}
+	return t.load() < s.limit(t)
+}
--- /dev/null
+++ b/internal/decision/scorer/scorer.go
@@ -0,0 +1,73 @@
+// Package scorer estimates the time to the first token of a prompt on a target
+// and chooses how much of the prompt's cache to import.
+package scorer
+
+import "time"
+
+// Target describes one candidate target.
+type Target struct {
+	// QueueWait is the expected wait before prefill starts.
+	QueueWait time.Duration
+	// PrefillTokensPerSecond is the target's prefill rate.
+	PrefillTokensPerSecond float64
+	// CachedBlocks is the number of leading blocks believed to be in the target's cache.
+	CachedBlocks int
+	// Penalty is added for reasons other than the target's speed, such as distance.
+	Penalty time.Duration
+}
+
+// Prompt describes the prompt to place.
+type Prompt struct {
+	// Tokens counts all tokens, BlockTokens those of one block.
+	Tokens      int
+	BlockTokens int
+	// StoredBlocks is the number of leading blocks that a store can serve.
+	StoredBlocks int
+}
+
+// Link describes the link between the store and the targets.
+type Link struct {
+	// BytesPerSecond is the free share of the link; 0 means no import.
+	BytesPerSecond float64
+	// BlockBytes is the size of one block.
+	BlockBytes float64
+	// Latency is the fixed cost of one import.
+	Latency time.Duration
+}
+
+// Plan is the cheapest way to serve a prompt on one target.
+type Plan struct {
+	// FirstToken is the expected time to the first token.
+	FirstToken time.Duration
+	// ImportBlocks is the number of blocks to import behind the cached ones.
+	ImportBlocks int
+	// ComputedTokens is the number of tokens to prefill.
+	ComputedTokens int
+}
+
+// Best returns the cheapest plan for p on t over l. Because the cost is linear
+// in the number of imported blocks, either none or all of them is the cheapest.
+func Best(p Prompt, t Target, l Link) Plan {
+	cached := min(t.CachedBlocks, p.Tokens/max(p.BlockTokens, 1))
+	recompute := plan(p, t, l, cached, 0)
+	importable := p.StoredBlocks - cached
+	if importable <= 0 || l.BytesPerSecond <= 0 {
+		return recompute
+	}
+	imported := plan(p, t, l, cached, importable)
+	if imported.FirstToken < recompute.FirstToken {
+		return imported
+	}
+	return recompute
+}
+
+func plan(p Prompt, t Target, l Link, cached, imported int) Plan {
+	computed := max(p.Tokens-(cached+imported)*p.BlockTokens, 1)
+	first := t.QueueWait + t.Penalty + seconds(float64(computed)/max(t.PrefillTokensPerSecond, 1))
+	if imported > 0 {
+		first += l.Latency + seconds(float64(imported)*l.BlockBytes/l.BytesPerSecond)
+	}
+	return Plan{FirstToken: first, ImportBlocks: imported, ComputedTokens: computed}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/entry/server/server.go
@@ -0,0 +1,148 @@
+// Package server terminates callers' HTTP requests, turns them into events and
+// carries out the effects that concern them.
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/caller"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+const (
+	// KindConfig reports a missing part of a Config.
+	KindConfig Kind = "config"
+	// KindInvalid reports a malformed request of a caller.
+	KindInvalid Kind = "invalid"
+	// KindTooLarge reports a body over its limit.
+	KindTooLarge Kind = "too-large"
+)
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+// Reducer is the decision side as the server sees it.
+type Reducer interface {
+	Post(reducer.Event)
+	Register(identifier.Request) <-chan reducer.Effect
+	Unregister(identifier.Request)
+	Ended() <-chan struct{}
+}
+
+// Targets runs attempts.
+type Targets interface {
+	Generate(context.Context, reducer.Start, messenger.GenerateRequest, caller.Sink) reducer.Event
+	Call(context.Context, reducer.Start, caller.Call) (caller.Answer, reducer.Event)
+}
+
+// Caches moves cache blocks.
+type Caches interface {
+	Lookup(context.Context, reducer.Lookup) reducer.LookupDone
+	Import(context.Context, reducer.Import) reducer.ImportDone
+}
+
+// Claims keeps requests that run at most once.
+type Claims interface {
+	// Claim claims a request. With ClaimAnswered it returns the recorded answer.
+	Claim(context.Context, reducer.Claim) (reducer.ClaimOutcome, caller.Answer)
+	// Record stores the answer of a claimed request.
+	Record(context.Context, reducer.Claim, caller.Answer)
+}
+
+// Config configures a Server.
+type Config struct {
+	Reducer Reducer
+	Targets Targets
+	Caches  Caches
+	Claims  Claims
+	Clock   clockwork.Clock
+	Logger  hclog.Logger
+	// NewRequestID returns an ID that is unique over all daemons.
+	NewRequestID func() identifier.Request
+	// Ready reports whether the daemon can serve.
+	Ready func() bool
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+}
+
+const (
+	// DefaultMaxBodyBytes bounds a request's body.
+	DefaultMaxBodyBytes = 4 << 20
+	// recordTimeout bounds the recording of an answer.
+	recordTimeout = 5 * time.Second
+)
+
+// Server is an HTTP handler for callers.
+type Server struct {
+	cfg    Config
+	router *mux.Router
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// New returns a Server.
+func New(cfg Config) (*Server, error) {
+	if cfg.Reducer == nil || cfg.Targets == nil || cfg.Caches == nil || cfg.Claims == nil || cfg.Clock == nil || cfg.NewRequestID == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new server", Kind: KindConfig, Err: errors.New("reducer, targets, caches, claims, clock and request IDs are needed")}}
+	}
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if cfg.Ready == nil {
+		cfg.Ready = func() bool { return true }
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	s := &Server{cfg: cfg, router: mux.NewRouter()}
+	s.router.HandleFunc("/v1/completions", s.completions).Methods(http.MethodPost)
+	s.router.PathPrefix("/services/{service}/").HandlerFunc(s.services)
+	s.router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
+	s.router.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
+	s.router.NotFoundHandler = http.HandlerFunc(s.notFound)
+	s.router.MethodNotAllowedHandler = http.HandlerFunc(s.methodNotAllowed)
+	return s, nil
+}
+
+// ServeHTTP answers one caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, health{Status: "ok"})
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.cfg.Ready() {
+		writeJSON(w, http.StatusServiceUnavailable, health{Status: "not-ready"})
+		return
+	}
+	writeJSON(w, http.StatusOK, health{Status: "ready"})
+}
+
+// health is the body of the health endpoints.
+type health struct {
+	Status string `json:"status"`
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	id := s.cfg.NewRequestID()
+	writeError(w, http.StatusNotFound, id, ErrorBody{Kind: "unknown-path", Message: "path " + r.URL.Path + " does not exist", Run: string(reducer.RunNot)}, 0)
+}
+
+func (s *Server) methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	id := s.cfg.NewRequestID()
+	writeError(w, http.StatusMethodNotAllowed, id, ErrorBody{Kind: "invalid", Message: "method " + r.Method + " is not served at " + r.URL.Path, Run: string(reducer.RunNot)}, 0)
+}
--- /dev/null
+++ b/internal/entry/server/services.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/caller"
+)
+
+func (s *Server) services(w http.ResponseWriter, r *http.Request) {
+	id := s.cfg.NewRequestID()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	if err != nil {
+		refuseMalformed(w, id, bodyError(err))
+		return
+	}
+	ev, err := s.arrival(r, id)
+	if err != nil {
+		refuseMalformed(w, id, err)
+		return
+	}
+	service := mux.Vars(r)["service"]
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
+	ev.Service = identifier.Service(service)
+	ev.Work = reducer.Call{Method: r.Method, Path: path, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, path, r.URL.RawQuery, body)}
+	pathQuery := path
+	if r.URL.RawQuery != "" {
+		pathQuery += "?" + r.URL.RawQuery
+	}
+	x := &exchange{server: s, id: id, w: w, ctx: r.Context()}
+	x.runner = &plainCall{exchange: x, call: caller.Call{
+		Method: r.Method, PathQuery: pathQuery, ContentType: r.Header.Get("Content-Type"),
+		Body: body, IdempotencyKey: ev.IdempotencyKey,
+	}}
+	x.serve(ev)
+}
+
+// fingerprint identifies a call by what it asks for.
+func fingerprint(method, path, query string, body []byte) string {
+	h := sha256.New()
+	for _, part := range []string{method, path, query} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// plainCall answers one call of a plain service.
+type plainCall struct {
+	*exchange
+	call caller.Call
+}
+
+func (p *plainCall) run(ctx context.Context, start reducer.Start) reducer.Event {
+	answer, ev := p.server.cfg.Targets.Call(ctx, start, p.call)
+	p.answer = answer
+	return ev
+}
+
+func (p *plainCall) finish() {
+	if p.answer.ContentType != "" {
+		p.w.Header().Set("Content-Type", p.answer.ContentType)
+	}
+	p.w.WriteHeader(p.answer.Status)
+	_, _ = p.w.Write(p.answer.Body)
+}
+
+func (p *plainCall) refuse(e reducer.Refuse) {
+	writeError(p.w, refusalStatus(e.Kind), p.id, refusalBody(e), e.RetryAfter)
+}
--- /dev/null
+++ b/internal/target/caller/call.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// MaxAnswerBytes bounds a plain service's answer.
+const MaxAnswerBytes = 8 << 20
+
+// Call is one HTTP exchange with a plain service.
+type Call struct {
+	Method      string
+	PathQuery   string
+	ContentType string
+	Body        []byte
+	// IdempotencyKey is passed on to the service when not empty.
+	IdempotencyKey string
+}
+
+// Answer is a plain service's whole answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call makes one HTTP exchange. It returns the whole answer with AttemptDone, or
+// AttemptFailed.
+func (c *Caller) Call(ctx context.Context, start reducer.Start, call Call) (Answer, reducer.Event) {
+	req, err := newCall(start, call)
+	if err != nil {
+		return Answer{}, reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureRefused, Detail: err.Error()}
+	}
+	x, failed := c.open(ctx, start, req)
+	if failed != nil {
+		return Answer{}, failed
+	}
+	defer x.close()
+	if x.response.Header.Get(messenger.HeaderRun) != "" {
+		return Answer{}, x.refused(0)
+	}
+	return x.readAnswer()
+}
+
+// newCall builds the HTTP request. The idempotency key is set under its
+// lower-case name, because net/http would repeat a request by itself that has
+// the canonical one.
+func newCall(start reducer.Start, call Call) (*http.Request, error) {
+	url := "http://" + start.Address.String() + call.PathQuery
+	var body io.Reader
+	if len(call.Body) > 0 {
+		body = io.NopCloser(bytes.NewReader(call.Body))
+	}
+	req, err := http.NewRequest(call.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(call.Body))
+	if call.ContentType != "" {
+		req.Header.Set("Content-Type", call.ContentType)
+	}
+	req.Header.Set(messenger.HeaderRequest, string(start.Attempt.Request))
+	if call.IdempotencyKey != "" {
+		req.Header["idempotency-key"] = []string{call.IdempotencyKey}
+	}
+	return req, nil
+}
+
+func (x *exchange) readAnswer() (Answer, reducer.Event) {
+	ctx := x.response.Request.Context()
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, x.failure(ctx, err, 0)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, x.failure(ctx, errors.Newf("the answer is longer than %d bytes", MaxAnswerBytes), 0)
+	}
+	answer := Answer{Status: x.response.StatusCode, ContentType: x.response.Header.Get("Content-Type"), Body: body}
+	done := reducer.AttemptDone{Attempt: x.start.Attempt, Incarnation: incarnationOf(x.response.Header)}
+	return answer, done
+}
--- /dev/null
+++ b/internal/target/caller/caller.go
@@ -0,0 +1,155 @@
+// Package caller runs attempts on targets: it sends a prompt to an engine and
+// passes on the checked tokens, or makes one HTTP exchange with a plain service.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+// KindConfig reports a missing part of a Config.
+const KindConfig Kind = "config"
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+// Transports provides connections that reach one incarnation of a target only.
+type Transports interface {
+	// RoundTripper returns the transport of a target. Its dials fail with an
+	// error that matches IncarnationError when the target is not the process
+	// that it was believed to be.
+	RoundTripper(target identifier.Target, address netip.AddrPort) http.RoundTripper
+}
+
+// IncarnationError is implemented by errors of dials that met another incarnation.
+type IncarnationError interface {
+	error
+	// SeenIncarnation returns the incarnation that answered.
+	SeenIncarnation() identifier.Incarnation
+}
+
+// Config configures a Caller.
+type Config struct {
+	Transports Transports
+	Clock      clockwork.Clock
+}
+
+// Caller runs attempts on targets. It is safe for concurrent use.
+type Caller struct {
+	cfg Config
+}
+
+// New returns a Caller.
+func New(cfg Config) (*Caller, error) {
+	if cfg.Transports == nil || cfg.Clock == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new caller", Kind: KindConfig, Err: errors.New("transports and clock are needed")}}
+	}
+	return &Caller{cfg: cfg}, nil
+}
+
+// exchange is one attempt's HTTP exchange.
+type exchange struct {
+	start  reducer.Start
+	cancel context.CancelCauseFunc
+	// maybeSent is set just before the first byte of the request may leave.
+	maybeSent atomic.Bool
+	stall     clockwork.Timer
+	response  *http.Response
+}
+
+var (
+	errStalled  = errors.New("the answer made no progress")
+	errDeadline = errors.New("the deadline passed")
+)
+
+// open sends req and returns the exchange with its response, or the failure.
+func (c *Caller) open(ctx context.Context, start reducer.Start, req *http.Request) (*exchange, reducer.Event) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	x := &exchange{start: start, cancel: cancel}
+	left := start.Deadline.Sub(c.cfg.Clock.Now())
+	deadline := c.cfg.Clock.AfterFunc(left, func() { cancel(errDeadline) })
+	context.AfterFunc(ctx, func() { deadline.Stop() })
+	x.stall = c.cfg.Clock.AfterFunc(stallOf(start, left), func() { cancel(errStalled) })
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.maybeSent.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	response, err := c.cfg.Transports.RoundTripper(start.Target, start.Address).RoundTrip(req)
+	if err != nil {
+		defer x.close()
+		return nil, x.failure(ctx, err, 0)
+	}
+	x.response = response
+	return x, nil
+}
+
+// defaultStallTimeout is used when a profile gives none.
+const defaultStallTimeout = 5 * time.Second
+
+func stallOf(start reducer.Start, left time.Duration) time.Duration {
+	if start.StallTimeout > 0 {
+		return start.StallTimeout
+	}
+	return min(defaultStallTimeout, max(left, time.Millisecond))
+}
+
+// progress restarts the stall timer.
+func (x *exchange) progress(left time.Duration) { x.stall.Reset(stallOf(x.start, left)) }
+
+func (x *exchange) close() {
+	x.stall.Stop()
+	x.cancel(nil)
+	if x.response != nil {
+		_ = x.response.Body.Close()
+	}
+}
+
+// failure describes why the exchange ended without a whole answer.
+func (x *exchange) failure(ctx context.Context, err error, delivered int) reducer.AttemptFailed {
+	failed := reducer.AttemptFailed{
+		Attempt: x.start.Attempt, Proven: !x.maybeSent.Load(), Detail: err.Error(),
+		Delivered: delivered, Reason: reducer.FailureBroken,
+	}
+	cause := context.Cause(ctx)
+	var other IncarnationError
+	switch {
+	case errors.As(err, &other):
+		failed.Reason = reducer.FailureIncarnation
+		failed.Incarnation = other.SeenIncarnation()
+	case errors.Is(cause, errStalled):
+		failed.Reason = reducer.FailureStalled
+	case errors.Is(cause, errDeadline):
+		failed.Reason = reducer.FailureDeadline
+	case ctx.Err() != nil:
+		failed.Reason = reducer.FailureCaller
+	case failed.Proven:
+		failed.Reason = reducer.FailureUnreachable
+	}
+	return failed
+}
+
+// incarnationOf reads the incarnation header; 0 when it is missing.
+func incarnationOf(h http.Header) identifier.Incarnation {
+	n, err := strconv.ParseUint(h.Get(messenger.HeaderIncarnation), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return identifier.Incarnation(n)
+}
--- /dev/null
+++ b/internal/target/caller/generate.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/checker"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// maxFrameBytes bounds one line of an engine's answer.
+const maxFrameBytes = 1 << 20
+
+// Sink takes in an answer's tokens.
+type Sink interface {
+	// Started reports the first frame of an attempt.
+	Started(reducer.AttemptStarted)
+	// Token passes on the token at offset. An error means that the caller left.
+	Token(offset int, token string) error
+}
+
+// Generate runs a prompt on an engine and returns AttemptDone or AttemptFailed.
+func (c *Caller) Generate(ctx context.Context, start reducer.Start, body messenger.GenerateRequest, sink Sink) reducer.Event {
+	body.DeadlineMilliseconds = start.Deadline.Sub(c.cfg.Clock.Now()).Milliseconds()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureRefused, Detail: err.Error(), Delivered: start.ResumeOffset}
+	}
+	url := "http://" + start.Address.String() + messenger.PathGenerate
+	req, err := http.NewRequest(http.MethodPost, url, io.NopCloser(bytes.NewReader(raw)))
+	if err != nil {
+		return reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureRefused, Detail: err.Error(), Delivered: start.ResumeOffset}
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(messenger.HeaderRequest, string(start.Attempt.Request))
+	x, failed := c.open(ctx, start, req)
+	if failed != nil {
+		return withDelivered(failed, start.ResumeOffset)
+	}
+	defer x.close()
+	if x.response.StatusCode != http.StatusOK {
+		return x.refused(start.ResumeOffset)
+	}
+	return c.stream(x, sink)
+}
+
+func withDelivered(ev reducer.Event, delivered int) reducer.Event {
+	if failed, ok := ev.(reducer.AttemptFailed); ok {
+		failed.Delivered = delivered
+		return failed
+	}
+	return ev
+}
+
+// refused describes a target's answer other than 200.
+func (x *exchange) refused(delivered int) reducer.Event {
+	var refusal messenger.Refusal
+	raw, err := io.ReadAll(io.LimitReader(x.response.Body, maxFrameBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, &refusal)
+	}
+	failed := reducer.AttemptFailed{
+		Attempt: x.start.Attempt, Reason: reducer.FailureRefused, Delivered: delivered,
+		Detail: refusal.Message, Incarnation: incarnationOf(x.response.Header),
+		Proven: err == nil && refusal.Run == messenger.RunNot,
+	}
+	if refusal.Kind == kindWrongVersion {
+		failed.Reason = reducer.FailureVersion
+	}
+	return failed
+}
+
+// kindWrongVersion is the kind of an engine's refusal of an unknown weight version.
+const kindWrongVersion = "wrong-version"
+
+// stream passes on the frames of an answer until its end mark.
+func (c *Caller) stream(x *exchange, sink Sink) reducer.Event {
+	ctx := x.response.Request.Context()
+	frames := bufio.NewScanner(x.response.Body)
+	frames.Buffer(nil, maxFrameBytes)
+	check := checker.New(checker.Config{Attempt: x.start.Attempt, Offset: x.start.ResumeOffset})
+	started := false
+	for frames.Scan() {
+		var frame messenger.GenerateFrame
+		if err := json.Unmarshal(frames.Bytes(), &frame); err != nil {
+			return x.failure(ctx, errors.Wrap(err, "decode frame"), check.Next())
+		}
+		verdict, err := check.Check(checkable(frame))
+		if err != nil {
+			return x.failure(ctx, err, check.Next())
+		}
+		x.progress(x.start.Deadline.Sub(c.cfg.Clock.Now()))
+		if !started {
+			started = true
+			sink.Started(reducer.AttemptStarted{Attempt: x.start.Attempt, Incarnation: frame.Incarnation, CachedTokens: frame.CachedTokens})
+		}
+		switch verdict {
+		case checker.VerdictDeliver:
+			if err := sink.Token(frame.Offset, frame.Token); err != nil {
+				return callerLeft(x, err, check.Next())
+			}
+		case checker.VerdictEnd:
+			return reducer.AttemptDone{Attempt: x.start.Attempt, Incarnation: frame.Incarnation, Tokens: frame.Offset}
+		}
+	}
+	err := frames.Err()
+	if err == nil {
+		err = errors.New("the answer ended without its end mark")
+	}
+	return x.failure(ctx, err, check.Next())
+}
+
+func callerLeft(x *exchange, err error, delivered int) reducer.Event {
+	return reducer.AttemptFailed{Attempt: x.start.Attempt, Reason: reducer.FailureCaller, Detail: err.Error(), Delivered: delivered}
+}
+
+func checkable(f messenger.GenerateFrame) checker.Frame {
+	return checker.Frame{
+		Attempt: identifier.Attempt{Request: f.RequestID, Number: f.Attempt},
+		Offset:  f.Offset,
+		Done:    f.Done,
+	}
+}
--- /dev/null
+++ b/internal/target/orderer/orderer.go
@@ -0,0 +1,130 @@
+// Package orderer asks stores for blocks and orders engines to import and export
+// them. The blocks themselves never pass through it.
+package orderer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+const (
+	// KindUnreachable reports that no answer came.
+	KindUnreachable Kind = "unreachable"
+	// KindRefused reports an answer other than 200.
+	KindRefused Kind = "refused"
+	// KindInvalid reports an answer that can't be decoded.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+// Config configures an Orderer.
+type Config struct {
+	Transport http.RoundTripper
+	Clock     clockwork.Clock
+}
+
+// Orderer talks to store hosts and to the cache side of engines.
+type Orderer struct {
+	cfg Config
+}
+
+// New returns an Orderer.
+func New(cfg Config) (*Orderer, error) {
+	if cfg.Transport == nil || cfg.Clock == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new orderer", Kind: KindInvalid, Err: errors.New("transport and clock are needed")}}
+	}
+	return &Orderer{cfg: cfg}, nil
+}
+
+// Lookup asks a store which leading blocks it can serve.
+func (o *Orderer) Lookup(ctx context.Context, e reducer.Lookup) reducer.LookupDone {
+	done := reducer.LookupDone{Request: e.Request, Store: e.Store}
+	var result messenger.LookupResult
+	err := o.post(ctx, e.Address, messenger.PathLookup, e.Timeout, messenger.LookupRequest{Keys: e.Keys}, &result)
+	if err != nil {
+		done.Failed = true
+		return done
+	}
+	for _, b := range result.Blocks {
+		done.Blocks = append(done.Blocks, reducer.StoredBlock{Key: b.Key, Generation: b.Generation, Checksum: b.Checksum, OnDisk: b.OnDisk})
+	}
+	return done
+}
+
+// Import orders an engine to import blocks from a store.
+func (o *Orderer) Import(ctx context.Context, e reducer.Import) reducer.ImportDone {
+	began := o.cfg.Clock.Now()
+	order := messenger.ImportRequest{
+		RequestID: e.Request, Store: e.StoreAddress, Model: e.Model, WeightVersion: e.Version,
+		BytesPerSecond: e.BytesPerSecond, DeadlineMilliseconds: e.Timeout.Milliseconds(),
+	}
+	for _, b := range e.Blocks {
+		order.Blocks = append(order.Blocks, messenger.BlockRef{Key: b.Key, Generation: b.Generation, Checksum: b.Checksum})
+	}
+	var result messenger.TransferResult
+	err := o.post(ctx, e.TargetAddress, messenger.PathImport, e.Timeout, order, &result)
+	return reducer.ImportDone{
+		Request: e.Request, Target: e.Target, Store: e.Store,
+		Blocks: result.Blocks, Bytes: result.Bytes, Failed: err != nil,
+		Took: o.cfg.Clock.Since(began),
+	}
+}
+
+// Export orders an engine to export blocks to a store.
+func (o *Orderer) Export(ctx context.Context, e reducer.Export) reducer.ExportDone {
+	order := messenger.ExportRequest{Store: e.StoreAddress, Blocks: e.Keys, BytesPerSecond: e.BytesPerSecond}
+	var result messenger.TransferResult
+	err := o.post(ctx, e.TargetAddress, messenger.PathExport, e.Timeout, order, &result)
+	return reducer.ExportDone{Target: e.Target, Store: e.Store, Blocks: result.Blocks, Bytes: result.Bytes, Failed: err != nil}
+}
+
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 4 << 20
+
+func (o *Orderer) post(ctx context.Context, address netip.AddrPort, path string, timeout time.Duration, body, result any) error {
+	op := "post " + path + " to " + address.String()
+	ctx, cancel := clockwork.WithTimeout(ctx, o.cfg.Clock, timeout)
+	defer cancel()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: err}}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(raw))
+	if err != nil {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: err}}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	response, err := o.cfg.Transport.RoundTrip(req)
+	if err != nil {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindUnreachable, Err: err}}
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindUnreachable, Err: err}}
+	}
+	if response.StatusCode != http.StatusOK {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindRefused, Err: errors.Newf("status %d: %s", response.StatusCode, answer)}}
+	}
+	if err := json.Unmarshal(answer, result); err != nil {
+		return &Error{failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: err}}
+	}
+	return nil
+}
