--- /dev/null
+++ b/internal/config/specifier/datacentre.go
@@ -0,0 +1,39 @@
+package specifier
+
+import (
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// State says whether something takes new work.
+type State string
+
+// The states.
+const (
+	StateIn  State = "in"
+	StateOut State = "out"
+)
+
+// Allowed returns all states.
+func (State) Allowed() []State { return []State{StateIn, StateOut} }
+
+// DataCentre is one data centre.
+type DataCentre struct {
+	// Region names the group of data centres that work may spill over to; required.
+	Region identifier.Region `json:"region"`
+	// State says whether the data centre takes new work.
+	State State `json:"state"`
+}
+
+// DefaultDataCentre returns the settings of a data centre that names none.
+func DefaultDataCentre() DataCentre { return DataCentre{State: StateIn} }
+
+// SetDefaults replaces d by DefaultDataCentre.
+func (d *DataCentre) SetDefaults() { *d = DefaultDataCentre() }
+
+func (v *validator) dataCentre(key string, d DataCentre) {
+	if !namePattern.MatchString(string(d.Region)) {
+		v.Reportf(decoder.Join(key, "region"), "is %q, want the name of a region", d.Region)
+	}
+	oneOf(v, decoder.Join(key, "state"), d.State, d.State.Allowed())
+}
--- /dev/null
+++ b/internal/config/specifier/duration.go
@@ -0,0 +1,27 @@
+package specifier
+
+import (
+	"encoding"
+	"time"
+)
+
+var (
+	_ encoding.TextMarshaler   = Duration{}
+	_ encoding.TextUnmarshaler = (*Duration)(nil)
+)
+
+// Duration is a time.Duration that JSON carries as text such as "150ms".
+type Duration struct{ time.Duration }
+
+// MarshalText encodes d as text.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText decodes text such as "150ms" into d.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	d.Duration = parsed
+	return nil
+}
--- /dev/null
+++ b/internal/config/specifier/host.go
@@ -0,0 +1,31 @@
+package specifier
+
+import (
+	"net/netip"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Host is one entry host.
+type Host struct {
+	// DataCentre names the data centre that the host is in.
+	DataCentre identifier.DataCentre `json:"data-centre"`
+	// State says whether the host's daemon takes new work.
+	State State `json:"state"`
+	// Peer is where other daemons reach the host's daemon; an IP address and port of its own.
+	Peer netip.AddrPort `json:"peer"`
+}
+
+// DefaultHost returns the settings of a host that names none.
+func DefaultHost() Host { return Host{State: StateIn} }
+
+// SetDefaults replaces h by DefaultHost.
+func (h *Host) SetDefaults() { *h = DefaultHost() }
+
+func (v *validator) host(key string, h Host) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	reference(v, at("data-centre"), h.DataCentre, v.fleet.DataCentres, "data centres")
+	oneOf(v, at("state"), h.State, h.State.Allowed())
+	v.address(at("peer"), h.Peer)
+}
--- /dev/null
+++ b/internal/config/specifier/model.go
@@ -0,0 +1,45 @@
+package specifier
+
+import (
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Model is one model and the weight version in force.
+type Model struct {
+	// Version is the weight version in force; required.
+	Version identifier.WeightVersion `json:"version"`
+	// Adapters lists the adapters that requests may name.
+	Adapters []identifier.Adapter `json:"adapters,omitempty"`
+	// MaxPromptTokens is the longest prompt, in tokens; 1 or more.
+	MaxPromptTokens int `json:"max-prompt-tokens"`
+	// MaxOutputTokens is the longest output, in tokens; 1 or more.
+	MaxOutputTokens int `json:"max-output-tokens"`
+	// BlockBytes is the size of one cache block on a link, in bytes; 1 or more.
+	BlockBytes int64 `json:"block-bytes"`
+}
+
+// Bounds of a model's values.
+const (
+	maxTokens     = 1 << 24
+	maxBlockBytes = 1 << 40
+)
+
+// DefaultModel returns the settings of a model that names none.
+func DefaultModel() Model {
+	return Model{MaxPromptTokens: 32_768, MaxOutputTokens: 4_096, BlockBytes: 64 << 20}
+}
+
+// SetDefaults replaces m by DefaultModel.
+func (m *Model) SetDefaults() { *m = DefaultModel() }
+
+func (v *validator) model(key string, m Model) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	if m.Version == "" {
+		v.Reportf(at("version"), "is empty, want the weight version in force")
+	}
+	distinct(v, at("adapters"), m.Adapters)
+	within(v, at("max-prompt-tokens"), m.MaxPromptTokens, 1, maxTokens)
+	within(v, at("max-output-tokens"), m.MaxOutputTokens, 1, maxTokens)
+	within(v, at("block-bytes"), m.BlockBytes, 1, maxBlockBytes)
+}
--- /dev/null
+++ b/internal/config/specifier/profile.go
@@ -0,0 +1,122 @@
+package specifier
+
+import (
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+)
+
+// Policy names a way to choose targets.
+type Policy string
+
+// The policies.
+const (
+	PolicyRoundRobin  Policy = "round-robin"
+	PolicyLeastLoaded Policy = "least-loaded"
+	PolicyAffinity    Policy = "affinity"
+	PolicyFull        Policy = "full"
+)
+
+// Allowed returns all policies.
+func (Policy) Allowed() []Policy {
+	return []Policy{PolicyRoundRobin, PolicyLeastLoaded, PolicyAffinity, PolicyFull}
+}
+
+// Weighs names the measure that a profile puts first.
+type Weighs string
+
+// The measures.
+const (
+	WeighsFirstToken Weighs = "first-token"
+	WeighsService    Weighs = "service"
+)
+
+// Allowed returns all measures.
+func (Weighs) Allowed() []Weighs { return []Weighs{WeighsFirstToken, WeighsService} }
+
+// Profile is a named set of policy settings that services pick.
+type Profile struct {
+	// Policy is the way to choose targets.
+	Policy Policy `json:"policy"`
+	// Weighs is the measure that comes first.
+	Weighs Weighs `json:"weighs"`
+	// DefaultDeadline is the whole time of a request that names none; above 0 and up to max-deadline.
+	DefaultDeadline Duration `json:"default-deadline"`
+	// MaxDeadline is the longest whole time that a request may ask for; up to 1h.
+	MaxDeadline Duration `json:"max-deadline"`
+	// RetryBudget is the share of requests that may be retried, from 0 to 1.
+	RetryBudget float64 `json:"retry-budget"`
+	// MaxAttempts bounds the attempts of one repeatable request, from 1 to 10.
+	MaxAttempts int `json:"max-attempts"`
+	// QueueLimit bounds the requests that wait in one daemon, from 0 to 100000.
+	QueueLimit int `json:"queue-limit"`
+	// StallTimeout is how long an answer may make no progress; above 0 and up to max-deadline.
+	StallTimeout Duration `json:"stall-timeout"`
+	// SpillOver permits work in other data centres of the region.
+	SpillOver bool `json:"spill-over"`
+	// SpillOverPenalty is added to the expected first-token time elsewhere; up to max-deadline.
+	SpillOverPenalty Duration `json:"spill-over-penalty"`
+	// LinkShare is the share of a store's link that imports and exports may use, from 0 to 1.
+	LinkShare float64 `json:"link-share"`
+	// Keep says whether blocks are exported to stores after a run.
+	Keep bool `json:"keep"`
+	// KeepMinBlocks is the shortest prefix worth keeping, in blocks; 1 or more.
+	KeepMinBlocks int `json:"keep-min-blocks"`
+	// RampSteps is the number of steps from a target's cold limit to its warm limit, from 1 to 100.
+	RampSteps int `json:"ramp-steps"`
+	// RampStepTime is the shortest time of one step; 1ms to 10m.
+	RampStepTime Duration `json:"ramp-step-time"`
+}
+
+// Bounds of a profile's values.
+const (
+	minDuration       = time.Millisecond
+	maxDeadline       = time.Hour
+	maxAttempts       = 10
+	maxQueueLimit     = 100_000
+	maxKeepMinBlocks  = 10_000
+	maxRampSteps      = 100
+	maxRampStepTime   = 10 * time.Minute
+	defaultRetryShare = 0.1
+)
+
+// DefaultProfile returns the settings of a profile that names none.
+func DefaultProfile() Profile {
+	return Profile{
+		Policy:           PolicyFull,
+		Weighs:           WeighsFirstToken,
+		DefaultDeadline:  Duration{30 * time.Second},
+		MaxDeadline:      Duration{2 * time.Minute},
+		RetryBudget:      defaultRetryShare,
+		MaxAttempts:      3,
+		QueueLimit:       512,
+		StallTimeout:     Duration{5 * time.Second},
+		SpillOver:        true,
+		SpillOverPenalty: Duration{20 * time.Millisecond},
+		LinkShare:        0.7,
+		Keep:             true,
+		KeepMinBlocks:    2,
+		RampSteps:        6,
+		RampStepTime:     Duration{500 * time.Millisecond},
+	}
+}
+
+// SetDefaults replaces p by DefaultProfile.
+func (p *Profile) SetDefaults() { *p = DefaultProfile() }
+
+func (v *validator) profile(key string, p Profile) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	oneOf(v, at("policy"), p.Policy, p.Policy.Allowed())
+	oneOf(v, at("weighs"), p.Weighs, p.Weighs.Allowed())
+	v.duration(at("max-deadline"), p.MaxDeadline, Duration{minDuration}, Duration{maxDeadline})
+	v.duration(at("default-deadline"), p.DefaultDeadline, Duration{minDuration}, p.MaxDeadline)
+	v.duration(at("stall-timeout"), p.StallTimeout, Duration{minDuration}, p.MaxDeadline)
+	v.duration(at("spill-over-penalty"), p.SpillOverPenalty, Duration{}, p.MaxDeadline)
+	v.duration(at("ramp-step-time"), p.RampStepTime, Duration{minDuration}, Duration{maxRampStepTime})
+	within(v, at("retry-budget"), p.RetryBudget, 0, 1)
+	within(v, at("max-attempts"), p.MaxAttempts, 1, maxAttempts)
+	within(v, at("queue-limit"), p.QueueLimit, 0, maxQueueLimit)
+	within(v, at("link-share"), p.LinkShare, 0, 1)
+	within(v, at("keep-min-blocks"), p.KeepMinBlocks, 1, maxKeepMinBlocks)
+	within(v, at("ramp-steps"), p.RampSteps, 1, maxRampSteps)
+}
--- /dev/null
+++ b/internal/config/specifier/service.go
@@ -0,0 +1,69 @@
+package specifier
+
+import (
+	"strings"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// ServiceKind says what kind of target serves a service.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	ServiceModel ServiceKind = "model"
+	ServicePlain ServiceKind = "plain"
+)
+
+// Allowed returns all kinds of service.
+func (ServiceKind) Allowed() []ServiceKind { return []ServiceKind{ServiceModel, ServicePlain} }
+
+// Service is one routed service.
+type Service struct {
+	// Kind says what kind of target serves the service.
+	Kind ServiceKind `json:"kind"`
+	// Profile names the profile that the service runs under.
+	Profile identifier.Profile `json:"profile"`
+	// Models lists the models of a model service, at least one; a plain service has none.
+	Models []identifier.Model `json:"models,omitempty"`
+	// NonRepeatable lists the path prefixes whose calls run at most once; each begins with "/".
+	NonRepeatable []string `json:"non-repeatable,omitempty"`
+	// Class is the class of requests that name none.
+	Class identifier.Class `json:"class"`
+}
+
+// DefaultService returns the settings of a service that names none.
+func DefaultService() Service {
+	return Service{Kind: ServiceModel, Class: identifier.ClassStandard}
+}
+
+// SetDefaults replaces s by DefaultService.
+func (s *Service) SetDefaults() { *s = DefaultService() }
+
+func (v *validator) service(key string, s Service) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	oneOf(v, at("kind"), s.Kind, s.Kind.Allowed())
+	oneOf(v, at("class"), s.Class, identifier.Classes())
+	reference(v, at("profile"), s.Profile, v.fleet.Profiles, "profiles")
+	distinct(v, at("models"), s.Models)
+	distinct(v, at("non-repeatable"), s.NonRepeatable)
+	for i, path := range s.NonRepeatable {
+		if path != "" && !strings.HasPrefix(path, "/") {
+			v.Reportf(decoder.Index(at("non-repeatable"), i), "is %q, want a path that begins with /", path)
+		}
+	}
+	v.serviceModels(at("models"), s)
+}
+
+func (v *validator) serviceModels(key string, s Service) {
+	if s.Kind == ServiceModel && len(s.Models) == 0 {
+		v.Reportf(key, "is empty, want at least one model for a service of kind %q", s.Kind)
+	}
+	if s.Kind == ServicePlain && len(s.Models) > 0 {
+		v.Reportf(key, "is not empty, want no models for a service of kind %q", s.Kind)
+	}
+	for i, model := range s.Models {
+		reference(v, decoder.Index(key, i), model, v.fleet.Models, "models")
+	}
+}
--- a/internal/config/specifier/specifier.go
+++ b/internal/config/specifier/specifier.go
@@ -3,163 +3,154 @@
 package specifier
 
 import (
+	"io"
 	"net/netip"
-	"time"
 
-	"cardamomscale.example/cardamomscale/internal/core/identifier"
-)
+	"github.com/cockroachdb/errors"
 
-// Fleet is the whole configuration that all daemons share.
-type Fleet struct {
-	Profiles    map[identifier.Profile]Profile       `json:"profiles"`
-	Services    map[identifier.Service]Service       `json:"services"`
-	Teams       map[identifier.Team]Team             `json:"teams"`
-	Models      map[identifier.Model]Model           `json:"models"`
-	DataCentres map[identifier.DataCentre]DataCentre `json:"data-centres"`
-	Hosts       map[identifier.Host]Host             `json:"hosts"`
-	Targets     map[identifier.Target]Target         `json:"targets"`
-	Stores      map[identifier.Store]Store           `json:"stores"`
-}
-
-// Duration is a time.Duration that JSON carries as text such as "150ms".
-type Duration struct{ time.Duration }
-
-// Policy names a way to choose targets.
-type Policy string
-
-// The policies.
-const (
-	PolicyRoundRobin  Policy = "round-robin"
-	PolicyLeastLoaded Policy = "least-loaded"
-	PolicyAffinity    Policy = "affinity"
-	PolicyFull        Policy = "full"
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
-// Weighs names the measure that a profile puts first.
-type Weighs string
+// Kind classifies failures of this package.
+type Kind string
 
-// The measures.
+// The kinds of failure.
 const (
-	WeighsFirstToken Weighs = "first-token"
-	WeighsService    Weighs = "service"
+	// KindUnreadable reports that the input could not be read.
+	KindUnreadable Kind = "unreadable"
+	// KindInvalid reports a configuration that may not come into force.
+	KindInvalid Kind = "invalid"
 )
 
-// Profile is a named set of policy settings that services pick.
-type Profile struct {
-	Policy Policy `json:"policy"`
-	Weighs Weighs `json:"weighs"`
-	// DefaultDeadline and MaxDeadline bound a request's whole time.
-	DefaultDeadline Duration `json:"default-deadline"`
-	MaxDeadline     Duration `json:"max-deadline"`
-	// RetryBudget is the share of requests that may be retried, from 0 to 1.
-	RetryBudget float64 `json:"retry-budget"`
-	// MaxAttempts bounds the attempts of one repeatable request.
-	MaxAttempts int `json:"max-attempts"`
-	// QueueLimit bounds the requests that wait in one daemon.
-	QueueLimit int `json:"queue-limit"`
-	// StallTimeout is how long an answer may make no progress.
-	StallTimeout Duration `json:"stall-timeout"`
-	// SpillOver permits work in other data centres of the region.
-	SpillOver bool `json:"spill-over"`
-	// SpillOverPenalty is added to the expected first-token time elsewhere.
-	SpillOverPenalty Duration `json:"spill-over-penalty"`
-	// LinkShare is the share of a store's link that imports and exports may use, from 0 to 1.
-	LinkShare float64 `json:"link-share"`
-	// Keep says whether blocks are exported to stores after a run.
-	Keep bool `json:"keep"`
-	// KeepMinBlocks is the shortest prefix worth keeping, in blocks.
-	KeepMinBlocks int `json:"keep-min-blocks"`
-	// RampSteps is the number of steps from a target's cold limit to its warm limit.
-	RampSteps int `json:"ramp-steps"`
-	// RampStepTime is the shortest time of one step.
-	RampStepTime Duration `json:"ramp-step-time"`
+// Error is the error type of this package.
+type Error struct {
+	failer.Detail[Kind]
+	// Problems lists everything that is wrong with the configuration.
+	Problems decoder.Problems
 }
 
-// ServiceKind says what kind of target serves a service.
-type ServiceKind string
-
-// The kinds of service.
-const (
-	ServiceModel ServiceKind = "model"
-	ServicePlain ServiceKind = "plain"
-)
-
-// Service is one routed service.
-type Service struct {
-	Kind    ServiceKind        `json:"kind"`
-	Profile identifier.Profile `json:"profile"`
-	// Models lists the models of a model service.
-	Models []identifier.Model `json:"models,omitempty"`
-	// NonRepeatable lists the path prefixes whose calls run at most once.
-	NonRepeatable []string `json:"non-repeatable,omitempty"`
-	// Class is the class of requests that name none.
-	Class identifier.Class `json:"class"`
+// Fleet is the whole configuration that all daemons share.
+type Fleet struct {
+	// Profiles are the named sets of policy settings.
+	Profiles map[identifier.Profile]Profile `json:"profiles"`
+	// Services are the routed services.
+	Services map[identifier.Service]Service `json:"services"`
+	// Teams are the customer organisations.
+	Teams map[identifier.Team]Team `json:"teams"`
+	// Models are the models and their weight versions.
+	Models map[identifier.Model]Model `json:"models"`
+	// DataCentres are the data centres.
+	DataCentres map[identifier.DataCentre]DataCentre `json:"data-centres"`
+	// Hosts are the entry hosts; at least one when there are targets.
+	Hosts map[identifier.Host]Host `json:"hosts"`
+	// Targets are the workers.
+	Targets map[identifier.Target]Target `json:"targets"`
+	// Stores are the store hosts.
+	Stores map[identifier.Store]Store `json:"stores"`
 }
 
-// Team is one customer organisation.
-type Team struct {
-	// KeyHashes are SHA-256 hashes of the team's bearer keys in hexadecimal digits.
-	KeyHashes []string `json:"key-hashes"`
-	// Weight is the team's share of contended capacity.
-	Weight float64 `json:"weight"`
-	// RequestsPerSecond and TokensPerSecond limit the team over the fleet; 0 means no limit.
-	RequestsPerSecond float64 `json:"requests-per-second"`
-	TokensPerSecond   float64 `json:"tokens-per-second"`
-	// Services lists the services the team may use; empty means all.
-	Services []identifier.Service `json:"services,omitempty"`
+// DefaultFleet returns a Fleet without entries.
+func DefaultFleet() Fleet {
+	return Fleet{
+		Profiles:    map[identifier.Profile]Profile{},
+		Services:    map[identifier.Service]Service{},
+		Teams:       map[identifier.Team]Team{},
+		Models:      map[identifier.Model]Model{},
+		DataCentres: map[identifier.DataCentre]DataCentre{},
+		Hosts:       map[identifier.Host]Host{},
+		Targets:     map[identifier.Target]Target{},
+		Stores:      map[identifier.Store]Store{},
+	}
 }
 
-// Model is one model and the weight version in force.
-type Model struct {
-	Version         identifier.WeightVersion `json:"version"`
-	Adapters        []identifier.Adapter     `json:"adapters,omitempty"`
-	MaxPromptTokens int                      `json:"max-prompt-tokens"`
-	MaxOutputTokens int                      `json:"max-output-tokens"`
-	// BlockBytes is the size of one cache block on a link.
-	BlockBytes int64 `json:"block-bytes"`
+// SetDefaults replaces f by DefaultFleet.
+func (f *Fleet) SetDefaults() { *f = DefaultFleet() }
+
+// Decode reads a Fleet in JSON from r, fills absent keys with defaults and
+// validates the whole. The error is an *Error that lists all problems, each
+// with name as its file.
+func Decode(name string, r io.Reader) (Fleet, error) {
+	var f Fleet
+	cfg := decoder.Config{Name: name, MaxBytes: MaxDocumentBytes}
+	found, err := decode(cfg, r, &f)
+	if err != nil {
+		return Fleet{}, err
+	}
+	found = found.Merge(f.Problems(name))
+	return f, invalid("decode "+name, found)
 }
 
-// State says whether something takes new work.
-type State string
+// DecodeDocument reads a Document as the platform holds it. Keys that a later
+// version of the software may have written are skipped.
+func DecodeDocument(name string, r io.Reader) (Document, error) {
+	var doc Document
+	cfg := decoder.Config{Name: name, MaxBytes: MaxDocumentBytes, AllowUnknown: true}
+	found, err := decode(cfg, r, &doc)
+	if err != nil {
+		return Document{}, err
+	}
+	return doc, invalid("decode "+name, found)
+}
 
-// The states.
-const (
-	StateIn  State = "in"
-	StateOut State = "out"
-)
+// DecodeEntries reads named entries of one type, such as a map of teams.
+func DecodeEntries[N ~string, E any](name string, r io.Reader) (map[N]E, error) {
+	var entries map[N]E
+	cfg := decoder.Config{Name: name, MaxBytes: MaxDocumentBytes}
+	found, err := decode(cfg, r, &entries)
+	if err != nil {
+		return nil, err
+	}
+	return entries, invalid("decode "+name, found)
+}
 
-// DataCentre is one data centre.
-type DataCentre struct {
-	Region identifier.Region `json:"region"`
-	State  State             `json:"state"`
+// decode separates the problems of an input from the failure to read it.
+func decode(cfg decoder.Config, r io.Reader, v any) (decoder.Problems, error) {
+	err := decoder.Decode(cfg, r, v)
+	var decodeErr *decoder.Error
+	switch {
+	case err == nil:
+		return nil, nil
+	case errors.As(err, &decodeErr) && decodeErr.Kind == decoder.KindInvalid:
+		return decodeErr.Problems, nil
+	default:
+		return nil, &Error{Detail: failer.Detail[Kind]{Op: "decode " + cfg.Name, Kind: KindUnreadable, Err: err}}
+	}
 }
 
-// Host is one entry host.
-type Host struct {
-	DataCentre identifier.DataCentre `json:"data-centre"`
-	State      State                 `json:"state"`
-	// Peer is where other daemons reach the host's daemon.
-	Peer netip.AddrPort `json:"peer"`
+// Validate checks f as a whole. The error is an *Error that lists all problems,
+// each with name as its file.
+func (f *Fleet) Validate(name string) error {
+	return invalid("validate "+name, f.Problems(name))
 }
 
-// Target is one worker.
-type Target struct {
-	Service    identifier.Service    `json:"service"`
-	DataCentre identifier.DataCentre `json:"data-centre"`
-	Address    netip.AddrPort        `json:"address"`
-	State      State                 `json:"state"`
-	// ColdLimit and WarmLimit bound the requests that run at once.
-	ColdLimit int `json:"cold-limit"`
-	WarmLimit int `json:"warm-limit"`
-	// ChecksFence is true when the target refuses orders with an old fencing number.
-	ChecksFence bool `json:"checks-fence"`
+// Problems returns all problems of f, each with name as its file.
+func (f *Fleet) Problems(name string) decoder.Problems {
+	v := &validator{
+		Reporter:  decoder.Reporter{File: name},
+		fleet:     f,
+		addresses: map[netip.AddrPort]string{},
+		hashes:    map[string]string{},
+	}
+	eachEntry(v, "profiles", f.Profiles, v.profile)
+	eachEntry(v, "services", f.Services, v.service)
+	eachEntry(v, "teams", f.Teams, v.team)
+	eachEntry(v, "models", f.Models, v.model)
+	eachEntry(v, "data-centres", f.DataCentres, v.dataCentre)
+	eachEntry(v, "hosts", f.Hosts, v.host)
+	eachEntry(v, "targets", f.Targets, v.target)
+	eachEntry(v, "stores", f.Stores, v.store)
+	if len(f.Targets) > 0 && len(f.Hosts) == 0 {
+		v.Reportf("hosts", "is empty, want at least one host for %d targets", len(f.Targets))
+	}
+	return v.Problems
 }
 
-// Store is one store host.
-type Store struct {
-	DataCentre identifier.DataCentre `json:"data-centre"`
-	Address    netip.AddrPort        `json:"address"`
-	// LinkBytesPerSecond is the limit of the store's link.
-	LinkBytesPerSecond int64 `json:"link-bytes-per-second"`
-	State              State `json:"state"`
+// invalid returns an *Error of KindInvalid when there are problems.
+func invalid(op string, found decoder.Problems) error {
+	if len(found) == 0 {
+		return nil
+	}
+	return &Error{Detail: failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: found}, Problems: found}
 }
--- /dev/null
+++ b/internal/config/specifier/store.go
@@ -0,0 +1,41 @@
+package specifier
+
+import (
+	"net/netip"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Store is one store host.
+type Store struct {
+	// DataCentre names the data centre that the store is in.
+	DataCentre identifier.DataCentre `json:"data-centre"`
+	// Address is where the store is reached; an IP address and port of its own.
+	Address netip.AddrPort `json:"address"`
+	// LinkBytesPerSecond is the limit of the store's link, in bytes a second; 1 or more.
+	LinkBytesPerSecond int64 `json:"link-bytes-per-second"`
+	// State says whether the store takes new blocks.
+	State State `json:"state"`
+}
+
+const (
+	defaultLinkBytesPerSecond = 1_250_000_000
+	maxLinkBytesPerSecond     = 1 << 50
+)
+
+// DefaultStore returns the settings of a store that names none.
+func DefaultStore() Store {
+	return Store{LinkBytesPerSecond: defaultLinkBytesPerSecond, State: StateIn}
+}
+
+// SetDefaults replaces s by DefaultStore.
+func (s *Store) SetDefaults() { *s = DefaultStore() }
+
+func (v *validator) store(key string, s Store) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	reference(v, at("data-centre"), s.DataCentre, v.fleet.DataCentres, "data centres")
+	v.address(at("address"), s.Address)
+	oneOf(v, at("state"), s.State, s.State.Allowed())
+	within(v, at("link-bytes-per-second"), s.LinkBytesPerSecond, 1, maxLinkBytesPerSecond)
+}
--- /dev/null
+++ b/internal/config/specifier/target.go
@@ -0,0 +1,46 @@
+package specifier
+
+import (
+	"net/netip"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Target is one worker.
+type Target struct {
+	// Service names the service that the target serves.
+	Service identifier.Service `json:"service"`
+	// DataCentre names the data centre that the target is in.
+	DataCentre identifier.DataCentre `json:"data-centre"`
+	// Address is where the target is reached; an IP address and port of its own.
+	Address netip.AddrPort `json:"address"`
+	// State says whether the target takes new work.
+	State State `json:"state"`
+	// ColdLimit bounds the requests that run at once on a cold target, from 1 to warm-limit.
+	ColdLimit int `json:"cold-limit"`
+	// WarmLimit bounds the requests that run at once on a warm target, from 1 to 100000.
+	WarmLimit int `json:"warm-limit"`
+	// ChecksFence is true when the target refuses orders with an old fencing number.
+	ChecksFence bool `json:"checks-fence"`
+}
+
+const maxWarmLimit = 100_000
+
+// DefaultTarget returns the settings of a target that names none.
+func DefaultTarget() Target { return Target{State: StateIn, ColdLimit: 2, WarmLimit: 32} }
+
+// SetDefaults replaces t by DefaultTarget.
+func (t *Target) SetDefaults() { *t = DefaultTarget() }
+
+func (v *validator) target(key string, t Target) {
+	at := func(name string) string { return decoder.Join(key, name) }
+	reference(v, at("service"), t.Service, v.fleet.Services, "services")
+	reference(v, at("data-centre"), t.DataCentre, v.fleet.DataCentres, "data centres")
+	v.address(at("address"), t.Address)
+	oneOf(v, at("state"), t.State, t.State.Allowed())
+	within(v, at("warm-limit"), t.WarmLimit, 1, maxWarmLimit)
+	if t.ColdLimit < 1 || t.ColdLimit > t.WarmLimit {
+		v.Reportf(at("cold-limit"), "is %d, want 1 to the warm-limit of %d", t.ColdLimit, t.WarmLimit)
+	}
+}
--- /dev/null
+++ b/internal/config/specifier/validator.go
@@ -0,0 +1,112 @@
+package specifier
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+)
+
+// namePattern is what the names of entries consist of.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// validator checks a Fleet as a whole.
+type validator struct {
+	decoder.Reporter
+	fleet *Fleet
+	// addresses maps each address to the key that uses it.
+	addresses map[netip.AddrPort]string
+	// hashes maps each key hash to the key that uses it.
+	hashes map[string]string
+}
+
+// eachEntry calls check with the key of each entry, ordered by name.
+func eachEntry[N ~string, E any](v *validator, key string, entries map[N]E, check func(key string, e E)) {
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		entryKey := decoder.Join(key, string(name))
+		if !namePattern.MatchString(string(name)) {
+			v.Reportf(entryKey, "has a bad name, want 1 to 63 letters, digits, dots, hyphens and underscores that begin with a letter or digit")
+		}
+		check(entryKey, entries[name])
+	}
+}
+
+// reference reports a name that entries does not hold.
+func reference[N ~string, E any](v *validator, key string, name N, entries map[N]E, plural string) {
+	if _, ok := entries[name]; ok {
+		return
+	}
+	v.Reportf(key, "names %q, which does not exist, want one of the %s: %s", name, plural, list(slices.Sorted(maps.Keys(entries))))
+}
+
+// oneOf reports a value that is not allowed.
+func oneOf[T ~string](v *validator, key string, value T, allowed []T) {
+	if !slices.Contains(allowed, value) {
+		v.Reportf(key, "is %q, want one of %s", value, list(allowed))
+	}
+}
+
+// within reports a value outside of low and high, or one that is not a number.
+func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
+	inside := value >= low && value <= high
+	if !inside {
+		v.Reportf(key, "is %v, want %v to %v", value, low, high)
+	}
+}
+
+// duration reports a value outside of low and high.
+func (v *validator) duration(key string, value, low, high Duration) {
+	if value.Duration < low.Duration || value.Duration > high.Duration {
+		v.Reportf(key, "is %v, want %v to %v", value, low, high)
+	}
+}
+
+// finite reports a number that is negative or not finite.
+func (v *validator) finite(key string, value float64) {
+	if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		v.Reportf(key, "is %v, want a number from 0", value)
+	}
+}
+
+// distinct reports empty and repeated values of a list.
+func distinct[T ~string](v *validator, key string, values []T) {
+	for i, value := range values {
+		if value == "" {
+			v.Reportf(decoder.Index(key, i), "is empty")
+		}
+		if slices.Contains(values[:i], value) {
+			v.Reportf(decoder.Index(key, i), "repeats %q", value)
+		}
+	}
+}
+
+// address reports an address that is unusable or already in use.
+func (v *validator) address(key string, value netip.AddrPort) {
+	if !value.IsValid() || value.Port() == 0 || value.Addr().IsUnspecified() {
+		v.Reportf(key, "is %q, want an IP address and port such as 127.0.0.1:21100", value)
+		return
+	}
+	value = netip.AddrPortFrom(value.Addr().Unmap(), value.Port())
+	if other, ok := v.addresses[value]; ok {
+		v.Reportf(key, "is %q, which %s uses already", value, other)
+		return
+	}
+	v.addresses[value] = key
+}
+
+// list joins values for a message.
+func list[T ~string](values []T) string {
+	if len(values) == 0 {
+		return "(none)"
+	}
+	texts := make([]string, 0, len(values))
+	for _, value := range values {
+		texts = append(texts, string(value))
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/internal/config/starter/starter.go
@@ -0,0 +1,127 @@
+// Package starter defines the settings that one daemon starts with: its names,
+// listeners and limits. What all daemons share is in package specifier.
+package starter
+
+import (
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	// KindUnreadable reports that the input could not be read.
+	KindUnreadable Kind = "unreadable"
+	// KindInvalid reports settings that a daemon may not start with.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	failer.Detail[Kind]
+	// Problems lists everything that is wrong with the settings.
+	Problems decoder.Problems
+}
+
+// MaxSettingsBytes is the largest settings file, in bytes.
+const MaxSettingsBytes = 1 << 20
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Host names the entry host; required.
+	Host identifier.Host `json:"host"`
+	// DataCentre names the host's data centre; required.
+	DataCentre identifier.DataCentre `json:"data-centre"`
+	// Region names the data centre's region; required.
+	Region identifier.Region `json:"region"`
+	// Listen is where callers reach the daemon; required, an IP address and port.
+	Listen netip.AddrPort `json:"listen"`
+	// PeerListen is where other daemons reach the daemon; required, an IP address and port.
+	PeerListen netip.AddrPort `json:"peer-listen"`
+	// OperatorListen is where operators reach the daemon; required, an IP address and port.
+	OperatorListen netip.AddrPort `json:"operator-listen"`
+	// Platform says where the platform is.
+	Platform Platform `json:"platform"`
+	// TLS holds the TLS files of each listener; a listener without files uses plain TCP.
+	TLS ListenerTLS `json:"tls"`
+	// Secrets holds the keys that all daemons share.
+	Secrets Secrets `json:"secrets"`
+	// Limits bounds what callers may ask of the daemon.
+	Limits Limits `json:"limits"`
+	// Session bounds the daemon's registration with the platform.
+	Session Session `json:"session"`
+	// HeartbeatInterval is the time between heartbeats to a peer; 10ms to 1m.
+	HeartbeatInterval specifier.Duration `json:"heartbeat-interval"`
+	// LoadReportInterval is the time between readings of a target's load; 10ms to 1m.
+	LoadReportInterval specifier.Duration `json:"load-report-interval"`
+	// ShutdownGrace is how long a daemon that stops waits for running requests; 0s to 1h.
+	ShutdownGrace specifier.Duration `json:"shutdown-grace"`
+	// Trace says where spans go.
+	Trace Trace `json:"trace"`
+	// LogLevel is the least important level that is logged.
+	LogLevel LogLevel `json:"log-level"`
+}
+
+// LogLevel names a level of the log.
+type LogLevel string
+
+// The levels, from the most to the least detailed one.
+const (
+	LogTrace LogLevel = "trace"
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogWarn  LogLevel = "warn"
+	LogError LogLevel = "error"
+)
+
+// Allowed returns all levels.
+func (LogLevel) Allowed() []LogLevel {
+	return []LogLevel{LogTrace, LogDebug, LogInfo, LogWarn, LogError}
+}
+
+// DefaultSettings returns the settings of a file that names none.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits:             DefaultLimits(),
+		Session:            DefaultSession(),
+		HeartbeatInterval:  specifier.Duration{Duration: 500 * time.Millisecond},
+		LoadReportInterval: specifier.Duration{Duration: 250 * time.Millisecond},
+		ShutdownGrace:      specifier.Duration{Duration: 2 * time.Minute},
+		LogLevel:           LogInfo,
+	}
+}
+
+// SetDefaults replaces s by DefaultSettings.
+func (s *Settings) SetDefaults() { *s = DefaultSettings() }
+
+// Decode reads Settings in JSON from r, fills absent keys with defaults and
+// validates the whole. The error is an *Error that lists all problems, each
+// with name as its file.
+func Decode(name string, r io.Reader) (Settings, error) {
+	var s Settings
+	err := decoder.Decode(decoder.Config{Name: name, MaxBytes: MaxSettingsBytes}, r, &s)
+	var decodeErr *decoder.Error
+	if err != nil && (!errors.As(err, &decodeErr) || decodeErr.Kind != decoder.KindInvalid) {
+		return Settings{}, &Error{Detail: failer.Detail[Kind]{Op: "decode " + name, Kind: KindUnreadable, Err: err}}
+	}
+	var found decoder.Problems
+	if decodeErr != nil {
+		found = decodeErr.Problems
+	}
+	found = found.Merge(s.problems(name))
+	if len(found) == 0 {
+		return s, nil
+	}
+	detail := failer.Detail[Kind]{Op: "decode " + name, Kind: KindInvalid, Err: found}
+	return s, &Error{Detail: detail, Problems: found}
+}
--- /dev/null
+++ b/internal/config/starter/validator.go
@@ -0,0 +1,158 @@
+package starter
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+)
+
+// Bounds of the settings.
+const (
+	minInterval       = 10 * time.Millisecond
+	maxInterval       = time.Minute
+	maxShutdownGrace  = time.Hour
+	maxBodyBytes      = 1 << 30
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 16 << 20
+	maxReadTimeout    = 10 * time.Minute
+	maxInFlight       = 1_000_000
+	minTerm           = 100 * time.Millisecond
+	maxTerm           = 10 * time.Minute
+	minSecretBytes    = 16
+	marginsInOneTerm  = 2
+	shortestTimeLimit = time.Millisecond
+)
+
+// validator checks Settings as a whole.
+type validator struct{ decoder.Reporter }
+
+// problems returns all problems of s, each with name as its file.
+func (s *Settings) problems(name string) decoder.Problems {
+	v := &validator{Reporter: decoder.Reporter{File: name}}
+	v.required("host", string(s.Host))
+	v.required("data-centre", string(s.DataCentre))
+	v.required("region", string(s.Region))
+	v.listeners(s)
+	v.platform(s.Platform)
+	v.tls("tls.callers", s.TLS.Callers)
+	v.tls("tls.peers", s.TLS.Peers)
+	v.tls("tls.operators", s.TLS.Operators)
+	v.secrets(s.Secrets)
+	v.limits(s.Limits)
+	v.session(s.Session)
+	v.duration("heartbeat-interval", s.HeartbeatInterval, minInterval, maxInterval)
+	v.duration("load-report-interval", s.LoadReportInterval, minInterval, maxInterval)
+	v.duration("shutdown-grace", s.ShutdownGrace, 0, maxShutdownGrace)
+	v.trace(s.Trace)
+	v.logLevel(s.LogLevel)
+	return v.Problems
+}
+
+func (v *validator) required(key, value string) {
+	if value == "" {
+		v.Reportf(key, "is missing")
+	}
+}
+
+func (v *validator) listeners(s *Settings) {
+	v.address("listen", s.Listen)
+	v.address("peer-listen", s.PeerListen)
+	v.address("operator-listen", s.OperatorListen)
+	if s.Listen.IsValid() && s.Listen == s.PeerListen {
+		v.Reportf("peer-listen", "is %q, which listen uses already", s.PeerListen)
+	}
+	if s.Listen.IsValid() && s.Listen == s.OperatorListen {
+		v.Reportf("operator-listen", "is %q, which listen uses already", s.OperatorListen)
+	}
+	if s.PeerListen.IsValid() && s.PeerListen == s.OperatorListen {
+		v.Reportf("operator-listen", "is %q, which peer-listen uses already", s.OperatorListen)
+	}
+}
+
+func (v *validator) address(key string, value netip.AddrPort) {
+	if !value.IsValid() || value.Port() == 0 {
+		v.Reportf(key, "is %q, want an IP address and port such as 127.0.0.1:21100", value)
+	}
+}
+
+func (v *validator) platform(p Platform) {
+	if len(p.Objects) == 0 {
+		v.Reportf("platform.objects", "is empty, want at least one address of the object API")
+	}
+	for i, address := range p.Objects {
+		v.address(decoder.Index("platform.objects", i), address)
+	}
+	if p.Members != (netip.AddrPort{}) {
+		v.address("platform.members", p.Members)
+	}
+}
+
+func (v *validator) tls(key string, files *TLSFiles) {
+	if files == nil {
+		return
+	}
+	v.required(decoder.Join(key, "ca"), files.CA)
+	v.required(decoder.Join(key, "certificate"), files.Certificate)
+	v.required(decoder.Join(key, "key"), files.Key)
+}
+
+func (v *validator) secrets(s Secrets) {
+	if (s.BlockKeyFile == "") == (s.BlockSecret == "") {
+		v.Reportf("secrets", "has both or neither of block-key-file and block-secret, want exactly one")
+	}
+	if s.BlockSecret != "" && len(s.BlockSecret) < minSecretBytes {
+		v.Reportf("secrets.block-secret", "has %d characters, want at least %d", len(s.BlockSecret), minSecretBytes)
+	}
+}
+
+func (v *validator) limits(l Limits) {
+	within(v, "limits.max-body-bytes", l.MaxBodyBytes, 1, maxBodyBytes)
+	within(v, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	within(v, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
+	v.duration("limits.read-timeout", l.ReadTimeout, shortestTimeLimit, maxReadTimeout)
+}
+
+func (v *validator) session(s Session) {
+	v.duration("session.term", s.Term, minTerm, maxTerm)
+	if s.Margin.Duration <= 0 || marginsInOneTerm*s.Margin.Duration > s.Term.Duration {
+		v.Reportf("session.margin", "is %v, want above 0s and at most half the term of %v", s.Margin, s.Term)
+	}
+}
+
+func (v *validator) trace(t Trace) {
+	if t.Endpoint == (netip.AddrPort{}) {
+		return
+	}
+	v.address("trace.endpoint", t.Endpoint)
+	if t.File != "" {
+		v.Reportf("trace", "has both endpoint and file, want at most one")
+	}
+}
+
+func (v *validator) logLevel(level LogLevel) {
+	allowed := level.Allowed()
+	if slices.Contains(allowed, level) {
+		return
+	}
+	texts := make([]string, 0, len(allowed))
+	for _, known := range allowed {
+		texts = append(texts, string(known))
+	}
+	v.Reportf("log-level", "is %q, want one of %s", level, strings.Join(texts, ", "))
+}
+
+func (v *validator) duration(key string, value specifier.Duration, low, high time.Duration) {
+	within(v, key, value.Duration, low, high)
+}
+
+// within reports a value outside of low and high.
+func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
+	if value < low || value > high {
+		v.Reportf(key, "is %v, want %v to %v", value, low, high)
+	}
+}
