--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -42,7 +42,7 @@
 	s.note(r.id, StepAttempt, r.target.name, "")
 	rank, _ := r.class.Rank()
 	s.emit(Start{
-		Attempt: r.attempt(), Target: r.target.name, Address: r.target.spec.Address,
+		Attempt: r.attempt(), Team: r.team, Target: r.target.name, Address: r.target.spec.Address,
 		Incarnation: r.target.incarnation, Deadline: r.deadline,
 		StallTimeout: r.profile.StallTimeout.Duration,
 		Priority:     len(identifier.Classes()) - rank,
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -89,6 +89,7 @@
 // Start sends a request to a target. From here on it may have run.
 type Start struct {
 	Attempt identifier.Attempt
+	Team    identifier.Team
 	Target  identifier.Target
 	Address netip.AddrPort
 	// Incarnation is the only one the request may reach; 0 when none is known yet.
--- a/internal/entry/server/exchange.go
+++ b/internal/entry/server/exchange.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/config/hasher"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
@@ -45,7 +45,7 @@
 	if !ok || key == "" {
 		return ""
 	}
-	return specifier.HashKey(key)
+	return hasher.HashKey(key)
 }
 
 // arrival reads the headers that all requests share.
--- a/internal/entry/server/services.go
+++ b/internal/entry/server/services.go
@@ -28,10 +28,12 @@
 		return
 	}
 	service := mux.Vars(r)["service"]
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
+	// The policy goes by the decoded path, so that no spelling of it hides a
+	// call that must not be repeated.
+	path := strings.TrimPrefix(r.URL.Path, "/services/"+service)
 	ev.Service = identifier.Service(service)
 	ev.Work = reducer.Call{Method: r.Method, Path: path, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, path, r.URL.RawQuery, body)}
-	pathQuery := path
+	pathQuery := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
 	if r.URL.RawQuery != "" {
 		pathQuery += "?" + r.URL.RawQuery
 	}
@@ -61,11 +63,23 @@
 }
 
 func (p *plainCall) run(ctx context.Context, start reducer.Start) reducer.Event {
-	answer, ev := p.server.cfg.Targets.Call(ctx, start, p.call)
+	call := p.call
+	call.IdempotencyKey = scopedKey(start.Team, call.IdempotencyKey)
+	answer, ev := p.server.cfg.Targets.Call(ctx, start, call)
 	p.answer = answer
 	return ev
 }
 
+// scopedKey binds an idempotency key to its team, so that equal keys of two
+// teams stay apart at the service as well.
+func scopedKey(team identifier.Team, key string) string {
+	if key == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(string(team) + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
 func (p *plainCall) finish() {
 	if p.answer.ContentType != "" {
 		p.w.Header().Set("Content-Type", p.answer.ContentType)
