Let owners of cold targets give leave to peers, one request at a time

Cause: with two places on a cold target and eight daemons, a target warmed up only by its owner's own share of the requests. Change: a daemon without room asks the owner for one permit; permits count against the cold limit until returned or expired; a new owner that took over waits for the longest permit.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -43,13 +43,21 @@
 	rank, _ := r.class.Rank()
 	s.emit(Start{
 		Attempt: r.attempt(), Team: r.team, Target: r.target.name, Address: r.target.spec.Address,
-		Incarnation: r.target.incarnation, Deadline: r.deadline,
+		Incarnation: r.target.incarnation, SendBy: r.sendBy, Deadline: earlier(r.deadline, r.cutoff),
 		StallTimeout: r.profile.StallTimeout.Duration,
 		Priority:     len(identifier.Classes()) - rank,
 		Version:      r.version, Keys: r.keys, ResumeOffset: r.delivered,
 	})
 }
 
+// earlier returns the earlier of two times; a zero limit counts as none.
+func earlier(t, limit time.Time) time.Time {
+	if limit.IsZero() || t.Before(limit) {
+		return t
+	}
+	return limit
+}
+
 // running returns the request of a, if a is its present attempt.
 func (s *State) running(a identifier.Attempt) *request {
 	r := s.requests[a.Request]
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -248,7 +248,7 @@
 	if !s.takesWork(t) || t.open(s.now) {
 		return false
 	}
-	return !t.cold || s.owned[t.name] != nil
+	return !t.cold || s.owns(t) || r.permitFrom != ""
 }
 
 // lead makes r the one that computes its blocks; later requests may follow it.
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -94,6 +94,8 @@
 	Address netip.AddrPort
 	// Incarnation is the only one the request may reach; 0 when none is known yet.
 	Incarnation identifier.Incarnation
+	// SendBy is the latest time to send the request; zero means any time.
+	SendBy time.Time
 	// Deadline ends the attempt.
 	Deadline time.Time
 	// StallTimeout is how long the answer may make no progress.
@@ -152,6 +154,8 @@
 	Granted bool
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
+	// Incarnation is the one that leave is given for.
+	Incarnation identifier.Incarnation
 }
 
 // WantTargets states which targets this daemon should own.
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -107,6 +107,8 @@
 	FailureStalled FailureReason = "stalled"
 	// FailureDeadline means the deadline passed.
 	FailureDeadline FailureReason = "deadline"
+	// FailureLate means the leave to use the target ended before the request was sent.
+	FailureLate FailureReason = "late"
 	// FailureCaller means the caller left.
 	FailureCaller FailureReason = "caller-gone"
 )
@@ -214,8 +216,10 @@
 	Held   bool
 	// Fence is the fencing number while held.
 	Fence uint64
-	// Quarantine is how long permits of an earlier owner may still be in use.
-	Quarantine time.Duration
+	// Until is when the ownership ends unless it is renewed.
+	Until time.Time
+	// TakenOver is true when an earlier owner may have left permits in use.
+	TakenOver bool
 }
 
 // PeersChanged brings the live daemons of this daemon's data centre, itself included.
@@ -238,10 +242,15 @@
 
 // PermitSettled brings the owner's answer to AskPermit.
 type PermitSettled struct {
+	Owner   identifier.Host
 	Request identifier.Request
 	Target  identifier.Target
 	Granted bool
-	// Asked is when the question was sent.
+	// RetryAfter is when to ask again after a refusal.
+	RetryAfter time.Duration
+	// Incarnation is the one that the owner gave leave for.
+	Incarnation identifier.Incarnation
+	// Asked is when the question was sent; the permit's term counts from it.
 	Asked time.Time
 }
 
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -12,12 +12,16 @@
 type owning struct {
 	// hosts are the live daemons of the data centre, this one included.
 	hosts []identifier.Host
-	owned map[identifier.Target]*ownership
+	// hostNames are the same as text, for rendezvous hashing.
+	hostNames []string
+	owned     map[identifier.Target]*ownership
 }
 
 // ownership is the right to say who uses a cold target.
 type ownership struct {
 	fence uint64
+	// until is when the right ends unless it is renewed.
+	until time.Time
 	// usable is when permits of earlier owners have ended.
 	usable  time.Time
 	permits map[permitKey]time.Time
@@ -31,8 +35,9 @@
 
 func newOwning(self identifier.Host) owning {
 	return owning{
-		hosts: []identifier.Host{self},
-		owned: map[identifier.Target]*ownership{},
+		hosts:     []identifier.Host{self},
+		hostNames: []string{string(self)},
+		owned:     map[identifier.Target]*ownership{},
 	}
 }
 
@@ -46,23 +51,23 @@
 		return
 	}
 	s.hosts = hosts
+	s.hostNames = nil
+	for _, host := range hosts {
+		s.hostNames = append(s.hostNames, string(host))
+	}
 	s.assignTargets()
 }
 
 // assignTargets states which targets this daemon owns and reads: those of its
 // data centre for which it is first among the live daemons.
 func (s *State) assignTargets() {
-	members := make([]string, len(s.hosts))
-	for i, host := range s.hosts {
-		members[i] = string(host)
-	}
 	var wanted []identifier.Target
 	var read []TargetAddress
 	for _, t := range s.sortedTargets() {
 		if t.spec.DataCentre != s.cfg.DataCentre {
 			continue
 		}
-		if first(string(t.name), members) == string(s.cfg.Host) {
+		if s.expectedOwner(t) == s.cfg.Host {
 			wanted = append(wanted, t.name)
 			model := s.fleet.Services[t.spec.Service].Kind == specifier.ServiceModel
 			read = append(read, TargetAddress{Target: t.name, Address: t.spec.Address, Model: model})
@@ -91,54 +96,157 @@
 		delete(s.owned, ev.Target)
 		return
 	}
-	s.owned[ev.Target] = &ownership{
-		fence:   ev.Fence,
-		usable:  s.now.Add(ev.Quarantine),
-		permits: map[permitKey]time.Time{},
+	own := s.owned[ev.Target]
+	if own == nil || own.fence != ev.Fence {
+		own = &ownership{fence: ev.Fence, permits: map[permitKey]time.Time{}}
+		s.owned[ev.Target] = own
+		if ev.TakenOver {
+			own.usable = s.now.Add(maxColdUse + permitMargin)
+		}
 	}
+	own.until = ev.Until
+}
+
+// owns reports whether this daemon may say now who uses t.
+func (s *State) owns(t *target) bool {
+	own := s.owned[t.name]
+	return own != nil && s.now.Before(own.until)
 }
 
 // coldRoom reports whether this daemon, as the owner, may put one more request
 // on the cold target t.
 func (s *State) coldRoom(t *target) bool {
 	own := s.owned[t.name]
-	if own == nil || s.now.Before(own.usable) || t.incarnation == 0 {
+	if own == nil || !s.owns(t) || s.now.Before(own.usable) || t.incarnation == 0 {
 		return false
 	}
 	return t.inflight+len(own.permits) < t.spec.ColdLimit
 }
 
+const (
+	// maxColdUse is the longest time that one request may use a cold target. A
+	// new owner waits for it before it uses a target that it took over.
+	maxColdUse = 30 * time.Second
+	// permitRetry is when a refused peer should ask again.
+	permitRetry = 100 * time.Millisecond
+	// permitMargin covers the travel of a permit's answer and of the request.
+	permitMargin = time.Second
+)
+
+// boundColdUse limits how late r may be sent to its reserved target and how long
+// it may run there, while the target is cold.
+func (s *State) boundColdUse(r *request) {
+	r.sendBy, r.cutoff = time.Time{}, time.Time{}
+	if !r.target.cold {
+		return
+	}
+	r.cutoff = s.now.Add(maxColdUse)
+	if own := s.owned[r.target.name]; own != nil {
+		r.sendBy = own.until
+	}
+}
+
+// askable returns a cold target of this data centre whose owner may give leave
+// to run r there, or nil.
+func (s *State) askable(r *request) *target {
+	for _, t := range s.byService[r.service] {
+		if !t.cold || t.incarnation == 0 || t.asking || s.now.Before(t.askAfter) || t.open(s.now) || r.tried[t.name] {
+			continue
+		}
+		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) || s.expectedOwner(t) == s.cfg.Host {
+			continue
+		}
+		return t
+	}
+	return nil
+}
+
+// expectedOwner returns the live daemon that should own t.
+func (s *State) expectedOwner(t *target) identifier.Host {
+	return identifier.Host(first(string(t.name), s.hostNames))
+}
+
+// askForPermit asks a cold target's owner for leave to run r there, and reports
+// whether there is one to ask.
+func (s *State) askForPermit(r *request) bool {
+	t := s.askable(r)
+	if t == nil {
+		return false
+	}
+	t.asking = true
+	r.phase = phasePermit
+	term := min(r.deadline.Sub(s.now), maxColdUse)
+	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Target: t.name, Term: term})
+	return true
+}
+
 func (s *State) onPermitAsked(ev PermitAsked) {
 	t, own := s.targets[ev.Target], s.owned[ev.Target]
 	if t == nil || own == nil || !t.cold || !s.takesWork(t) || !s.coldRoom(t) {
 		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry})
 		return
 	}
-	own.permits[permitKey{ev.From, ev.Request}] = s.now.Add(ev.Term + permitMargin)
-	s.emit(AnswerPermit{Call: ev.Call, Granted: true})
+	own.permits[permitKey{ev.From, ev.Request}] = s.now.Add(min(ev.Term, maxColdUse) + permitMargin)
+	s.emit(AnswerPermit{Call: ev.Call, Granted: true, Incarnation: t.incarnation})
 }
 
-const (
-	// permitRetry is when a refused peer should ask again.
-	permitRetry = 100 * time.Millisecond
-	// permitMargin covers the travel of a permit's answer and of the request.
-	permitMargin = time.Second
-)
-
 func (s *State) onPermitReturned(ev PermitReturned) {
 	if own := s.owned[ev.Target]; own != nil {
 		delete(own.permits, permitKey{ev.From, ev.Request})
 	}
 }
 
+// onPermitSettled starts the request if its owner gave leave, and puts it back
+// into the queue otherwise.
 func (s *State) onPermitSettled(ev PermitSettled) {
+	t := s.targets[ev.Target]
+	if t != nil {
+		t.asking = false
+		if !ev.Granted {
+			t.askAfter = s.now.Add(max(ev.RetryAfter, permitRetry))
+		}
+	}
+	if ev.Granted {
+		s.onIncarnationSeen(ev.Target, ev.Incarnation, true)
+	}
 	r := s.requests[ev.Request]
-	if r == nil || r.phase != phasePermit {
+	waiting := r != nil && r.phase == phasePermit
+	if ev.Granted && (!waiting || !s.permitUsable(t, ev)) {
+		s.emit(ReturnPermit{Owner: ev.Owner, Request: ev.Request, Target: ev.Target})
+	}
+	switch {
+	case !waiting:
+		return
+	case !ev.Granted || !s.permitUsable(t, ev):
+		s.requeue(r)
+	default:
+		s.startPermitted(r, t, ev)
+	}
+}
+
+// permitUsable reports whether a granted permit still fits what is known of t.
+func (s *State) permitUsable(t *target, ev PermitSettled) bool {
+	return t != nil && s.takesWork(t) && ev.Incarnation == t.incarnation && s.now.Before(ev.Asked.Add(maxColdUse))
+}
+
+func (s *State) startPermitted(r *request, t *target, ev PermitSettled) {
+	s.reserve(r, choice{target: t, plan: s.plainPlan(r, t)})
+	r.permitFrom = ev.Owner
+	r.cutoff = earlier(r.deadline, ev.Asked.Add(maxColdUse))
+	r.sendBy = r.cutoff
+	s.start(r)
+}
+
+// returnPermit tells the owner that r no longer uses its permit.
+func (s *State) returnPermit(r *request) {
+	if r.permitFrom == "" {
 		return
 	}
-	s.requeue(r)
+	s.emit(ReturnPermit{Owner: r.permitFrom, Request: r.id, Target: r.target.name})
+	r.permitFrom = ""
 }
 
+// expirePermits forgets the permits that no daemon can still use, in a fixed order.
 func (s *State) expirePermits() {
 	for _, own := range s.owned {
 		for key, until := range own.permits {
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -60,6 +60,11 @@
 	mayHaveRun bool
 	delivered  int
 	tried      map[identifier.Target]bool
+	// permitFrom is the owner that gave leave for the present target, or empty.
+	permitFrom identifier.Host
+	// sendBy and cutoff bound the sending and the running on a cold target.
+	sendBy time.Time
+	cutoff time.Time
 	// followers wait for this request's prefill.
 	followers []*request
 	leader    *request
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -36,7 +36,7 @@
 // has room.
 func (s *State) place(r *request) bool {
 	if !r.repeatable && !r.claimed {
-		if _, ok := s.choose(r); !ok {
+		if !s.placeable(r) {
 			return false
 		}
 		s.startClaim(r)
@@ -47,7 +47,7 @@
 	}
 	c, ok := s.choose(r)
 	if !ok {
-		return false
+		return s.askForPermit(r)
 	}
 	s.note(r.id, StepDecided, c.target.name, fmt.Sprintf("first token in %s, import %d blocks, compute %d tokens", c.plan.FirstToken, c.plan.ImportBlocks, c.plan.ComputedTokens))
 	s.reserve(r, c)
@@ -65,6 +65,7 @@
 	r.computing = c.plan.ComputedTokens
 	c.target.inflight++
 	c.target.pendingTokens += r.computing
+	s.boundColdUse(r)
 }
 
 // release gives back r's place on its target.
@@ -74,6 +75,7 @@
 	}
 	r.target.inflight--
 	s.prefilled(r)
+	s.returnPermit(r)
 	r.target = nil
 }
 
@@ -83,6 +85,14 @@
 	r.computing = 0
 }
 
+// placeable reports whether some target could take r now, or after its owner's leave.
+func (s *State) placeable(r *request) bool {
+	if _, ok := s.choose(r); ok {
+		return true
+	}
+	return s.askable(r) != nil
+}
+
 // choose returns the best target with room for r under its profile's policy.
 func (s *State) choose(r *request) (choice, bool) {
 	candidates := s.byService[r.service]
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -29,6 +29,10 @@
 
 	// inflight counts this daemon's requests on the target, imports included.
 	inflight int
+	// asking is true while the owner is asked for a permit, and askAfter is when
+	// it may be asked again.
+	asking   bool
+	askAfter time.Time
 	// pendingTokens counts this daemon's tokens that wait for prefill there.
 	pendingTokens int
 
@@ -186,10 +190,15 @@
 }
 
 // hasRoom reports whether this daemon may send t one more request. A cold target
-// is used by its owner only, or by leave of its owner.
+// is used by its owner only, or by leave of its owner. During the ramp the
+// daemons of the data centre divide the limit evenly.
 func (s *State) hasRoom(t *target) bool {
 	if t.cold {
 		return s.coldRoom(t)
 	}
-	return t.load() < s.limit(t)
+	limit := s.limit(t)
+	if limit < t.spec.WarmLimit && t.inflight*len(s.hosts) >= limit+len(s.hosts)-1 {
+		return false
+	}
+	return t.load() < limit
 }
--- a/internal/target/caller/caller.go
+++ b/internal/target/caller/caller.go
@@ -82,6 +82,9 @@
 
 // open sends req and returns the exchange with its response, or the failure.
 func (c *Caller) open(ctx context.Context, start reducer.Start, req *http.Request) (*exchange, reducer.Event) {
+	if !start.SendBy.IsZero() && !c.cfg.Clock.Now().Before(start.SendBy) {
+		return nil, reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureLate, Detail: "the leave to use the target ended before the request was sent"}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	x := &exchange{start: start, cancel: cancel}
 	left := start.Deadline.Sub(c.cfg.Clock.Now())
