Add the operators' command line

Cause: operators had no way to change the configuration or to ask daemons. Change: package commander edits the configuration by conditional writes, settles lost answers by reading back the change token, also from the history, reports lost races with the winner and the difference, and waits until a version is in force. Packages describer and inspector hold the messages and calls of the daemons' operator endpoint. Conclusion: the commands run against in-memory fakes; the object API's HTTP client is still to be opened in cmd/cardamomctl/store.go.

--- a/internal/config/decoder/decoder.go
+++ b/internal/config/decoder/decoder.go
@@ -130,13 +130,13 @@
 	fields := map[string]reflect.Value{}
 	collectFields(target, fields)
 	for _, member := range d.members(key, raw, target.Type()) {
-		field, ok := fields[member.name]
+		field, ok := fields[member.Name]
 		if ok {
-			d.value(Join(key, member.name), member.raw, field)
+			d.value(Join(key, member.Name), member.Value, field)
 			continue
 		}
 		if !d.allowUnknown {
-			d.Reportf(Join(key, member.name), "is an unknown key, want one of %s", names(fields))
+			d.Reportf(Join(key, member.Name), "is an unknown key, want one of %s", names(fields))
 		}
 	}
 }
@@ -146,8 +146,8 @@
 	for _, member := range d.members(key, raw, target.Type()) {
 		elem := reflect.New(target.Type().Elem()).Elem()
 		setDefaults(elem)
-		d.value(Join(key, member.name), member.raw, elem)
-		result.SetMapIndex(reflect.ValueOf(member.name).Convert(target.Type().Key()), elem)
+		d.value(Join(key, member.Name), member.Value, elem)
+		result.SetMapIndex(reflect.ValueOf(member.Name).Convert(target.Type().Key()), elem)
 	}
 	target.Set(result)
 }
@@ -166,21 +166,15 @@
 	target.Set(result)
 }
 
-// member is one name and value of a JSON object.
-type member struct {
-	name string
-	raw  json.RawMessage
-}
-
 // members returns the members of the object raw, without repeated ones.
-func (d *decoding) members(key string, raw json.RawMessage, t reflect.Type) []member {
+func (d *decoding) members(key string, raw json.RawMessage, t reflect.Type) []Member {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	open, err := dec.Token()
 	if err != nil || open != json.Delim('{') {
 		d.Reportf(key, "is %s, want %s", abridge(raw), describe(t))
 		return nil
 	}
-	var result []member
+	var result []Member
 	seen := map[string]bool{}
 	for dec.More() {
 		m, err := nextMember(dec)
@@ -188,27 +182,27 @@
 			d.Reportf(key, "is not a valid object: %v", err)
 			return result
 		}
-		if seen[m.name] {
-			d.Reportf(Join(key, m.name), "is given more than once")
+		if seen[m.Name] {
+			d.Reportf(Join(key, m.Name), "is given more than once")
 			continue
 		}
-		seen[m.name] = true
+		seen[m.Name] = true
 		result = append(result, m)
 	}
 	return result
 }
 
-func nextMember(dec *json.Decoder) (member, error) {
+func nextMember(dec *json.Decoder) (Member, error) {
 	token, err := dec.Token()
 	if err != nil {
-		return member{}, err
+		return Member{}, err
 	}
 	name, ok := token.(string)
 	if !ok {
-		return member{}, errors.Newf("token %v is no name", token)
+		return Member{}, errors.Newf("token %v is no name", token)
 	}
-	m := member{name: name}
-	return m, dec.Decode(&m.raw)
+	m := Member{Name: name}
+	return m, dec.Decode(&m.Value)
 }
 
 // collectFields adds the fields of the struct target by their JSON names.
@@ -288,3 +282,28 @@
 	offset = min(offset, int64(len(input)))
 	return 1 + bytes.Count(input[:offset], []byte("\n"))
 }
+
+// Member is one name and value of a JSON object.
+type Member struct {
+	Name  string
+	Value json.RawMessage
+}
+
+// Members returns the members of a valid JSON object in their order, and none
+// for other values.
+func Members(object json.RawMessage) []Member {
+	dec := json.NewDecoder(bytes.NewReader(object))
+	open, err := dec.Token()
+	if err != nil || open != json.Delim('{') {
+		return nil
+	}
+	var result []Member
+	for dec.More() {
+		m, err := nextMember(dec)
+		if err != nil {
+			return result
+		}
+		result = append(result, m)
+	}
+	return result
+}
--- a/internal/config/decoder/problem.go
+++ b/internal/config/decoder/problem.go
@@ -76,20 +76,6 @@
 	return false
 }
 
-// Reporter collects problems of the values of one file.
-type Reporter struct {
-	// File names the file in each problem.
-	File string
-	// Problems holds what was reported so far.
-	Problems Problems
-}
-
-// Reportf adds a problem with the value at key.
-func (r *Reporter) Reportf(key, format string, args ...any) {
-	p := Problem{File: r.File, Key: key, Message: fmt.Sprintf(format, args...)}
-	r.Problems = append(r.Problems, p)
-}
-
 // Join returns the path of the member name of the value at key.
 func Join(key, name string) string {
 	if key == "" {
--- /dev/null
+++ b/internal/config/decoder/reporter.go
@@ -0,0 +1,50 @@
+package decoder
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Reporter collects problems of the values of one file.
+type Reporter struct {
+	// File names the file in each problem.
+	File string
+	// Problems holds what was reported so far.
+	Problems Problems
+}
+
+// Reportf adds a problem with the value at key.
+func (r *Reporter) Reportf(key, format string, args ...any) {
+	p := Problem{File: r.File, Key: key, Message: fmt.Sprintf(format, args...)}
+	r.Problems = append(r.Problems, p)
+}
+
+// Within reports a value at key outside of low and high, or one that is not a
+// number.
+func Within[T cmp.Ordered](r *Reporter, key string, value, low, high T) {
+	inside := value >= low && value <= high
+	if !inside {
+		r.Reportf(key, "is %v, want %v to %v", value, low, high)
+	}
+}
+
+// OneOf reports a value at key that is not allowed.
+func OneOf[T ~string](r *Reporter, key string, value T, allowed []T) {
+	if !slices.Contains(allowed, value) {
+		r.Reportf(key, "is %q, want one of %s", value, List(allowed))
+	}
+}
+
+// List joins values for a message.
+func List[T ~string](values []T) string {
+	if len(values) == 0 {
+		return "(none)"
+	}
+	texts := make([]string, 0, len(values))
+	for _, value := range values {
+		texts = append(texts, string(value))
+	}
+	return strings.Join(texts, ", ")
+}
--- a/internal/config/specifier/datacentre.go
+++ b/internal/config/specifier/datacentre.go
@@ -35,5 +35,5 @@
 	if !namePattern.MatchString(string(d.Region)) {
 		v.Reportf(decoder.Join(key, "region"), "is %q, want the name of a region", d.Region)
 	}
-	oneOf(v, decoder.Join(key, "state"), d.State, d.State.Allowed())
+	decoder.OneOf(&v.Reporter, decoder.Join(key, "state"), d.State, d.State.Allowed())
 }
--- a/internal/config/specifier/document.go
+++ b/internal/config/specifier/document.go
@@ -1,6 +1,7 @@
 package specifier
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -25,3 +26,17 @@
 	Change Change `json:"change"`
 	Fleet  Fleet  `json:"fleet"`
 }
+
+// HistoryPrefix begins the keys of the objects that hold a Record.
+const HistoryPrefix = "config-history/"
+
+// Record notes one change of the configuration. Whoever replaces a Document
+// writes its Record first, so that every version but the last one has a Record.
+type Record struct {
+	// Version is the version of the Document that the change made.
+	Version uint64 `json:"version"`
+	Change  Change `json:"change"`
+}
+
+// Key returns the key of the object that holds r. Keys sort by version.
+func (r Record) Key() string { return fmt.Sprintf("%s%020d", HistoryPrefix, r.Version) }
--- a/internal/config/specifier/host.go
+++ b/internal/config/specifier/host.go
@@ -26,6 +26,6 @@
 func (v *validator) host(key string, h Host) {
 	at := func(name string) string { return decoder.Join(key, name) }
 	reference(v, at("data-centre"), h.DataCentre, v.fleet.DataCentres, "data centres")
-	oneOf(v, at("state"), h.State, h.State.Allowed())
+	decoder.OneOf(&v.Reporter, at("state"), h.State, h.State.Allowed())
 	v.address(at("peer"), h.Peer)
 }
--- a/internal/config/specifier/model.go
+++ b/internal/config/specifier/model.go
@@ -39,7 +39,7 @@
 		v.Reportf(at("version"), "is empty, want the weight version in force")
 	}
 	distinct(v, at("adapters"), m.Adapters)
-	within(v, at("max-prompt-tokens"), m.MaxPromptTokens, 1, maxTokens)
-	within(v, at("max-output-tokens"), m.MaxOutputTokens, 1, maxTokens)
-	within(v, at("block-bytes"), m.BlockBytes, 1, maxBlockBytes)
+	decoder.Within(&v.Reporter, at("max-prompt-tokens"), m.MaxPromptTokens, 1, maxTokens)
+	decoder.Within(&v.Reporter, at("max-output-tokens"), m.MaxOutputTokens, 1, maxTokens)
+	decoder.Within(&v.Reporter, at("block-bytes"), m.BlockBytes, 1, maxBlockBytes)
 }
--- a/internal/config/specifier/profile.go
+++ b/internal/config/specifier/profile.go
@@ -106,17 +106,17 @@
 
 func (v *validator) profile(key string, p Profile) {
 	at := func(name string) string { return decoder.Join(key, name) }
-	oneOf(v, at("policy"), p.Policy, p.Policy.Allowed())
-	oneOf(v, at("weighs"), p.Weighs, p.Weighs.Allowed())
+	decoder.OneOf(&v.Reporter, at("policy"), p.Policy, p.Policy.Allowed())
+	decoder.OneOf(&v.Reporter, at("weighs"), p.Weighs, p.Weighs.Allowed())
 	v.duration(at("max-deadline"), p.MaxDeadline, Duration{minDuration}, Duration{maxDeadline})
 	v.duration(at("default-deadline"), p.DefaultDeadline, Duration{minDuration}, p.MaxDeadline)
 	v.duration(at("stall-timeout"), p.StallTimeout, Duration{minDuration}, p.MaxDeadline)
 	v.duration(at("spill-over-penalty"), p.SpillOverPenalty, Duration{}, p.MaxDeadline)
 	v.duration(at("ramp-step-time"), p.RampStepTime, Duration{minDuration}, Duration{maxRampStepTime})
-	within(v, at("retry-budget"), p.RetryBudget, 0, 1)
-	within(v, at("max-attempts"), p.MaxAttempts, 1, maxAttempts)
-	within(v, at("queue-limit"), p.QueueLimit, 0, maxQueueLimit)
-	within(v, at("link-share"), p.LinkShare, 0, 1)
-	within(v, at("keep-min-blocks"), p.KeepMinBlocks, 1, maxKeepMinBlocks)
-	within(v, at("ramp-steps"), p.RampSteps, 1, maxRampSteps)
+	decoder.Within(&v.Reporter, at("retry-budget"), p.RetryBudget, 0, 1)
+	decoder.Within(&v.Reporter, at("max-attempts"), p.MaxAttempts, 1, maxAttempts)
+	decoder.Within(&v.Reporter, at("queue-limit"), p.QueueLimit, 0, maxQueueLimit)
+	decoder.Within(&v.Reporter, at("link-share"), p.LinkShare, 0, 1)
+	decoder.Within(&v.Reporter, at("keep-min-blocks"), p.KeepMinBlocks, 1, maxKeepMinBlocks)
+	decoder.Within(&v.Reporter, at("ramp-steps"), p.RampSteps, 1, maxRampSteps)
 }
--- a/internal/config/specifier/service.go
+++ b/internal/config/specifier/service.go
@@ -43,8 +43,8 @@
 
 func (v *validator) service(key string, s Service) {
 	at := func(name string) string { return decoder.Join(key, name) }
-	oneOf(v, at("kind"), s.Kind, s.Kind.Allowed())
-	oneOf(v, at("class"), s.Class, identifier.Classes())
+	decoder.OneOf(&v.Reporter, at("kind"), s.Kind, s.Kind.Allowed())
+	decoder.OneOf(&v.Reporter, at("class"), s.Class, identifier.Classes())
 	reference(v, at("profile"), s.Profile, v.fleet.Profiles, "profiles")
 	distinct(v, at("models"), s.Models)
 	distinct(v, at("non-repeatable"), s.NonRepeatable)
--- a/internal/config/specifier/specifier.go
+++ b/internal/config/specifier/specifier.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -154,3 +155,25 @@
 	}
 	return &Error{Detail: failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: found}, Problems: found}
 }
+
+// Clone returns a copy of f whose maps are its own. Entries share their lists,
+// which are replaced as a whole when they change.
+func (f *Fleet) Clone() Fleet {
+	return Fleet{
+		Profiles:    cloneEntries(f.Profiles),
+		Services:    cloneEntries(f.Services),
+		Teams:       cloneEntries(f.Teams),
+		Models:      cloneEntries(f.Models),
+		DataCentres: cloneEntries(f.DataCentres),
+		Hosts:       cloneEntries(f.Hosts),
+		Targets:     cloneEntries(f.Targets),
+		Stores:      cloneEntries(f.Stores),
+	}
+}
+
+// cloneEntries returns a copy of entries that is never nil.
+func cloneEntries[N ~string, E any](entries map[N]E) map[N]E {
+	result := make(map[N]E, len(entries))
+	maps.Copy(result, entries)
+	return result
+}
--- a/internal/config/specifier/store.go
+++ b/internal/config/specifier/store.go
@@ -36,6 +36,6 @@
 	at := func(name string) string { return decoder.Join(key, name) }
 	reference(v, at("data-centre"), s.DataCentre, v.fleet.DataCentres, "data centres")
 	v.address(at("address"), s.Address)
-	oneOf(v, at("state"), s.State, s.State.Allowed())
-	within(v, at("link-bytes-per-second"), s.LinkBytesPerSecond, 1, maxLinkBytesPerSecond)
+	decoder.OneOf(&v.Reporter, at("state"), s.State, s.State.Allowed())
+	decoder.Within(&v.Reporter, at("link-bytes-per-second"), s.LinkBytesPerSecond, 1, maxLinkBytesPerSecond)
 }
--- a/internal/config/specifier/target.go
+++ b/internal/config/specifier/target.go
@@ -38,8 +38,8 @@
 	reference(v, at("service"), t.Service, v.fleet.Services, "services")
 	reference(v, at("data-centre"), t.DataCentre, v.fleet.DataCentres, "data centres")
 	v.address(at("address"), t.Address)
-	oneOf(v, at("state"), t.State, t.State.Allowed())
-	within(v, at("warm-limit"), t.WarmLimit, 1, maxWarmLimit)
+	decoder.OneOf(&v.Reporter, at("state"), t.State, t.State.Allowed())
+	decoder.Within(&v.Reporter, at("warm-limit"), t.WarmLimit, 1, maxWarmLimit)
 	if t.ColdLimit < 1 || t.ColdLimit > t.WarmLimit {
 		v.Reportf(at("cold-limit"), "is %d, want 1 to the warm-limit of %d", t.ColdLimit, t.WarmLimit)
 	}
--- a/internal/config/specifier/team.go
+++ b/internal/config/specifier/team.go
@@ -37,7 +37,7 @@
 
 func (v *validator) team(key string, t Team) {
 	at := func(name string) string { return decoder.Join(key, name) }
-	within(v, at("weight"), t.Weight, minTeamWeight, maxTeamWeight)
+	decoder.Within(&v.Reporter, at("weight"), t.Weight, minTeamWeight, maxTeamWeight)
 	v.finite(at("requests-per-second"), t.RequestsPerSecond)
 	v.finite(at("tokens-per-second"), t.TokensPerSecond)
 	distinct(v, at("services"), t.Services)
--- a/internal/config/specifier/validator.go
+++ b/internal/config/specifier/validator.go
@@ -1,13 +1,11 @@
 package specifier
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"net/netip"
 	"regexp"
 	"slices"
-	"strings"
 
 	"cardamomscale.example/cardamomscale/internal/config/decoder"
 )
@@ -41,29 +39,12 @@
 	if _, ok := entries[name]; ok {
 		return
 	}
-	v.Reportf(key, "names %q, which does not exist, want one of the %s: %s", name, plural, list(slices.Sorted(maps.Keys(entries))))
-}
-
-// oneOf reports a value that is not allowed.
-func oneOf[T ~string](v *validator, key string, value T, allowed []T) {
-	if !slices.Contains(allowed, value) {
-		v.Reportf(key, "is %q, want one of %s", value, list(allowed))
-	}
-}
-
-// within reports a value outside of low and high, or one that is not a number.
-func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
-	inside := value >= low && value <= high
-	if !inside {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	v.Reportf(key, "names %q, which does not exist, want one of the %s: %s", name, plural, decoder.List(slices.Sorted(maps.Keys(entries))))
 }
 
 // duration reports a value outside of low and high.
 func (v *validator) duration(key string, value, low, high Duration) {
-	if value.Duration < low.Duration || value.Duration > high.Duration {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	decoder.Within(&v.Reporter, key, value.Duration, low.Duration, high.Duration)
 }
 
 // finite reports a number that is negative or not finite.
@@ -98,15 +79,3 @@
 	}
 	v.addresses[value] = key
 }
-
-// list joins values for a message.
-func list[T ~string](values []T) string {
-	if len(values) == 0 {
-		return "(none)"
-	}
-	texts := make([]string, 0, len(values))
-	for _, value := range values {
-		texts = append(texts, string(value))
-	}
-	return strings.Join(texts, ", ")
-}
--- a/internal/config/starter/validator.go
+++ b/internal/config/starter/validator.go
@@ -1,10 +1,7 @@
 package starter
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/config/decoder"
@@ -49,7 +46,7 @@
 	v.duration("load-report-interval", s.LoadReportInterval, minInterval, maxInterval)
 	v.duration("shutdown-grace", s.ShutdownGrace, 0, maxShutdownGrace)
 	v.trace(s.Trace)
-	v.logLevel(s.LogLevel)
+	decoder.OneOf(&v.Reporter, "log-level", s.LogLevel, s.LogLevel.Allowed())
 	return v.Problems
 }
 
@@ -111,9 +108,9 @@
 }
 
 func (v *validator) limits(l Limits) {
-	within(v, "limits.max-body-bytes", l.MaxBodyBytes, 1, maxBodyBytes)
-	within(v, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
-	within(v, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
+	decoder.Within(&v.Reporter, "limits.max-body-bytes", l.MaxBodyBytes, 1, maxBodyBytes)
+	decoder.Within(&v.Reporter, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	decoder.Within(&v.Reporter, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
 	v.duration("limits.read-timeout", l.ReadTimeout, shortestTimeLimit, maxReadTimeout)
 }
 
@@ -134,25 +131,6 @@
 	}
 }
 
-func (v *validator) logLevel(level LogLevel) {
-	allowed := level.Allowed()
-	if slices.Contains(allowed, level) {
-		return
-	}
-	texts := make([]string, 0, len(allowed))
-	for _, known := range allowed {
-		texts = append(texts, string(known))
-	}
-	v.Reportf("log-level", "is %q, want one of %s", level, strings.Join(texts, ", "))
-}
-
 func (v *validator) duration(key string, value specifier.Duration, low, high time.Duration) {
-	within(v, key, value.Duration, low, high)
-}
-
-// within reports a value outside of low and high.
-func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
-	if value < low || value > high {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	decoder.Within(&v.Reporter, key, value.Duration, low, high)
 }
--- /dev/null
+++ b/internal/operator/commander/fake_test.go
@@ -0,0 +1,210 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/operator/describer"
+	"cardamomscale.example/cardamomscale/internal/platform/client"
+)
+
+var _ client.ObjectStore = (*memoryStore)(nil)
+
+// fault is what happens to one Put of the configuration.
+type fault struct {
+	// before runs before the Put, after runs when it has taken effect.
+	before, after func()
+	// drop leaves the Put without effect.
+	drop bool
+	// kind is the failure that the caller sees; empty means the true result.
+	kind client.Kind
+}
+
+// memoryStore keeps objects in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	objects  map[string]client.Object
+	revision uint64
+	// faults happen to the next Puts of the configuration, one each.
+	faults []fault
+	// down makes all calls fail.
+	down client.Kind
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]client.Object{}} }
+
+func storeError(op string, kind client.Kind) error {
+	return &client.Error{Detail: failer.Detail[client.Kind]{Op: op, Kind: kind}}
+}
+
+func (m *memoryStore) Get(_ context.Context, key string) (client.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down != "" {
+		return client.Object{}, storeError("get", m.down)
+	}
+	object, ok := m.objects[key]
+	if !ok {
+		return client.Object{}, storeError("get", client.KindNotFound)
+	}
+	return object, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, expect uint64) (client.Object, error) {
+	f := m.nextFault(key)
+	if f.before != nil {
+		f.before()
+	}
+	object, err := m.put(key, value, expect, f.drop)
+	if f.after != nil {
+		f.after()
+	}
+	if f.kind != "" {
+		return client.Object{}, storeError("put", f.kind)
+	}
+	return object, err
+}
+
+func (m *memoryStore) nextFault(key string) fault {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if key != specifier.FleetKey || len(m.faults) == 0 {
+		return fault{}
+	}
+	f := m.faults[0]
+	m.faults = m.faults[1:]
+	return f
+}
+
+func (m *memoryStore) put(key string, value []byte, expect uint64, drop bool) (client.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down != "":
+		return client.Object{}, storeError("put", m.down)
+	case drop:
+		return client.Object{}, nil
+	case m.objects[key].Version != expect:
+		return client.Object{}, storeError("put", client.KindConflict)
+	}
+	m.revision++
+	m.objects[key] = client.Object{Key: key, Version: m.revision, Value: slices.Clone(value)}
+	return m.objects[key], nil
+}
+
+func (m *memoryStore) Delete(_ context.Context, key string, expect uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[key].Version != expect {
+		return storeError("delete", client.KindConflict)
+	}
+	delete(m.objects, key)
+	return nil
+}
+
+func (m *memoryStore) List(_ context.Context, prefix string) ([]client.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down != "" {
+		return nil, storeError("list", m.down)
+	}
+	var result []client.Object
+	for key, object := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			result = append(result, object)
+		}
+	}
+	slices.SortFunc(result, func(a, b client.Object) int { return strings.Compare(a.Key, b.Key) })
+	return result, nil
+}
+
+func (m *memoryStore) Watch(context.Context, string, uint64) ([]client.Object, error) {
+	return nil, storeError("watch", client.KindInvalid)
+}
+
+// version returns the version of the configuration.
+func (m *memoryStore) version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.objects[specifier.FleetKey].Version
+}
+
+// fleet returns the configuration.
+func (m *memoryStore) fleet(t testing.TB) specifier.Fleet {
+	object, err := m.Get(context.Background(), specifier.FleetKey)
+	assert.NilError(t, err)
+	var doc specifier.Document
+	assert.NilError(t, json.Unmarshal(object.Value, &doc))
+	return doc.Fleet
+}
+
+// memoryDaemons answers for the operator endpoints of two daemons. One of them
+// adopts each version only after lag polls.
+type memoryDaemons struct {
+	mu    sync.Mutex
+	store *memoryStore
+	lag   int
+}
+
+func (m *memoryDaemons) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	host := map[string]identifier.Host{"127.0.0.1:21301": "entry-01", "127.0.0.1:21302": "entry-02"}[r.URL.Host]
+	switch {
+	case host == "":
+		return nil, context.DeadlineExceeded
+	case r.URL.Path == describer.PathStatus:
+		json.NewEncoder(w).Encode(m.status(host))
+	case r.URL.Path == describer.PathExplain+"req-1" && host == "entry-02":
+		json.NewEncoder(w).Encode(describer.Explanation{RequestID: "req-1", Host: host, Steps: []describer.Step{
+			{At: startTime, Kind: "admitted", Detail: "team coffee, class interactive"},
+			{At: startTime.Add(time.Millisecond), Kind: "dispatched", Detail: "target assistant-03"},
+		}})
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+	return w.Result(), nil
+}
+
+func (m *memoryDaemons) status(host identifier.Host) describer.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	status := describer.Status{
+		Host: host, DataCentre: "antigua", ConfigVersion: m.store.version(), Ready: true,
+		Platform:    describer.Platform{Reachable: true},
+		DataCentres: []describer.DataCentre{{Name: "antigua", State: specifier.StateIn, Reachable: true}},
+		Targets: []describer.Target{{
+			Name: "assistant-01", State: specifier.StateIn, Incarnation: 4, Cold: true, ColdLimitInForce: 1, Running: 1,
+			Age: specifier.Duration{Duration: 200 * time.Millisecond}, Owner: "entry-01",
+		}},
+		InFlight: 3,
+	}
+	if host == "entry-02" && m.lag > 0 {
+		m.lag--
+		status.ConfigVersion = 0
+	}
+	return status
+}
+
+var startTime = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+
+// steppingClock is a fake clock that moves on when someone waits.
+type steppingClock struct{ *clockwork.FakeClock }
+
+func (c steppingClock) After(d time.Duration) <-chan time.Time {
+	ch := c.FakeClock.After(d)
+	c.Advance(d)
+	return ch
+}
