--- a/internal/config/specifier/datacentre.go
+++ b/internal/config/specifier/datacentre.go
@@ -32,7 +32,7 @@
 func (d *DataCentre) SetDefaults() { *d = DefaultDataCentre() }
 
 func (v *validator) dataCentre(key string, d DataCentre) {
-	if !namePattern.MatchString(string(d.Region)) {
+	if !ValidName(string(d.Region)) {
 		v.Reportf(decoder.Join(key, "region"), "is %q, want the name of a region", d.Region)
 	}
 	decoder.OneOf(&v.Reporter, decoder.Join(key, "state"), d.State, d.State.Allowed())
--- a/internal/config/specifier/model.go
+++ b/internal/config/specifier/model.go
@@ -11,11 +11,11 @@
 	Version identifier.WeightVersion `json:"version"`
 	// Adapters lists the adapters that requests may name.
 	Adapters []identifier.Adapter `json:"adapters,omitempty"`
-	// MaxPromptTokens is the longest prompt, in tokens; 1 or more.
+	// MaxPromptTokens is the longest prompt, in tokens; 1 to 16777216.
 	MaxPromptTokens int `json:"max-prompt-tokens"`
-	// MaxOutputTokens is the longest output, in tokens; 1 or more.
+	// MaxOutputTokens is the longest output, in tokens; 1 to 16777216.
 	MaxOutputTokens int `json:"max-output-tokens"`
-	// BlockBytes is the size of one cache block on a link, in bytes; 1 or more.
+	// BlockBytes is the size of one cache block on a link, in bytes; 1 to 1099511627776.
 	BlockBytes int64 `json:"block-bytes"`
 }
 
--- a/internal/config/specifier/profile.go
+++ b/internal/config/specifier/profile.go
@@ -40,9 +40,9 @@
 	Policy Policy `json:"policy"`
 	// Weighs is the measure that comes first.
 	Weighs Weighs `json:"weighs"`
-	// DefaultDeadline is the whole time of a request that names none; above 0 and up to max-deadline.
+	// DefaultDeadline is the whole time of a request that names none; 1ms to max-deadline.
 	DefaultDeadline Duration `json:"default-deadline"`
-	// MaxDeadline is the longest whole time that a request may ask for; up to 1h.
+	// MaxDeadline is the longest whole time that a request may ask for; 1ms to 1h.
 	MaxDeadline Duration `json:"max-deadline"`
 	// RetryBudget is the share of requests that may be retried, from 0 to 1.
 	RetryBudget float64 `json:"retry-budget"`
@@ -50,17 +50,17 @@
 	MaxAttempts int `json:"max-attempts"`
 	// QueueLimit bounds the requests that wait in one daemon, from 0 to 100000.
 	QueueLimit int `json:"queue-limit"`
-	// StallTimeout is how long an answer may make no progress; above 0 and up to max-deadline.
+	// StallTimeout is how long an answer may make no progress; 1ms to max-deadline.
 	StallTimeout Duration `json:"stall-timeout"`
 	// SpillOver permits work in other data centres of the region.
 	SpillOver bool `json:"spill-over"`
-	// SpillOverPenalty is added to the expected first-token time elsewhere; up to max-deadline.
+	// SpillOverPenalty is added to the expected first-token time elsewhere; 0s to max-deadline.
 	SpillOverPenalty Duration `json:"spill-over-penalty"`
 	// LinkShare is the share of a store's link that imports and exports may use, from 0 to 1.
 	LinkShare float64 `json:"link-share"`
 	// Keep says whether blocks are exported to stores after a run.
 	Keep bool `json:"keep"`
-	// KeepMinBlocks is the shortest prefix worth keeping, in blocks; 1 or more.
+	// KeepMinBlocks is the shortest prefix worth keeping, in blocks, from 1 to 10000.
 	KeepMinBlocks int `json:"keep-min-blocks"`
 	// RampSteps is the number of steps from a target's cold limit to its warm limit, from 1 to 100.
 	RampSteps int `json:"ramp-steps"`
--- a/internal/config/specifier/store.go
+++ b/internal/config/specifier/store.go
@@ -13,7 +13,7 @@
 	DataCentre identifier.DataCentre `json:"data-centre"`
 	// Address is where the store is reached; an IP address and port of its own.
 	Address netip.AddrPort `json:"address"`
-	// LinkBytesPerSecond is the limit of the store's link, in bytes a second; 1 or more.
+	// LinkBytesPerSecond is the limit of the store's link, in bytes a second; 1 to 1125899906842624.
 	LinkBytesPerSecond int64 `json:"link-bytes-per-second"`
 	// State says whether the store takes new blocks.
 	State State `json:"state"`
--- a/internal/config/specifier/team.go
+++ b/internal/config/specifier/team.go
@@ -13,7 +13,7 @@
 type Team struct {
 	// KeyHashes are SHA-256 hashes of the team's bearer keys in 64 hexadecimal digits; at least one, each of one team only.
 	KeyHashes []string `json:"key-hashes"`
-	// Weight is the team's share of contended capacity; above 0 and up to 1000000.
+	// Weight is the team's share of contended capacity; from 0.000001 to 1000000.
 	Weight float64 `json:"weight"`
 	// RequestsPerSecond limits the team's requests over the fleet; 0 means no limit.
 	RequestsPerSecond float64 `json:"requests-per-second"`
--- a/internal/config/specifier/validator.go
+++ b/internal/config/specifier/validator.go
@@ -13,6 +13,10 @@
 // namePattern is what the names of entries consist of.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
+// ValidName reports whether name may be the name of an entry: 1 to 63 letters,
+// digits, dots, hyphens and underscores that begin with a letter or digit.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
 // validator checks a Fleet as a whole.
 type validator struct {
 	decoder.Reporter
@@ -27,7 +31,7 @@
 func eachEntry[N ~string, E any](v *validator, key string, entries map[N]E, check func(key string, e E)) {
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		entryKey := decoder.Join(key, string(name))
-		if !namePattern.MatchString(string(name)) {
+		if !ValidName(string(name)) {
 			v.Reportf(entryKey, "has a bad name, want 1 to 63 letters, digits, dots, hyphens and underscores that begin with a letter or digit")
 		}
 		check(entryKey, entries[name])
--- a/internal/config/starter/sections.go
+++ b/internal/config/starter/sections.go
@@ -27,8 +27,8 @@
 
 // TLSFiles names the files of one TLS identity.
 type TLSFiles struct {
-	// CA is the file of the certificate authority that the other end is checked against, in PEM.
-	CA string `json:"ca"`
+	// CA is the file of the certificate authority that the other end is checked against, in PEM; callers may go without certificates when it is absent, peers and operators may not.
+	CA string `json:"ca,omitempty"`
 	// Certificate is the file of the listener's certificate, in PEM.
 	Certificate string `json:"certificate"`
 	// Key is the file of the certificate's private key, in PEM.
--- a/internal/config/starter/validator.go
+++ b/internal/config/starter/validator.go
@@ -31,14 +31,14 @@
 // problems returns all problems of s, each with name as its file.
 func (s *Settings) problems(name string) decoder.Problems {
 	v := &validator{Reporter: decoder.Reporter{File: name}}
-	v.required("host", string(s.Host))
-	v.required("data-centre", string(s.DataCentre))
-	v.required("region", string(s.Region))
+	v.name("host", string(s.Host))
+	v.name("data-centre", string(s.DataCentre))
+	v.name("region", string(s.Region))
 	v.listeners(s)
 	v.platform(s.Platform)
 	v.tls("tls.callers", s.TLS.Callers)
-	v.tls("tls.peers", s.TLS.Peers)
-	v.tls("tls.operators", s.TLS.Operators)
+	v.mutualTLS("tls.peers", s.TLS.Peers)
+	v.mutualTLS("tls.operators", s.TLS.Operators)
 	v.secrets(s.Secrets)
 	v.limits(s.Limits)
 	v.session(s.Session)
@@ -56,6 +56,12 @@
 	}
 }
 
+func (v *validator) name(key, value string) {
+	if !specifier.ValidName(value) {
+		v.Reportf(key, "is %q, want a name of 1 to 63 letters, digits, dots, hyphens and underscores", value)
+	}
+}
+
 func (v *validator) listeners(s *Settings) {
 	v.address("listen", s.Listen)
 	v.address("peer-listen", s.PeerListen)
@@ -93,11 +99,19 @@
 	if files == nil {
 		return
 	}
-	v.required(decoder.Join(key, "ca"), files.CA)
 	v.required(decoder.Join(key, "certificate"), files.Certificate)
 	v.required(decoder.Join(key, "key"), files.Key)
 }
 
+// mutualTLS checks the files of a listener whose callers present certificates.
+func (v *validator) mutualTLS(key string, files *TLSFiles) {
+	if files == nil {
+		return
+	}
+	v.required(decoder.Join(key, "ca"), files.CA)
+	v.tls(key, files)
+}
+
 func (v *validator) secrets(s Secrets) {
 	if (s.BlockKeyFile == "") == (s.BlockSecret == "") {
 		v.Reportf("secrets", "has both or neither of block-key-file and block-secret, want exactly one")
--- a/internal/operator/commander/entry.go
+++ b/internal/operator/commander/entry.go
@@ -40,11 +40,7 @@
 			columns: []string{"kind", "profile", "models", "non-repeatable", "class"},
 			entries: func(f *specifier.Fleet) map[identifier.Service]specifier.Service { return f.Services },
 		}),
-		newEntryCommand(s, collection[identifier.Team, specifier.Team]{
-			noun:    "team",
-			columns: []string{"weight", "requests-per-second", "tokens-per-second", "services"},
-			entries: func(f *specifier.Fleet) map[identifier.Team]specifier.Team { return f.Teams },
-		}),
+		newTeamCommand(s),
 		newEntryCommand(s, collection[identifier.Model, specifier.Model]{
 			noun:    "model",
 			columns: []string{"version", "adapters", "max-prompt-tokens", "max-output-tokens", "block-bytes"},
