--- a/internal/config/specifier/specifier.go
+++ b/internal/config/specifier/specifier.go
@@ -38,7 +38,7 @@
 	Profiles map[identifier.Profile]Profile `json:"profiles"`
 	// Services are the routed services.
 	Services map[identifier.Service]Service `json:"services"`
-	// Teams are the customer organisations.
+	// Teams are the organisations whose requests and cache are kept apart.
 	Teams map[identifier.Team]Team `json:"teams"`
 	// Models are the models and their weight versions.
 	Models map[identifier.Model]Model `json:"models"`
--- a/internal/config/specifier/team.go
+++ b/internal/config/specifier/team.go
@@ -9,7 +9,7 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
-// Team is one customer organisation.
+// Team is one organisation whose requests and cache are kept apart from those of others.
 type Team struct {
 	// KeyHashes are SHA-256 hashes of the team's bearer keys in 64 hexadecimal digits; at least one, each of one team only.
 	KeyHashes []string `json:"key-hashes"`
