--- a/internal/config/specifier/profile.go
+++ b/internal/config/specifier/profile.go
@@ -40,9 +40,9 @@
 	Policy Policy `json:"policy"`
 	// Weighs is the measure that comes first.
 	Weighs Weighs `json:"weighs"`
-	// DefaultDeadline is the whole time of a request that names none; above 0 and up to max-deadline.
+	// DefaultDeadline is the whole time of a request that names none; 1ms to max-deadline.
 	DefaultDeadline Duration `json:"default-deadline"`
-	// MaxDeadline is the longest whole time that a request may ask for; up to 1h.
+	// MaxDeadline is the longest whole time that a request may ask for; 1ms to 1h.
 	MaxDeadline Duration `json:"max-deadline"`
 	// RetryBudget is the share of requests that may be retried, from 0 to 1.
 	RetryBudget float64 `json:"retry-budget"`
@@ -50,17 +50,17 @@
 	MaxAttempts int `json:"max-attempts"`
 	// QueueLimit bounds the requests that wait in one daemon, from 0 to 100000.
 	QueueLimit int `json:"queue-limit"`
-	// StallTimeout is how long an answer may make no progress; above 0 and up to max-deadline.
+	// StallTimeout is how long an answer may make no progress; 1ms to max-deadline.
 	StallTimeout Duration `json:"stall-timeout"`
 	// SpillOver permits work in other data centres of the region.
 	SpillOver bool `json:"spill-over"`
-	// SpillOverPenalty is added to the expected first-token time elsewhere; up to max-deadline.
+	// SpillOverPenalty is added to the expected first-token time elsewhere; 0s to max-deadline.
 	SpillOverPenalty Duration `json:"spill-over-penalty"`
 	// LinkShare is the share of a store's link that imports and exports may use, from 0 to 1.
 	LinkShare float64 `json:"link-share"`
 	// Keep says whether blocks are exported to stores after a run.
 	Keep bool `json:"keep"`
-	// KeepMinBlocks is the shortest prefix worth keeping, in blocks; 1 or more.
+	// KeepMinBlocks is the shortest prefix worth keeping, in blocks, from 1 to 10000.
 	KeepMinBlocks int `json:"keep-min-blocks"`
 	// RampSteps is the number of steps from a target's cold limit to its warm limit, from 1 to 100.
 	RampSteps int `json:"ramp-steps"`
@@ -106,17 +106,17 @@
 
 func (v *validator) profile(key string, p Profile) {
 	at := func(name string) string { return decoder.Join(key, name) }
-	oneOf(v, at("policy"), p.Policy, p.Policy.Allowed())
-	oneOf(v, at("weighs"), p.Weighs, p.Weighs.Allowed())
+	decoder.OneOf(&v.Reporter, at("policy"), p.Policy, p.Policy.Allowed())
+	decoder.OneOf(&v.Reporter, at("weighs"), p.Weighs, p.Weighs.Allowed())
 	v.duration(at("max-deadline"), p.MaxDeadline, Duration{minDuration}, Duration{maxDeadline})
 	v.duration(at("default-deadline"), p.DefaultDeadline, Duration{minDuration}, p.MaxDeadline)
 	v.duration(at("stall-timeout"), p.StallTimeout, Duration{minDuration}, p.MaxDeadline)
 	v.duration(at("spill-over-penalty"), p.SpillOverPenalty, Duration{}, p.MaxDeadline)
 	v.duration(at("ramp-step-time"), p.RampStepTime, Duration{minDuration}, Duration{maxRampStepTime})
-	within(v, at("retry-budget"), p.RetryBudget, 0, 1)
-	within(v, at("max-attempts"), p.MaxAttempts, 1, maxAttempts)
-	within(v, at("queue-limit"), p.QueueLimit, 0, maxQueueLimit)
-	within(v, at("link-share"), p.LinkShare, 0, 1)
-	within(v, at("keep-min-blocks"), p.KeepMinBlocks, 1, maxKeepMinBlocks)
-	within(v, at("ramp-steps"), p.RampSteps, 1, maxRampSteps)
+	decoder.Within(&v.Reporter, at("retry-budget"), p.RetryBudget, 0, 1)
+	decoder.Within(&v.Reporter, at("max-attempts"), p.MaxAttempts, 1, maxAttempts)
+	decoder.Within(&v.Reporter, at("queue-limit"), p.QueueLimit, 0, maxQueueLimit)
+	decoder.Within(&v.Reporter, at("link-share"), p.LinkShare, 0, 1)
+	decoder.Within(&v.Reporter, at("keep-min-blocks"), p.KeepMinBlocks, 1, maxKeepMinBlocks)
+	decoder.Within(&v.Reporter, at("ramp-steps"), p.RampSteps, 1, maxRampSteps)
 }
--- a/internal/config/specifier/team.go
+++ b/internal/config/specifier/team.go
@@ -9,11 +9,11 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
-// Team is one customer organisation.
+// Team is one organisation whose requests and cache are kept apart from those of others.
 type Team struct {
 	// KeyHashes are SHA-256 hashes of the team's bearer keys in 64 hexadecimal digits; at least one, each of one team only.
 	KeyHashes []string `json:"key-hashes"`
-	// Weight is the team's share of contended capacity; above 0 and up to 1000000.
+	// Weight is the team's share of contended capacity; from 0.000001 to 1000000.
 	Weight float64 `json:"weight"`
 	// RequestsPerSecond limits the team's requests over the fleet; 0 means no limit.
 	RequestsPerSecond float64 `json:"requests-per-second"`
@@ -37,7 +37,7 @@
 
 func (v *validator) team(key string, t Team) {
 	at := func(name string) string { return decoder.Join(key, name) }
-	within(v, at("weight"), t.Weight, minTeamWeight, maxTeamWeight)
+	decoder.Within(&v.Reporter, at("weight"), t.Weight, minTeamWeight, maxTeamWeight)
 	v.finite(at("requests-per-second"), t.RequestsPerSecond)
 	v.finite(at("tokens-per-second"), t.TokensPerSecond)
 	distinct(v, at("services"), t.Services)
--- a/internal/config/specifier/validator.go
+++ b/internal/config/specifier/validator.go
@@ -1,13 +1,11 @@
 package specifier
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"net/netip"
 	"regexp"
 	"slices"
-	"strings"
 
 	"cardamomscale.example/cardamomscale/internal/config/decoder"
 )
@@ -15,6 +13,10 @@
 // namePattern is what the names of entries consist of.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
+// ValidName reports whether name may be the name of an entry: 1 to 63 letters,
+// digits, dots, hyphens and underscores that begin with a letter or digit.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
 // validator checks a Fleet as a whole.
 type validator struct {
 	decoder.Reporter
@@ -29,7 +31,7 @@
 func eachEntry[N ~string, E any](v *validator, key string, entries map[N]E, check func(key string, e E)) {
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		entryKey := decoder.Join(key, string(name))
-		if !namePattern.MatchString(string(name)) {
+		if !ValidName(string(name)) {
 			v.Reportf(entryKey, "has a bad name, want 1 to 63 letters, digits, dots, hyphens and underscores that begin with a letter or digit")
 		}
 		check(entryKey, entries[name])
@@ -41,29 +43,12 @@
 	if _, ok := entries[name]; ok {
 		return
 	}
-	v.Reportf(key, "names %q, which does not exist, want one of the %s: %s", name, plural, list(slices.Sorted(maps.Keys(entries))))
-}
-
-// oneOf reports a value that is not allowed.
-func oneOf[T ~string](v *validator, key string, value T, allowed []T) {
-	if !slices.Contains(allowed, value) {
-		v.Reportf(key, "is %q, want one of %s", value, list(allowed))
-	}
-}
-
-// within reports a value outside of low and high, or one that is not a number.
-func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
-	inside := value >= low && value <= high
-	if !inside {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	v.Reportf(key, "names %q, which does not exist, want one of the %s: %s", name, plural, decoder.List(slices.Sorted(maps.Keys(entries))))
 }
 
 // duration reports a value outside of low and high.
 func (v *validator) duration(key string, value, low, high Duration) {
-	if value.Duration < low.Duration || value.Duration > high.Duration {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	decoder.Within(&v.Reporter, key, value.Duration, low.Duration, high.Duration)
 }
 
 // finite reports a number that is negative or not finite.
@@ -98,15 +83,3 @@
 	}
 	v.addresses[value] = key
 }
-
-// list joins values for a message.
-func list[T ~string](values []T) string {
-	if len(values) == 0 {
-		return "(none)"
-	}
-	texts := make([]string, 0, len(values))
-	for _, value := range values {
-		texts = append(texts, string(value))
-	}
-	return strings.Join(texts, ", ")
-}
--- a/internal/config/starter/validator.go
+++ b/internal/config/starter/validator.go
@@ -1,10 +1,7 @@
 package starter
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/config/decoder"
@@ -34,14 +31,14 @@
 // problems returns all problems of s, each with name as its file.
 func (s *Settings) problems(name string) decoder.Problems {
 	v := &validator{Reporter: decoder.Reporter{File: name}}
-	v.required("host", string(s.Host))
-	v.required("data-centre", string(s.DataCentre))
-	v.required("region", string(s.Region))
+	v.name("host", string(s.Host))
+	v.name("data-centre", string(s.DataCentre))
+	v.name("region", string(s.Region))
 	v.listeners(s)
 	v.platform(s.Platform)
 	v.tls("tls.callers", s.TLS.Callers)
-	v.tls("tls.peers", s.TLS.Peers)
-	v.tls("tls.operators", s.TLS.Operators)
+	v.mutualTLS("tls.peers", s.TLS.Peers)
+	v.mutualTLS("tls.operators", s.TLS.Operators)
 	v.secrets(s.Secrets)
 	v.limits(s.Limits)
 	v.session(s.Session)
@@ -49,7 +46,7 @@
 	v.duration("load-report-interval", s.LoadReportInterval, minInterval, maxInterval)
 	v.duration("shutdown-grace", s.ShutdownGrace, 0, maxShutdownGrace)
 	v.trace(s.Trace)
-	v.logLevel(s.LogLevel)
+	decoder.OneOf(&v.Reporter, "log-level", s.LogLevel, s.LogLevel.Allowed())
 	return v.Problems
 }
 
@@ -59,6 +56,12 @@
 	}
 }
 
+func (v *validator) name(key, value string) {
+	if !specifier.ValidName(value) {
+		v.Reportf(key, "is %q, want a name of 1 to 63 letters, digits, dots, hyphens and underscores", value)
+	}
+}
+
 func (v *validator) listeners(s *Settings) {
 	v.address("listen", s.Listen)
 	v.address("peer-listen", s.PeerListen)
@@ -96,11 +99,19 @@
 	if files == nil {
 		return
 	}
-	v.required(decoder.Join(key, "ca"), files.CA)
 	v.required(decoder.Join(key, "certificate"), files.Certificate)
 	v.required(decoder.Join(key, "key"), files.Key)
 }
 
+// mutualTLS checks the files of a listener whose callers present certificates.
+func (v *validator) mutualTLS(key string, files *TLSFiles) {
+	if files == nil {
+		return
+	}
+	v.required(decoder.Join(key, "ca"), files.CA)
+	v.tls(key, files)
+}
+
 func (v *validator) secrets(s Secrets) {
 	if (s.BlockKeyFile == "") == (s.BlockSecret == "") {
 		v.Reportf("secrets", "has both or neither of block-key-file and block-secret, want exactly one")
@@ -111,9 +122,9 @@
 }
 
 func (v *validator) limits(l Limits) {
-	within(v, "limits.max-body-bytes", l.MaxBodyBytes, 1, maxBodyBytes)
-	within(v, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
-	within(v, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
+	decoder.Within(&v.Reporter, "limits.max-body-bytes", l.MaxBodyBytes, 1, maxBodyBytes)
+	decoder.Within(&v.Reporter, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	decoder.Within(&v.Reporter, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
 	v.duration("limits.read-timeout", l.ReadTimeout, shortestTimeLimit, maxReadTimeout)
 }
 
@@ -134,25 +145,6 @@
 	}
 }
 
-func (v *validator) logLevel(level LogLevel) {
-	allowed := level.Allowed()
-	if slices.Contains(allowed, level) {
-		return
-	}
-	texts := make([]string, 0, len(allowed))
-	for _, known := range allowed {
-		texts = append(texts, string(known))
-	}
-	v.Reportf("log-level", "is %q, want one of %s", level, strings.Join(texts, ", "))
-}
-
 func (v *validator) duration(key string, value specifier.Duration, low, high time.Duration) {
-	within(v, key, value.Duration, low, high)
-}
-
-// within reports a value outside of low and high.
-func within[T cmp.Ordered](v *validator, key string, value, low, high T) {
-	if value < low || value > high {
-		v.Reportf(key, "is %v, want %v to %v", value, low, high)
-	}
+	decoder.Within(&v.Reporter, key, value.Duration, low, high)
 }
