--- /dev/null
+++ b/internal/standin/commander/file.go
@@ -0,0 +1,140 @@
+package commander
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/standin/engine"
+	"cardamomscale.example/cardamomscale/internal/standin/proxier"
+	"cardamomscale.example/cardamomscale/internal/standin/responder"
+	"cardamomscale.example/cardamomscale/internal/standin/server"
+	"cardamomscale.example/cardamomscale/internal/standin/storer"
+	"cardamomscale.example/cardamomscale/internal/standin/supplier"
+)
+
+// StandInKind says what a stand-in stands in for.
+type StandInKind string
+
+// The kinds of stand-in.
+const (
+	StandInEngine  StandInKind = "engine"
+	StandInPlain   StandInKind = "plain"
+	StandInStore   StandInKind = "store"
+	StandInWeights StandInKind = "weights"
+	StandInProxy   StandInKind = "proxy"
+)
+
+// File lists the stand-ins of one process.
+type File struct {
+	StandIns []StandIn `json:"stand-ins"`
+}
+
+// StandIn is one entry of a File.
+type StandIn struct {
+	Kind    StandInKind    `json:"kind"`
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	// Control is the address of a proxy's faults and statistics.
+	Control netip.AddrPort `json:"control,omitzero"`
+	// Target is where a proxy forwards to.
+	Target netip.AddrPort `json:"target,omitzero"`
+	// Seed seeds the random numbers.
+	Seed uint64 `json:"seed,omitempty"`
+	// Settings replaces single settings of the kind's defaults.
+	Settings json.RawMessage `json:"settings,omitempty"`
+}
+
+// services builds the stand-in and returns what serves its addresses.
+func (s StandIn) services(cfg Config) ([]service, error) {
+	switch s.Kind {
+	case StandInEngine:
+		return s.engine(cfg)
+	case StandInPlain:
+		return s.plain(cfg)
+	case StandInStore:
+		return s.store(cfg)
+	case StandInWeights:
+		return s.weights(cfg)
+	case StandInProxy:
+		return s.proxy(cfg)
+	default:
+		return nil, newError("build stand-in", KindInvalid, errors.Newf("kind %q of stand-in %q is unknown", s.Kind, s.Name))
+	}
+}
+
+func (s StandIn) engine(cfg Config) ([]service, error) {
+	settings := engine.DefaultSettings()
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	e, err := engine.New(engine.Config{Settings: settings, Name: identifier.Target(s.Name), Clock: cfg.Clock, Seed: s.Seed})
+	return s.single(e, err)
+}
+
+func (s StandIn) plain(cfg Config) ([]service, error) {
+	settings := responder.DefaultSettings()
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	p, err := responder.New(responder.Config{Settings: settings, Name: identifier.Target(s.Name), Clock: cfg.Clock})
+	return s.single(p, err)
+}
+
+func (s StandIn) store(cfg Config) ([]service, error) {
+	settings := storer.DefaultSettings()
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	h, err := storer.New(storer.Config{Settings: settings, Name: identifier.Store(s.Name), Clock: cfg.Clock})
+	return s.single(h, err)
+}
+
+func (s StandIn) weights(cfg Config) ([]service, error) {
+	settings := supplier.DefaultSettings()
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	w, err := supplier.New(supplier.Config{Settings: settings, Clock: cfg.Clock})
+	return s.single(w, err)
+}
+
+func (s StandIn) proxy(cfg Config) ([]service, error) {
+	if err := s.decode(&struct{}{}); err != nil {
+		return nil, err
+	}
+	p, err := proxier.New(proxier.Config{Target: s.Target, Clock: cfg.Clock})
+	if err != nil {
+		return s.single(nil, err)
+	}
+	control, err := p.Control()
+	if err != nil {
+		return s.single(nil, err)
+	}
+	return []service{
+		{Started: Started{Kind: s.Kind, Name: s.Name, Address: s.Address}, server: p},
+		{Started: Started{Kind: s.Kind, Name: s.Name, Address: s.Control, Control: true}, server: control},
+	}, nil
+}
+
+// single returns the one service of a stand-in, or the error of its construction.
+func (s StandIn) single(srv listenerServer, err error) ([]service, error) {
+	if err != nil {
+		return nil, newError("build stand-in", KindInvalid, errors.Wrapf(err, "stand-in %q", s.Name))
+	}
+	return []service{{Started: Started{Kind: s.Kind, Name: s.Name, Address: s.Address}, server: srv}}, nil
+}
+
+// decode decodes the settings over the defaults in v.
+func (s StandIn) decode(v any) error {
+	if len(s.Settings) == 0 {
+		return nil
+	}
+	if err := server.DecodeStrict(bytes.NewReader(s.Settings), v); err != nil {
+		return newError("read settings", KindInvalid, errors.Wrapf(err, "stand-in %q", s.Name))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/proxier/proxier.go
@@ -0,0 +1,264 @@
+// Package proxier forwards TCP connections to one address and injects network
+// faults on the way.
+package proxier
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/standin/server"
+)
+
+const dialTimeout = 5 * time.Second
+
+// Kind classifies failures of this package.
+type Kind string
+
+// The kinds of failure.
+const (
+	// KindInvalid reports settings or faults out of range.
+	KindInvalid Kind = "invalid"
+	// KindListener reports a listener that stopped accepting connections.
+	KindListener Kind = "listener"
+)
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+// Config configures a Proxier.
+type Config struct {
+	// Target is where the connections are forwarded to.
+	Target netip.AddrPort
+	Clock  clockwork.Clock
+}
+
+// Direction describes how bytes flow in one direction.
+type Direction struct {
+	// Delay is added to each byte's time on the way.
+	Delay server.Duration `json:"delay,omitempty"`
+	// BytesPerSecond limits the rate of each connection; 0 means no limit.
+	BytesPerSecond int64 `json:"bytes-per-second,omitempty"`
+	// Silent swallows all bytes and the ends of streams, while the
+	// connections stay open. With one silent direction they are half open.
+	Silent bool `json:"silent,omitempty"`
+}
+
+// Faults changes the behaviour of a Proxier; absent fields change nothing.
+type Faults struct {
+	// Up and Down describe the bytes to and from the target.
+	Up   *Direction `json:"up,omitempty"`
+	Down *Direction `json:"down,omitempty"`
+	// SilenceUp and SilenceDown silence the connections that are open now for
+	// good, while new ones work.
+	SilenceUp   bool `json:"silence-up,omitempty"`
+	SilenceDown bool `json:"silence-down,omitempty"`
+	// Cut closes the connections that are open now.
+	Cut bool `json:"cut,omitempty"`
+	// Reset resets the connections that are open now.
+	Reset bool `json:"reset,omitempty"`
+	// Refuse resets each new connection while it is true.
+	Refuse *bool `json:"refuse,omitempty"`
+}
+
+// Stats counts what a Proxier forwarded.
+type Stats struct {
+	Open      int   `json:"open"`
+	Accepted  int   `json:"accepted"`
+	Refused   int   `json:"refused"`
+	BytesUp   int64 `json:"bytes-up"`
+	BytesDown int64 `json:"bytes-down"`
+	Swallowed int64 `json:"swallowed"`
+}
+
+// Proxier is one proxy in front of one address. It is safe for concurrent use.
+type Proxier struct {
+	cfg     Config
+	control *mux.Router
+
+	mu     sync.Mutex
+	up     Direction
+	down   Direction
+	refuse bool
+	conns  map[*connection]struct{}
+	stats  Stats
+}
+
+// New returns a Proxier that forwards without faults, or an Error of KindInvalid.
+func New(cfg Config) (*Proxier, error) {
+	if cfg.Clock == nil {
+		return nil, invalid("check settings", "the clock is missing")
+	}
+	if !cfg.Target.IsValid() || cfg.Target.Port() == 0 {
+		return nil, invalid("check settings", "target %v is not an address with a port", cfg.Target)
+	}
+	p := &Proxier{cfg: cfg, conns: make(map[*connection]struct{})}
+	p.control = mux.NewRouter()
+	p.control.Handle(server.PathFaults, server.FaultHandler(p.Apply)).Methods("POST")
+	p.control.Handle(server.PathStats, server.StatsHandler(p.Stats)).Methods("GET")
+	return p, nil
+}
+
+// Control returns a server of the fault interface, which needs a listener of its own.
+func (p *Proxier) Control() (*server.Server, error) {
+	return server.New(server.Config{Handler: p.control})
+}
+
+// Serve forwards the connections of ln until ctx ends. Then it closes all
+// connections, waits for its goroutines and returns nil. An Error of
+// KindListener means that ln failed before.
+func (p *Proxier) Serve(ctx context.Context, ln net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		client, err := ln.Accept()
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			cancel()
+			return &Error{failer.Detail[Kind]{Op: "accept", Kind: KindListener, Err: err}}
+		}
+		group.Go(func() { p.forward(ctx, client) })
+	}
+}
+
+// Apply changes the behaviour; it returns an Error of KindInvalid for a value out of range.
+func (p *Proxier) Apply(f Faults) error {
+	for _, d := range []*Direction{f.Up, f.Down} {
+		if d != nil && (d.Delay.Duration < 0 || d.BytesPerSecond < 0) {
+			return invalid("apply faults", "delay is %v and bytes-per-second %d, want neither below 0", d.Delay, d.BytesPerSecond)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.Up != nil {
+		p.up = *f.Up
+	}
+	if f.Down != nil {
+		p.down = *f.Down
+	}
+	if f.Refuse != nil {
+		p.refuse = *f.Refuse
+	}
+	for c := range p.conns {
+		c.silentUp = c.silentUp || f.SilenceUp
+		c.silentDown = c.silentDown || f.SilenceDown
+		switch {
+		case f.Reset:
+			c.reset()
+		case f.Cut:
+			c.close()
+		}
+	}
+	return nil
+}
+
+// Heal removes all faults but the silence of connections that were silenced for good.
+func (p *Proxier) Heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = Direction{}
+	p.down = Direction{}
+	p.refuse = false
+}
+
+// Stats returns the counts.
+func (p *Proxier) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.stats
+	stats.Open = len(p.conns)
+	return stats
+}
+
+// forward connects client to the target and returns when both are closed.
+func (p *Proxier) forward(ctx context.Context, client net.Conn) {
+	if p.refuses() {
+		abort(client)
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	target, err := dialer.DialContext(ctx, "tcp", p.cfg.Target.String())
+	if err != nil {
+		abort(client)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := &connection{client: client, target: target, cancel: cancel}
+	p.add(c)
+	defer p.remove(c)
+	stop := context.AfterFunc(ctx, c.close)
+	defer stop()
+	defer c.close()
+	var group sync.WaitGroup
+	group.Go(func() { p.newPump(c, true).run(ctx) })
+	group.Go(func() { p.newPump(c, false).run(ctx) })
+	group.Wait()
+}
+
+func (p *Proxier) refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse {
+		p.stats.Refused++
+	}
+	return p.refuse
+}
+
+func (p *Proxier) add(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Accepted++
+	p.conns[c] = struct{}{}
+}
+
+func (p *Proxier) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// direction returns how bytes of c flow up or down at present.
+func (p *Proxier) direction(c *connection, up bool) Direction {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if up {
+		d := p.up
+		d.Silent = d.Silent || c.silentUp
+		return d
+	}
+	d := p.down
+	d.Silent = d.Silent || c.silentDown
+	return d
+}
+
+// count adds n bytes that were forwarded or swallowed.
+func (p *Proxier) count(up, swallowed bool, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case swallowed:
+		p.stats.Swallowed += int64(n)
+	case up:
+		p.stats.BytesUp += int64(n)
+	default:
+		p.stats.BytesDown += int64(n)
+	}
+}
+
+func invalid(op, format string, args ...any) error {
+	return &Error{failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: errors.Newf(format, args...)}}
+}
--- /dev/null
+++ b/internal/standin/responder/handler.go
@@ -0,0 +1,131 @@
+package responder
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/standin/server"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Answer is the body of a plain service's answer.
+type Answer struct {
+	RequestID identifier.Request `json:"request-id"`
+	Method    string             `json:"method"`
+	Path      string             `json:"path"`
+	// Digest is the SHA-256 hash of the request's body in hexadecimal digits.
+	Digest string `json:"digest"`
+	// Execution counts the executions of this request, from 1.
+	Execution int    `json:"execution"`
+	Padding   string `json:"padding,omitempty"`
+}
+
+// Digest returns the hash of body as an Answer carries it.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func (s *Responder) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := s.reports.Latest(s.cfg.Clock.Now())
+	s.mu.Unlock()
+	server.SetIncarnation(w, s.warmer.Incarnation())
+	server.WriteJSON(w, http.StatusOK, report)
+}
+
+func (s *Responder) handleCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		refusal := messenger.Refusal{Kind: "invalid", Message: err.Error(), Run: messenger.RunNot, Incarnation: s.warmer.Incarnation()}
+		server.Refuse(w, http.StatusBadRequest, refusal)
+		return
+	}
+	c, refusal, ok := s.enter()
+	if !ok {
+		s.CutConnections()
+		server.Abort(r)
+	}
+	if refusal != nil {
+		server.Refuse(w, http.StatusServiceUnavailable, *refusal)
+		return
+	}
+	defer s.leave(c, false)
+	if !s.await(w, r, c) {
+		return
+	}
+	if s.warmer.Incarnation() != c.ticket.Incarnation() {
+		server.Abort(r)
+	}
+	execution, lost, truncated := s.execute(executionKey(r))
+	if !s.pause(r.Context()) || lost || s.warmer.Incarnation() != c.ticket.Incarnation() {
+		server.Abort(r)
+	}
+	s.leave(c, true)
+	s.answer(w, r, body, execution, truncated)
+}
+
+// await waits until c may run. It refuses the request when its deadline passes before.
+func (s *Responder) await(w http.ResponseWriter, r *http.Request, c *call) bool {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if left, err := time.ParseDuration(r.Header.Get(messenger.HeaderDeadline)); err == nil {
+		timer := s.cfg.Clock.AfterFunc(left, cancel)
+		defer timer.Stop()
+	}
+	select {
+	case <-c.started:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	refusal := s.refusal("deadline", "the deadline passed in the queue")
+	s.mu.Unlock()
+	server.Refuse(w, http.StatusGatewayTimeout, *refusal)
+	return false
+}
+
+func (s *Responder) answer(w http.ResponseWriter, r *http.Request, body []byte, execution int, truncated bool) {
+	s.mu.Lock()
+	padding := s.padding
+	s.mu.Unlock()
+	encoded, err := json.Marshal(Answer{
+		RequestID: identifier.Request(r.Header.Get(messenger.HeaderRequest)),
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Digest:    Digest(body),
+		Execution: execution,
+		Padding:   strings.Repeat("p", padding),
+	})
+	if err != nil {
+		server.Abort(r)
+	}
+	server.SetIncarnation(w, s.warmer.Incarnation())
+	w.Header().Set(messenger.HeaderRequest, r.Header.Get(messenger.HeaderRequest))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	if truncated {
+		_, _ = w.Write(encoded[:len(encoded)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(encoded)
+}
+
+// executionKey returns the idempotency key of r or else its request ID.
+func executionKey(r *http.Request) string {
+	if key := r.Header.Get(messenger.HeaderIdempotencyKey); key != "" {
+		return key
+	}
+	return r.Header.Get(messenger.HeaderRequest)
+}
