--- /dev/null
+++ b/internal/core/jitterer/jitterer.go
@@ -0,0 +1,48 @@
+// Package jitterer spreads repeated actions in time, so that many daemons do
+// not act at the same moment.
+package jitterer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Jitterer draws waiting times from a seeded source. It is safe for concurrent use.
+type Jitterer struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// New returns a Jitterer that draws from a source with the given seed.
+func New(seed uint64) *Jitterer {
+	return &Jitterer{rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Spread returns a time between d*(1-share) and d*(1+share).
+func (j *Jitterer) Spread(d time.Duration, share float64) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	offset := (2*j.rng.Float64() - 1) * share
+	return time.Duration(float64(d) * (1 + offset))
+}
+
+// Backoff returns the wait after a number of failures in a row: it doubles
+// from base with each failure up to limit, and is drawn from its upper half.
+func (j *Jitterer) Backoff(base, limit time.Duration, failures int) time.Duration {
+	wait := base
+	for i := 1; i < failures && wait < limit; i++ {
+		wait *= 2
+	}
+	wait = min(wait, limit)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return wait/2 + time.Duration(j.rng.Float64()*float64(wait/2))
+}
+
+// Uint64 returns a random number.
+func (j *Jitterer) Uint64() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.rng.Uint64()
+}
--- /dev/null
+++ b/internal/decision/placer/placer.go
@@ -0,0 +1,188 @@
+// Package placer maps keys to members by rendezvous hashing, so that all who
+// know the same members agree without talking, and few keys move when a
+// member joins or leaves. It does no I/O.
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Key is the hash of what is to be placed.
+type Key uint64
+
+// KeyOf hashes a name.
+func KeyOf[S ~string](name S) Key { return Key(xxh3.HashString(string(name))) }
+
+// KeyOfBytes hashes bytes, such as a block key.
+func KeyOfBytes(b []byte) Key { return Key(xxh3.Hash(b)) }
+
+// Mix constants of the SplitMix64 generator.
+const (
+	mixIncrement = 0x9e3779b97f4a7c15
+	mixFirst     = 0xbf58476d1ce4e5b9
+	mixSecond    = 0x94d049bb133111eb
+)
+
+// score returns the weight of a member for a key; the highest one wins.
+func score(key Key, member uint64) uint64 {
+	z := uint64(key) + member*mixIncrement
+	z = (z ^ z>>30) * mixFirst
+	z = (z ^ z>>27) * mixSecond
+	return z ^ z>>31
+}
+
+type member[M ~string] struct {
+	name M
+	hash uint64
+}
+
+// Placer ranks a fixed set of members. It is immutable and safe for concurrent use.
+type Placer[M ~string] struct{ members []member[M] }
+
+// New returns a Placer of members; their order and repetitions don't matter.
+func New[M ~string](members []M) *Placer[M] {
+	p := &Placer[M]{members: make([]member[M], 0, len(members))}
+	for _, name := range members {
+		p.members = append(p.members, member[M]{name: name, hash: xxh3.HashString(string(name))})
+	}
+	slices.SortFunc(p.members, func(a, b member[M]) int { return cmp.Compare(a.name, b.name) })
+	p.members = slices.Compact(p.members)
+	return p
+}
+
+// Len returns the number of members.
+func (p *Placer[M]) Len() int { return len(p.members) }
+
+// Owner returns the first member for key, and false without members.
+func (p *Placer[M]) Owner(key Key) (M, bool) {
+	var best member[M]
+	var bestScore uint64
+	for i, m := range p.members {
+		if s := score(key, m.hash); i == 0 || s > bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best.name, len(p.members) > 0
+}
+
+// Rank appends all members to dst, the best for key first.
+func (p *Placer[M]) Rank(dst []M, key Key) []M { return p.TopK(dst, key, len(p.members)) }
+
+// TopK appends the k best members for key to dst, the best first.
+func (p *Placer[M]) TopK(dst []M, key Key, k int) []M {
+	k = min(k, len(p.members))
+	if k <= 0 {
+		return dst
+	}
+	if k > smallK {
+		return p.sortAll(dst, key, k)
+	}
+	var best [smallK]ranked
+	n := 0
+	for i, m := range p.members {
+		n = insert(best[:k], n, ranked{score: score(key, m.hash), index: i})
+	}
+	for _, r := range best[:n] {
+		dst = append(dst, p.members[r.index].name)
+	}
+	return dst
+}
+
+// smallK is the largest k for which TopK needs no memory of its own.
+const smallK = 16
+
+type ranked struct {
+	score uint64
+	index int
+}
+
+// before orders by falling score and then by name.
+func (r ranked) before(other ranked) bool {
+	if r.score != other.score {
+		return r.score > other.score
+	}
+	return r.index < other.index
+}
+
+// insert puts r into the ordered best[:n], which keeps len(best) entries, and
+// returns the new n.
+func insert(best []ranked, n int, r ranked) int {
+	i := n
+	for i > 0 && r.before(best[i-1]) {
+		i--
+	}
+	if i == len(best) {
+		return n
+	}
+	n = min(n+1, len(best))
+	copy(best[i+1:n], best[i:])
+	best[i] = r
+	return n
+}
+
+func (p *Placer[M]) sortAll(dst []M, key Key, k int) []M {
+	all := make([]ranked, len(p.members))
+	for i, m := range p.members {
+		all[i] = ranked{score: score(key, m.hash), index: i}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, r := range all[:k] {
+		dst = append(dst, p.members[r.index].name)
+	}
+	return dst
+}
+
+// Candidate is a member with its present load.
+type Candidate[M ~string] struct {
+	Member M
+	// Load and Capacity have the same unit, such as requests.
+	Load     float64
+	Capacity float64
+}
+
+// Pick returns the index of the best candidate for key among those whose load
+// stays within factor times their fair share of the whole load, one more unit
+// included. If none does, it returns the relatively least loaded one. It
+// returns -1 when no candidate has capacity.
+func Pick[M ~string](key Key, candidates []Candidate[M], factor float64) int {
+	var load, capacity float64
+	for _, c := range candidates {
+		if c.Capacity > 0 {
+			load += c.Load
+			capacity += c.Capacity
+		}
+	}
+	share := factor * (load + 1) / capacity
+	best, least := -1, -1
+	var bestScore uint64
+	for i, c := range candidates {
+		if c.Capacity <= 0 {
+			continue
+		}
+		if least < 0 || c.relative() < candidates[least].relative() {
+			least = i
+		}
+		if c.Load+1 > max(1, share*c.Capacity) {
+			continue
+		}
+		s := score(key, xxh3.HashString(string(c.Member)))
+		if best < 0 || s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
+
+// relative returns the load that one more unit makes for each unit of capacity.
+func (c Candidate[M]) relative() float64 { return (c.Load + 1) / c.Capacity }
--- /dev/null
+++ b/internal/peer/describer/describer.go
@@ -0,0 +1,161 @@
+// Package describer defines the messages that daemons send each other over
+// net/rpc. All of them are hints but for the permits, whose granter is the
+// target's owner.
+package describer
+
+import (
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Service is the name under which a daemon registers its methods with net/rpc.
+const Service = "Peer"
+
+// Method names one remote method.
+type Method string
+
+// The methods of a daemon.
+const (
+	MethodHeartbeat   Method = "Heartbeat"
+	MethodPushConfig  Method = "PushConfig"
+	MethodFetchConfig Method = "FetchConfig"
+	MethodPermit      Method = "Permit"
+	MethodRelease     Method = "Release"
+	MethodExplain     Method = "Explain"
+)
+
+// Methods lists all methods.
+func Methods() []Method {
+	return []Method{
+		MethodHeartbeat, MethodPushConfig, MethodFetchConfig,
+		MethodPermit, MethodRelease, MethodExplain,
+	}
+}
+
+// Content is what daemons tell each other in heartbeats and their replies.
+type Content struct {
+	From       identifier.Host
+	DataCentre identifier.DataCentre
+	// Session is drawn anew in each life of the sender's process.
+	Session uint64
+	// Sequence rises with each content that the sender builds for the receiver.
+	Sequence uint64
+	// Ack is the sequence of the last reply that the sender took from the
+	// receiver. A receiver in another session has forgotten that reply.
+	Ack uint64
+	// Stale is true in a reply when the heartbeat's content was older than one
+	// that had been taken before, so that it was dropped.
+	Stale         bool
+	ConfigVersion uint64
+	// Leaving is true when the sender shuts down and takes no new work.
+	Leaving bool
+	// Loads, Summaries, Teams and Links hold the entries that changed since the
+	// receiver last acknowledged them.
+	Loads     []TargetLoad
+	Summaries []Summary
+	Teams     []TeamShare
+	Links     []StoreLink
+}
+
+// TargetLoad is the load of one target as its reader knows it.
+type TargetLoad struct {
+	Target      identifier.Target
+	Incarnation identifier.Incarnation
+	Cold        bool
+	// Unreachable is true when the reader's last read of the target failed.
+	Unreachable  bool
+	Running      int32
+	Queued       int32
+	QueuedTokens int32
+	// AgeMilliseconds is the age of the report when the message was built.
+	AgeMilliseconds uint32
+	// Sequence is the reader's count of its reads of the target.
+	Sequence uint64
+}
+
+// Summary describes a data centre as a whole.
+type Summary struct {
+	DataCentre identifier.DataCentre
+	State      specifier.State
+	// FreeRequests is the number of further requests that the targets can take at once.
+	FreeRequests int32
+	ColdTargets  int32
+}
+
+// TeamShare is the demand of a team at one daemon.
+type TeamShare struct {
+	Team              identifier.Team
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+}
+
+// StoreLink is one daemon's use of the link of a store host.
+type StoreLink struct {
+	Store          identifier.Store
+	BytesPerSecond int64
+}
+
+// Heartbeat tells a peer that the sender lives and what changed.
+type Heartbeat struct{ Content }
+
+// HeartbeatReply answers a Heartbeat with the receiver's own content.
+type HeartbeatReply struct{ Content }
+
+// PushConfig hands over a configuration.
+type PushConfig struct {
+	Version uint64
+	// Raw is the configuration as the platform holds it.
+	Raw []byte
+}
+
+// PushConfigReply answers PushConfig with the version then in force.
+type PushConfigReply struct{ Version uint64 }
+
+// FetchConfig asks for a configuration whose version is higher than Above.
+type FetchConfig struct{ Above uint64 }
+
+// FetchConfigReply answers FetchConfig; Raw is empty when the replier has no higher version.
+type FetchConfigReply struct {
+	Version uint64
+	Raw     []byte
+}
+
+// Permit asks a target's owner for one slot of a cold target.
+type Permit struct {
+	From    identifier.Host
+	Target  identifier.Target
+	Request identifier.Request
+	// Term is how long the slot is wanted at most; the owner counts it from the
+	// permit's arrival, the asker from before its sending.
+	Term time.Duration
+}
+
+// PermitReply answers a Permit.
+type PermitReply struct {
+	Granted bool
+	// Fence is the fencing number of the owner's lease.
+	Fence uint64
+	// RetryAfter is when to ask again after a refusal.
+	RetryAfter time.Duration
+}
+
+// ReleasePermit gives a slot back; repeating it is harmless.
+type ReleasePermit struct {
+	From    identifier.Host
+	Target  identifier.Target
+	Request identifier.Request
+}
+
+// ReleasePermitReply answers ReleasePermit.
+type ReleasePermitReply struct{ Released bool }
+
+// Explain asks for the decisions about a request.
+type Explain struct{ Request identifier.Request }
+
+// ExplainReply answers Explain; JSON is empty unless Found.
+type ExplainReply struct {
+	Found bool
+	JSON  []byte
+}
--- /dev/null
+++ b/internal/target/dialer/dialer.go
@@ -0,0 +1,207 @@
+// Package dialer connects to targets so that a request admitted for one
+// incarnation of a target can't reach another one: every connection begins
+// with a handshake that must find the expected incarnation, and an
+// established connection can't pass to another process.
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// Defaults of Config.
+const (
+	DefaultHandshakeTimeout = time.Second
+	DefaultIdleTimeout      = 30 * time.Second
+	DefaultMaxIdle          = 32 // connections to one target
+	DefaultSilence          = 10 * time.Second
+)
+
+// keepAlive finds connections whose other end has vanished.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     5 * time.Second,
+	Interval: 2 * time.Second,
+	Count:    3,
+}
+
+// Config configures a Dialer. Clock, Dial and Expect are required.
+type Config struct {
+	Clock clockwork.Clock
+	// Dial makes a plain connection.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Expect returns the incarnation in which the daemon believes, and false if it knows none.
+	Expect func(target identifier.Target) (identifier.Incarnation, bool)
+	// OnReport, if set, takes the report of each handshake, also of those that fail.
+	OnReport func(report messenger.LoadReport)
+	// HandshakeTimeout bounds the connection's making and the handshake.
+	HandshakeTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections to one target.
+	MaxIdle int
+	// Silence is how long a running request may go without a byte in either direction.
+	Silence time.Duration
+}
+
+// withDefaults returns cfg with defaults in place of zeros, or an Error of KindInvalid.
+func (cfg Config) withDefaults() (Config, error) {
+	if cfg.Clock == nil || cfg.Dial == nil || cfg.Expect == nil {
+		return cfg, newError("new dialer", KindInvalid, errors.New("clock, dial and expect are required"))
+	}
+	if cfg.OnReport == nil {
+		cfg.OnReport = func(messenger.LoadReport) {}
+	}
+	if cfg.HandshakeTimeout == 0 {
+		cfg.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
+	}
+	if cfg.MaxIdle == 0 {
+		cfg.MaxIdle = DefaultMaxIdle
+	}
+	if cfg.Silence == 0 {
+		cfg.Silence = DefaultSilence
+	}
+	return cfg, nil
+}
+
+// Endpoint names one incarnation of a target and its address.
+type Endpoint struct {
+	Target      identifier.Target
+	Address     netip.AddrPort
+	Incarnation identifier.Incarnation
+}
+
+// Dialer keeps the connections to targets. It is safe for concurrent use.
+type Dialer struct {
+	cfg Config
+
+	mu    sync.Mutex
+	pools map[identifier.Target]*pool
+}
+
+// New returns a Dialer, or an Error of KindInvalid.
+func New(cfg Config) (*Dialer, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	return &Dialer{cfg: cfg, pools: make(map[identifier.Target]*pool)}, nil
+}
+
+// RoundTripper returns the transport to one incarnation of a target. Each of
+// its requests is sent at most once. It returns an Error of KindIncarnation
+// when the daemon believes in another incarnation. Connections to another
+// address or incarnation of the target are dropped once they are idle.
+func (d *Dialer) RoundTripper(endpoint Endpoint) (http.RoundTripper, error) {
+	if err := d.check(endpoint); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.pools[endpoint.Target]; p != nil {
+		if p.endpoint == endpoint {
+			return p, nil
+		}
+		p.retire()
+	}
+	p := newPool(d, endpoint)
+	d.pools[endpoint.Target] = p
+	return p, nil
+}
+
+// Close drops the idle connections to a target; running requests end undisturbed.
+func (d *Dialer) Close(target identifier.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.pools[target]; p != nil {
+		p.retire()
+		delete(d.pools, target)
+	}
+}
+
+// CloseAll drops the idle connections to all targets.
+func (d *Dialer) CloseAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for target, p := range d.pools {
+		p.retire()
+		delete(d.pools, target)
+	}
+}
+
+// check compares the endpoint with the daemon's belief.
+func (d *Dialer) check(endpoint Endpoint) error {
+	expected, known := d.cfg.Expect(endpoint.Target)
+	if known && expected == endpoint.Incarnation {
+		return nil
+	}
+	err := errors.Newf("target %q is believed in incarnation %d (known: %t), want %d",
+		endpoint.Target, expected, known, endpoint.Incarnation)
+	return newError("use target", KindIncarnation, err)
+}
+
+// DialContext connects to an endpoint. It fails with an Error of
+// KindIncarnation, which carries the report, when the target runs another
+// incarnation. No byte of a request has been sent then.
+func (d *Dialer) DialContext(ctx context.Context, endpoint Endpoint) (*Conn, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, d.cfg.Clock, d.cfg.HandshakeTimeout)
+	defer cancel()
+	conn, err := d.cfg.Dial(ctx, endpoint.Address)
+	if err != nil {
+		return nil, newError("dial target", KindUnreachable, err)
+	}
+	setKeepAlive(conn)
+	report, err := handshake(ctx, conn, endpoint.Address)
+	if err != nil {
+		err = errors.CombineErrors(err, conn.Close())
+		return nil, newError("dial target", KindHandshake, err)
+	}
+	d.cfg.OnReport(*report)
+	if err := verify(endpoint, report); err != nil {
+		err.Err = errors.CombineErrors(err.Err, conn.Close())
+		return nil, err
+	}
+	return &Conn{
+		Conn:        conn,
+		incarnation: report.Incarnation,
+		clock:       d.cfg.Clock,
+		silence:     d.cfg.Silence,
+	}, nil
+}
+
+// verify compares a report with the endpoint.
+func verify(endpoint Endpoint, report *messenger.LoadReport) *Error {
+	if report.Target != endpoint.Target {
+		err := errors.Newf("target %q answers at the address of target %q", report.Target, endpoint.Target)
+		return newError("dial target", KindHandshake, err)
+	}
+	if report.Incarnation == endpoint.Incarnation {
+		return nil
+	}
+	err := errors.Newf("target %q runs incarnation %d, want %d",
+		endpoint.Target, report.Incarnation, endpoint.Incarnation)
+	failure := newError("dial target", KindIncarnation, err)
+	failure.Report = report
+	return failure
+}
+
+// setKeepAlive lets TCP probe an idle connection.
+func setKeepAlive(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without probes, silence is still found by the request's own timer.
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+	}
+}
--- /dev/null
+++ b/internal/target/reader/observation.go
@@ -0,0 +1,46 @@
+package reader
+
+import (
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// Observation is what a Reader learns of a target: Observed, Unreachable or CacheChanged.
+type Observation interface{ isObservation() }
+
+// Observed carries a target's load report.
+type Observed struct {
+	Report messenger.LoadReport
+	// Sequence counts the reads of the target by this reader.
+	Sequence uint64
+	// At is when the report was asked for, so that its age is not understated.
+	At time.Time
+}
+
+// Unreachable reports that a read of a target failed.
+type Unreachable struct {
+	Target identifier.Target
+	// Sequence counts the reads of the target by this reader.
+	Sequence uint64
+	// Failures counts the failures in a row.
+	Failures int
+	Err      error
+	At       time.Time
+}
+
+// CacheChanged carries changes of an engine's cache.
+type CacheChanged struct {
+	Target      identifier.Target
+	Incarnation identifier.Incarnation
+	Events      []messenger.CacheEvent
+	// Gap is true when events before these were missed, so that what was known
+	// of the cache may be wrong.
+	Gap bool
+	At  time.Time
+}
+
+func (Observed) isObservation()     {}
+func (Unreachable) isObservation()  {}
+func (CacheChanged) isObservation() {}
