--- /dev/null
+++ b/internal/platform/client/http_client.go
@@ -0,0 +1,317 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+)
+
+// Paths of the object API.
+const (
+	// PathObjects begins the paths of objects: GET, PUT and DELETE PathObjects + KEY.
+	// Without a key, a GET with the query parameter "prefix" lists objects.
+	PathObjects = "/v1/objects"
+	// PathWatch takes a GET with the query parameters "prefix", "after" and "wait".
+	PathWatch = "/v1/watch"
+)
+
+// HeaderSource names the caller of the object API.
+const HeaderSource = "Cardamom-Source"
+
+// MaxValueBytes is the largest value of one object.
+const MaxValueBytes = 1 << 20
+
+// maxAnswerBytes bounds an answer of List or Watch.
+const maxAnswerBytes = 64 << 20
+
+// PutBody is the body of a PUT of the object API.
+type PutBody struct {
+	Value  []byte `json:"value"`
+	Expect uint64 `json:"expect"`
+}
+
+// HTTPConfig configures an HTTPClient.
+type HTTPConfig struct {
+	// Address is where the platform answers.
+	Address netip.AddrPort
+	// Source is sent as HeaderSource and may be empty.
+	Source string
+	// Transport sends the requests; nil means a new http.Transport.
+	Transport http.RoundTripper
+	// Clock measures timeouts and rates.
+	Clock clockwork.Clock
+	// Timeout bounds each call other than Watch; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// WatchWait is how long the platform holds a watch open; 0 means DefaultWatchWait.
+	WatchWait time.Duration
+	// ReadsPerSecond and WritesPerSecond are this caller's own budgets; 0 means
+	// no limit. A watch counts as one read.
+	ReadsPerSecond, WritesPerSecond rate.Limit
+	// Burst is the number of calls that may come at once; 0 means DefaultBurst.
+	Burst int
+}
+
+// Defaults of HTTPConfig.
+const (
+	DefaultTimeout   = 2 * time.Second
+	DefaultWatchWait = 30 * time.Second
+	DefaultBurst     = 16
+)
+
+// HTTPClient is an ObjectStore over HTTP.
+type HTTPClient struct {
+	cfg    HTTPConfig
+	http   *http.Client
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+var _ ObjectStore = (*HTTPClient)(nil)
+
+// NewHTTPClient returns an HTTPClient, or an Error of KindInvalid for an
+// incomplete configuration.
+func NewHTTPClient(cfg HTTPConfig) (*HTTPClient, error) {
+	if !cfg.Address.IsValid() {
+		return nil, NewError("new client", KindInvalid, errors.New("address is not set"))
+	}
+	if cfg.Clock == nil {
+		return nil, NewError("new client", KindInvalid, errors.New("clock is not set"))
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: DefaultBurst}
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.WatchWait <= 0 {
+		cfg.WatchWait = DefaultWatchWait
+	}
+	if cfg.Burst <= 0 {
+		cfg.Burst = DefaultBurst
+	}
+	return &HTTPClient{
+		cfg:    cfg,
+		http:   &http.Client{Transport: cfg.Transport},
+		reads:  limiter(cfg.ReadsPerSecond, cfg.Burst),
+		writes: limiter(cfg.WritesPerSecond, cfg.Burst),
+	}, nil
+}
+
+func limiter(limit rate.Limit, burst int) *rate.Limiter {
+	if limit <= 0 {
+		limit = rate.Inf
+	}
+	return rate.NewLimiter(limit, burst)
+}
+
+// Close closes the idle connections.
+func (c *HTTPClient) Close() { c.http.CloseIdleConnections() }
+
+// Get implements ObjectStore.
+func (c *HTTPClient) Get(ctx context.Context, key string) (Object, error) {
+	var o Object
+	err := c.call(ctx, call{
+		op: "get object " + key, method: http.MethodGet, path: objectPath(key),
+		timeout: c.cfg.Timeout, limit: c.reads, out: &o,
+	})
+	return o, err
+}
+
+// Put implements ObjectStore.
+func (c *HTTPClient) Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error) {
+	op := "put object " + key
+	if len(value) > MaxValueBytes {
+		return Object{}, NewError(op, KindInvalid, errors.Newf("value has %d bytes, limit %d", len(value), MaxValueBytes))
+	}
+	body, err := json.Marshal(PutBody{Value: value, Expect: expect})
+	if err != nil {
+		return Object{}, NewError(op, KindInvalid, err)
+	}
+	var o Object
+	err = c.call(ctx, call{
+		op: op, method: http.MethodPut, path: objectPath(key), body: body, write: true,
+		timeout: c.cfg.Timeout, limit: c.writes, out: &o,
+	})
+	return o, err
+}
+
+// Delete implements ObjectStore.
+func (c *HTTPClient) Delete(ctx context.Context, key string, expect uint64) error {
+	query := url.Values{"expect": {strconv.FormatUint(expect, 10)}}
+	return c.call(ctx, call{
+		op: "delete object " + key, method: http.MethodDelete, path: objectPath(key), query: query,
+		write: true, timeout: c.cfg.Timeout, limit: c.writes,
+	})
+}
+
+// List implements ObjectStore.
+func (c *HTTPClient) List(ctx context.Context, prefix string) ([]Object, error) {
+	var objects []Object
+	err := c.call(ctx, call{
+		op: "list objects " + prefix, method: http.MethodGet, path: PathObjects,
+		query: url.Values{"prefix": {prefix}}, timeout: c.cfg.Timeout, limit: c.reads, out: &objects,
+	})
+	return objects, err
+}
+
+// Watch implements ObjectStore.
+func (c *HTTPClient) Watch(ctx context.Context, prefix string, after uint64) ([]Object, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {c.cfg.WatchWait.String()},
+	}
+	var objects []Object
+	err := c.call(ctx, call{
+		op: "watch objects " + prefix, method: http.MethodGet, path: PathWatch, query: query,
+		timeout: c.cfg.WatchWait + c.cfg.Timeout, limit: c.reads, out: &objects,
+	})
+	return objects, err
+}
+
+func objectPath(key string) string { return PathObjects + "/" + key }
+
+// call is one request to the platform.
+type call struct {
+	op, method, path string
+	query            url.Values
+	body             []byte
+	write            bool
+	timeout          time.Duration
+	limit            *rate.Limiter
+	// out receives the decoded answer; nil means that the answer has no body.
+	out any
+}
+
+func (c *HTTPClient) call(ctx context.Context, cl call) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.cfg.Clock, cl.timeout)
+	defer cancel()
+	if err := c.spend(ctx, cl); err != nil {
+		return err
+	}
+	req, sent, err := c.request(ctx, cl)
+	if err != nil {
+		return NewError(cl.op, KindInvalid, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return NewError(cl.op, kindOfLost(sent), err)
+	}
+	defer resp.Body.Close()
+	return decode(resp, cl)
+}
+
+// spend takes one call from the local budget and waits for it if the context
+// leaves the time.
+func (c *HTTPClient) spend(ctx context.Context, cl call) error {
+	if err := ctx.Err(); err != nil {
+		return NewError(cl.op, KindUnavailable, err)
+	}
+	now := c.cfg.Clock.Now()
+	r := cl.limit.ReserveN(now, 1)
+	delay := r.DelayFrom(now)
+	if delay <= 0 {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && now.Add(delay).After(deadline) {
+		r.CancelAt(now)
+		return NewError(cl.op, KindThrottled, errors.Newf("local budget is spent for %v", delay))
+	}
+	if err := Sleep(ctx, c.cfg.Clock, delay); err != nil {
+		r.CancelAt(c.cfg.Clock.Now())
+		return NewError(cl.op, KindThrottled, err)
+	}
+	return nil
+}
+
+// request builds the request of cl. The returned flag turns true as soon as a
+// connection is given to it, since the request may have left from then on.
+func (c *HTTPClient) request(ctx context.Context, cl call) (*http.Request, *atomic.Bool, error) {
+	sent := new(atomic.Bool)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	u := url.URL{Scheme: "http", Host: c.cfg.Address.String(), Path: cl.path, RawQuery: cl.query.Encode()}
+	var body io.Reader
+	if cl.body != nil {
+		body = bytes.NewReader(cl.body)
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), cl.method, u.String(), body)
+	if err != nil {
+		return nil, nil, err
+	}
+	if cl.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.cfg.Source != "" {
+		req.Header.Set(HeaderSource, c.cfg.Source)
+	}
+	return req, sent, nil
+}
+
+func kindOfLost(sent *atomic.Bool) Kind {
+	if sent.Load() {
+		return KindUnknown
+	}
+	return KindUnavailable
+}
+
+// decode maps an answer to the call's result. A write whose answer is damaged
+// or comes with an unexpected status may have taken effect.
+func decode(resp *http.Response, cl call) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return NewError(cl.op, KindUnknown, err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return NewError(cl.op, kindOfStatus(resp.StatusCode), errors.New(describe(resp.StatusCode, body)))
+	}
+	if cl.out == nil {
+		return nil
+	}
+	err = json.Unmarshal(body, cl.out)
+	switch {
+	case err == nil:
+		return nil
+	case cl.write:
+		return NewError(cl.op, KindUnknown, err)
+	default:
+		return NewError(cl.op, KindInvalid, err)
+	}
+}
+
+func kindOfStatus(status int) Kind {
+	switch status {
+	case http.StatusNotFound:
+		return KindNotFound
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return KindConflict
+	case http.StatusTooManyRequests:
+		return KindThrottled
+	}
+	if status/100 == 4 {
+		return KindInvalid
+	}
+	return KindUnknown
+}
+
+const maxMessageBytes = 200
+
+func describe(status int, body []byte) string {
+	text := strings.TrimSpace(string(body[:min(len(body), maxMessageBytes)]))
+	return fmt.Sprintf("status %d: %s", status, text)
+}
+
+func hexToken(high, low uint64) string { return fmt.Sprintf("%016x%016x", high, low) }
