--- a/internal/platform/client/backoff.go
+++ b/internal/platform/client/backoff.go
@@ -74,3 +74,14 @@
 		return ctx.Err()
 	}
 }
+
+// WithTimeout returns a context that ends after d by clock with the cause
+// context.DeadlineExceeded.
+func WithTimeout(ctx context.Context, clock clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := clock.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
--- a/internal/platform/client/http_client.go
+++ b/internal/platform/client/http_client.go
@@ -198,7 +198,7 @@
 }
 
 func (c *HTTPClient) call(ctx context.Context, cl call) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, c.cfg.Clock, cl.timeout)
+	ctx, cancel := WithTimeout(ctx, c.cfg.Clock, cl.timeout)
 	defer cancel()
 	if err := c.spend(ctx, cl); err != nil {
 		return err
@@ -227,7 +227,7 @@
 	if delay <= 0 {
 		return nil
 	}
-	if deadline, ok := ctx.Deadline(); ok && now.Add(delay).After(deadline) {
+	if delay > cl.timeout {
 		r.CancelAt(now)
 		return NewError(cl.op, KindThrottled, errors.Newf("local budget is spent for %v", delay))
 	}
--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -143,7 +143,7 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		stop, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), s.cfg.Clock, shutdownTimeout)
+		stop, cancel := client.WithTimeout(context.WithoutCancel(ctx), s.cfg.Clock, shutdownTimeout)
 		defer cancel()
 		return server.Shutdown(stop)
 	})
