Join the whole path: daemon, stand-ins, demo and operators' client

Cause: the parts had run only by themselves. Change: a daemon built with fx as a value; configuration, claims, ownership and membership from the platform; peers' hints; an assembly of stand-ins in one process; a demo with checks. An owner that gives up a target first lets its requests and permits end, so that only a take-over needs the wait.

--- a/cmd/cardamomctl/store.go
+++ b/cmd/cardamomctl/store.go
@@ -2,12 +2,16 @@
 
 import (
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"cardamomscale.example/cardamomscale/internal/operator/commander"
 	"cardamomscale.example/cardamomscale/internal/platform/client"
 )
 
-// openStore returns the platform's object API at the addresses of c.
+// openStore returns the platform's object API at the first address of c.
 func openStore(c commander.Connection) (client.ObjectStore, error) {
-	return nil, errors.Newf("package client has no HTTP client yet for the object API at %v", c.Platform)
+	if len(c.Platform) == 0 {
+		return nil, errors.New("no address of the platform is given; use --platform IP:PORT")
+	}
+	return client.NewHTTPClient(client.HTTPConfig{Address: c.Platform[0], Clock: clockwork.NewRealClock()})
 }
--- a/internal/decision/holder/event.go
+++ b/internal/decision/holder/event.go
@@ -135,6 +135,8 @@
 type Gained struct {
 	Target identifier.Target
 	Fence  uint64
+	// Created is true when no earlier owner can have left the target in use.
+	Created bool
 }
 
 // Lost reports that Target is not owned any more.
--- a/internal/decision/holder/rival.go
+++ b/internal/decision/holder/rival.go
@@ -11,7 +11,7 @@
 	version uint64
 	session Session
 	// seenAt is when version was first seen.
-	seenAt time.Time
+	seenAt  time.Time
 	pending bool
 }
 
--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -18,6 +18,9 @@
 	fence uint64
 	// reported is the fencing number of the last Gained without a Lost.
 	reported uint64
+	// created is true when the daemon's own record replaced no other one, so that
+	// no earlier owner can have left anything in use.
+	created bool
 	// wrote is the record of the write in progress; empty for a deletion.
 	wrote   Owner
 	pending bool
@@ -59,7 +62,7 @@
 		s.emit(Lost{Target: name, Fence: t.reported})
 	}
 	if fence != 0 {
-		s.emit(Gained{Target: name, Fence: fence})
+		s.emit(Gained{Target: name, Fence: fence, Created: t.created})
 	}
 	t.reported = fence
 }
@@ -108,6 +111,7 @@
 
 func (s *State) take(name identifier.Target, t *target) {
 	t.pending = true
+	t.created = t.version == 0
 	t.wrote = Owner{Host: s.cfg.Host, Token: s.self.token}
 	s.emit(WriteOwner{Target: name, Owner: t.wrote, Expect: t.version})
 }
@@ -155,6 +159,7 @@
 		t.version = ev.Version
 		t.owner = ev.Owner
 		t.fence = ev.Version
+		t.created = false
 		if ev.Version <= s.dropped && ev.Owner.Host == s.cfg.Host {
 			// The record may be one that was dropped, so it is written anew.
 			t.owner.Token = ""
--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -265,6 +265,9 @@
 	case ClaimHeld:
 		r.mayHaveRun = true
 		s.refuse(r, RefusalClaimed, "a request with this Idempotency-Key was sent before and its outcome is not known", claimRetry)
+	case ClaimAnswerLost:
+		r.ran = true
+		s.refuse(r, RefusalClaimed, "a request with this Idempotency-Key ran before; its answer was too large to record", 0)
 	case ClaimMismatch:
 		s.refuse(r, RefusalKeyMismatch, "the Idempotency-Key was used for a different request", 0)
 	case ClaimUnsettled:
@@ -280,5 +283,8 @@
 	if r.claimed && !r.mayHaveRun {
 		s.emit(ReleaseClaim{Request: r.id, Team: r.team, IdempotencyKey: r.idempotencyKey})
 	}
+	if r.claimed && r.mayHaveRun {
+		s.emit(ForgetClaim{Request: r.id})
+	}
 	r.claimed = false
 }
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -92,7 +92,7 @@
 	Team    identifier.Team
 	Target  identifier.Target
 	Address netip.AddrPort
-	// Incarnation is the only one the request may reach; 0 when none is known yet.
+	// Incarnation is the only one that the request may reach.
 	Incarnation identifier.Incarnation
 	// SendBy is the latest time to send the request; zero means any time.
 	SendBy time.Time
@@ -127,6 +127,9 @@
 	IdempotencyKey string
 }
 
+// ForgetClaim notes that the outcome of a claimed request is not known.
+type ForgetClaim struct{ Request identifier.Request }
+
 // RecordAnswer stores the answer of a claimed request.
 type RecordAnswer struct{ Request identifier.Request }
 
@@ -172,8 +175,12 @@
 	Model bool
 }
 
-// DropConnections closes idle connections to a target's earlier incarnation.
-type DropConnections struct{ Target identifier.Target }
+// Believe states which incarnation of a target connections may reach. Idle
+// connections to an earlier one are closed.
+type Believe struct {
+	Target      identifier.Target
+	Incarnation identifier.Incarnation
+}
 
 // ShareLoad passes a change of a target's state on to peers at once.
 type ShareLoad struct{ Load LoadObserved }
@@ -207,22 +214,23 @@
 	StepRefused  Step = "refused"
 )
 
-func (Refuse) isEffect()          {}
-func (Lookup) isEffect()          {}
-func (Import) isEffect()          {}
-func (Export) isEffect()          {}
-func (Start) isEffect()           {}
-func (Finish) isEffect()          {}
-func (Claim) isEffect()           {}
-func (ReleaseClaim) isEffect()    {}
-func (RecordAnswer) isEffect()    {}
-func (Replay) isEffect()          {}
-func (AskPermit) isEffect()       {}
-func (ReturnPermit) isEffect()    {}
-func (AnswerPermit) isEffect()    {}
-func (WantTargets) isEffect()     {}
-func (ReadTargets) isEffect()     {}
-func (DropConnections) isEffect() {}
-func (ShareLoad) isEffect()       {}
-func (Drained) isEffect()         {}
-func (Note) isEffect()            {}
+func (Refuse) isEffect()       {}
+func (Lookup) isEffect()       {}
+func (Import) isEffect()       {}
+func (Export) isEffect()       {}
+func (Start) isEffect()        {}
+func (Finish) isEffect()       {}
+func (Claim) isEffect()        {}
+func (ForgetClaim) isEffect()  {}
+func (ReleaseClaim) isEffect() {}
+func (RecordAnswer) isEffect() {}
+func (Replay) isEffect()       {}
+func (AskPermit) isEffect()    {}
+func (ReturnPermit) isEffect() {}
+func (AnswerPermit) isEffect() {}
+func (WantTargets) isEffect()  {}
+func (ReadTargets) isEffect()  {}
+func (Believe) isEffect()      {}
+func (ShareLoad) isEffect()    {}
+func (Drained) isEffect()      {}
+func (Note) isEffect()         {}
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -171,6 +171,8 @@
 	ClaimAnswered ClaimOutcome = "answered"
 	// ClaimHeld means another daemon claimed the request and recorded no answer.
 	ClaimHeld ClaimOutcome = "held"
+	// ClaimAnswerLost means the request ran before and its answer was too large to record.
+	ClaimAnswerLost ClaimOutcome = "answer-lost"
 	// ClaimMismatch means the key was used for a different request.
 	ClaimMismatch ClaimOutcome = "mismatch"
 	// ClaimUnsettled means the platform gave no answer in time.
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -15,6 +15,11 @@
 	// hostNames are the same as text, for rendezvous hashing.
 	hostNames []string
 	owned     map[identifier.Target]*ownership
+	// wanted and read are the targets that the last effects named.
+	wanted []identifier.Target
+	read   []TargetAddress
+	// lingering is true while a target that another daemon should own is still in use.
+	lingering bool
 }
 
 // ownership is the right to say who uses a cold target.
@@ -61,20 +66,50 @@
 // assignTargets states which targets this daemon owns and reads: those of its
 // data centre for which it is first among the live daemons.
 func (s *State) assignTargets() {
+	s.lingering = false
 	var wanted []identifier.Target
 	var read []TargetAddress
 	for _, t := range s.sortedTargets() {
 		if t.spec.DataCentre != s.cfg.DataCentre {
 			continue
 		}
-		if s.expectedOwner(t) == s.cfg.Host {
-			wanted = append(wanted, t.name)
-			model := s.fleet.Services[t.spec.Service].Kind == specifier.ServiceModel
-			read = append(read, TargetAddress{Target: t.name, Address: t.spec.Address, Model: model})
+		if s.expectedOwner(t) != s.cfg.Host {
+			if s.usesCold(t) {
+				s.lingering = true
+				wanted = append(wanted, t.name)
+			}
+			continue
+		}
+		wanted = append(wanted, t.name)
+		model := s.fleet.Services[t.spec.Service].Kind == specifier.ServiceModel
+		read = append(read, TargetAddress{Target: t.name, Address: t.spec.Address, Model: model})
+	}
+	if !slices.Equal(wanted, s.wanted) {
+		s.wanted = wanted
+		s.emit(WantTargets{Targets: wanted})
+	}
+	if !slices.Equal(read, s.read) {
+		s.read = read
+		s.emit(ReadTargets{Targets: read})
+	}
+}
+
+// usesCold reports whether this daemon owns the cold target t and has requests
+// or permits on it. Such a target is not given up, so that its next owner finds
+// nothing in use.
+func (s *State) usesCold(t *target) bool {
+	own := s.owned[t.name]
+	return own != nil && t.cold && t.inflight+len(own.permits) > 0
+}
+
+// coldInUse reports whether any owned target is cold and in use.
+func (s *State) coldInUse() bool {
+	for name := range s.owned {
+		if t := s.targets[name]; t != nil && s.usesCold(t) {
+			return true
 		}
 	}
-	s.emit(WantTargets{Targets: wanted})
-	s.emit(ReadTargets{Targets: read})
+	return false
 }
 
 func (s *State) sortedTargets() []*target {
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -17,3 +17,15 @@
 	}
 	return best
 }
+
+// Before reports whether member a goes before b in the rendezvous order of key.
+func Before(key, a, b string) bool {
+	weightA, weightB := weightOf(key, a), weightOf(key, b)
+	if weightA != weightB {
+		return weightA > weightB
+	}
+	return a < b
+}
+
+// SeedOf returns a seed that depends on name only.
+func SeedOf(name string) uint64 { return xxh3.HashString(name) }
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -151,4 +151,7 @@
 func (s *State) onTick() {
 	s.expireQueued()
 	s.expirePermits()
+	if s.lingering {
+		s.assignTargets()
+	}
 }
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -58,8 +58,10 @@
 	started   bool
 	// mayHaveRun is true once an attempt ended without proof that it did not run.
 	mayHaveRun bool
-	delivered  int
-	tried      map[identifier.Target]bool
+	// ran is true when an earlier request under the same key has run.
+	ran       bool
+	delivered int
+	tried     map[identifier.Target]bool
 	// permitFrom is the owner that gave leave for the present target, or empty.
 	permitFrom identifier.Host
 	// sendBy and cutoff bound the sending and the running on a cold target.
@@ -87,6 +89,9 @@
 
 // runState tells what is known of whether r has run.
 func (r *request) runState() RunState {
+	if r.ran {
+		return RunDone
+	}
 	if r.mayHaveRun || r.phase == phaseRunning {
 		return RunUnknown
 	}
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -162,10 +162,10 @@
 	t.heard = time.Time{}
 	t.health = health{}
 	s.forgetCacheOf(t.name)
+	s.emit(Believe{Target: t.name, Incarnation: seen})
 	if first {
 		return
 	}
-	s.emit(DropConnections{Target: t.name})
 	s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: seen, Cold: true}})
 }
 
@@ -200,5 +200,5 @@
 	if limit < t.spec.WarmLimit && t.inflight*len(s.hosts) >= limit+len(s.hosts)-1 {
 		return false
 	}
-	return t.load() < limit
+	return t.incarnation != 0 && t.load() < limit
 }
--- a/internal/entry/executor/executor.go
+++ b/internal/entry/executor/executor.go
@@ -37,10 +37,12 @@
 	Export(reducer.Export)
 	// ReleaseClaim gives back a claim whose request has left.
 	ReleaseClaim(reducer.ReleaseClaim)
-	// WantTargets, ReadTargets and DropConnections set up the work on targets.
+	// ForgetClaim notes that the outcome of a claimed request is not known.
+	ForgetClaim(reducer.ForgetClaim)
+	// WantTargets, ReadTargets and Believe set up the work on targets.
 	WantTargets(reducer.WantTargets)
 	ReadTargets(reducer.ReadTargets)
-	DropConnections(reducer.DropConnections)
+	Believe(reducer.Believe)
 	// AskPermit, ReturnPermit, AnswerPermit and ShareLoad talk to peers.
 	AskPermit(reducer.AskPermit)
 	ReturnPermit(reducer.ReturnPermit)
@@ -218,12 +220,14 @@
 		around.Export(effect)
 	case reducer.ReleaseClaim:
 		around.ReleaseClaim(effect)
+	case reducer.ForgetClaim:
+		around.ForgetClaim(effect)
 	case reducer.WantTargets:
 		around.WantTargets(effect)
 	case reducer.ReadTargets:
 		around.ReadTargets(effect)
-	case reducer.DropConnections:
-		around.DropConnections(effect)
+	case reducer.Believe:
+		around.Believe(effect)
 	case reducer.AskPermit:
 		around.AskPermit(effect)
 	case reducer.ReturnPermit:
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -137,6 +137,8 @@
 	Granted bool
 	// Fence is the fencing number of the owner's lease.
 	Fence uint64
+	// Incarnation is the one of the target that leave is given for.
+	Incarnation identifier.Incarnation
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
 }
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -52,6 +52,8 @@
 	// Fence is the fencing number for orders.
 	Fence uint64
 	Since time.Time
+	// Created is true when no earlier owner can have left the target in use.
+	Created bool
 }
 
 // Lost reports that this daemon does not own Target any more since Since.
@@ -84,7 +86,7 @@
 
 // Leaser holds the session and ownerships of one daemon.
 type Leaser struct {
-	cfg    Config
+	cfg Config
 
 	mu    sync.Mutex
 	state *holder.State
@@ -190,7 +192,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case holder.Gained:
-			l.cfg.Notify(Gained{Target: e.Target, Fence: e.Fence, Since: now})
+			l.cfg.Notify(Gained{Target: e.Target, Fence: e.Fence, Since: now, Created: e.Created})
 		case holder.Lost:
 			l.cfg.Notify(Lost{Target: e.Target, Fence: e.Fence, Since: now})
 		}
--- /dev/null
+++ b/internal/standin/assembler/assembler.go
@@ -0,0 +1,268 @@
+// Package assembler joins stand-ins and daemons into one process on loopback
+// addresses, for the demo, the load tool and tests of the whole path.
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/entry/daemon"
+	"cardamomscale.example/cardamomscale/internal/standin/engine"
+	"cardamomscale.example/cardamomscale/internal/standin/registrar"
+	"cardamomscale.example/cardamomscale/internal/standin/responder"
+	"cardamomscale.example/cardamomscale/internal/standin/storer"
+	"cardamomscale.example/cardamomscale/internal/standin/supplier"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+const (
+	// KindPlan reports a plan that can't be built.
+	KindPlan Kind = "plan"
+	// KindStart reports a part that did not start in time.
+	KindStart Kind = "start"
+)
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+func newError(op string, kind Kind, err error) *Error {
+	return &Error{failer.Detail[Kind]{Op: op, Kind: kind, Err: err}}
+}
+
+// Config configures an Assembly.
+type Config struct {
+	Plan   Plan
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+	Seed   uint64
+}
+
+// Assembly is a set of stand-ins with the daemons before them.
+type Assembly struct {
+	cfg Config
+
+	Fleet      specifier.Fleet
+	Registrar  *registrar.Registrar
+	Supplier   *supplier.Supplier
+	Engines    map[identifier.Target]*engine.Engine
+	Responders map[identifier.Target]*responder.Responder
+	Stores     map[identifier.Store]*storer.Storer
+	Hosts      map[identifier.Host]*Host
+
+	ObjectAddress netip.AddrPort
+	MemberAddress netip.AddrPort
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// Host is one entry host with its daemon.
+type Host struct {
+	Name       identifier.Host
+	DataCentre identifier.DataCentre
+	// Callers, Peers and Operators are the daemon's addresses.
+	Callers   netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+
+	mu     sync.Mutex
+	daemon *daemon.Daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New opens the stand-ins' addresses. Close ends all that it started.
+func New(cfg Config) (*Assembly, error) {
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	if len(cfg.Plan.DataCentres) == 0 {
+		return nil, newError("new assembly", KindPlan, errors.New("the plan has no data centre"))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Assembly{
+		cfg: cfg, ctx: ctx, cancel: cancel, Fleet: cfg.Plan.Fleet,
+		Engines:    map[identifier.Target]*engine.Engine{},
+		Responders: map[identifier.Target]*responder.Responder{},
+		Stores:     map[identifier.Store]*storer.Storer{},
+		Hosts:      map[identifier.Host]*Host{},
+	}
+	if err := a.build(); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// build opens all parts but the daemons.
+func (a *Assembly) build() error {
+	a.Fleet.DataCentres = map[identifier.DataCentre]specifier.DataCentre{}
+	a.Fleet.Hosts = map[identifier.Host]specifier.Host{}
+	a.Fleet.Targets = map[identifier.Target]specifier.Target{}
+	a.Fleet.Stores = map[identifier.Store]specifier.Store{}
+	for _, name := range a.cfg.Plan.DataCentres {
+		a.Fleet.DataCentres[name] = specifier.DataCentre{Region: a.cfg.Plan.Region, State: specifier.StateIn}
+	}
+	steps := []func() error{a.buildPlatform, a.buildStores, a.buildEngines, a.buildResponders, a.buildHosts}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// server is a stand-in that serves on a listener.
+type server interface {
+	Serve(ctx context.Context, ln net.Listener) error
+}
+
+// open serves s on a new loopback address.
+func (a *Assembly) open(s server) (netip.AddrPort, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, newError("listen", KindStart, err)
+	}
+	a.group.Add(1)
+	go func() {
+		defer a.group.Done()
+		if err := s.Serve(a.ctx, ln); err != nil && a.ctx.Err() == nil {
+			a.cfg.Logger.Error("a stand-in ended early", "address", ln.Addr().String(), "error", err)
+		}
+	}()
+	return addressOf(ln), nil
+}
+
+func addressOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// centre deals out parts over the data centres in turn.
+func (a *Assembly) centre(i int) identifier.DataCentre {
+	return a.cfg.Plan.DataCentres[i%len(a.cfg.Plan.DataCentres)]
+}
+
+func (a *Assembly) buildStores() error {
+	for i := range a.cfg.Plan.Stores {
+		name := identifier.Store(fmt.Sprintf("store-%02d", i+1))
+		s, err := storer.New(storer.Config{Settings: a.cfg.Plan.Store, Name: name, Clock: a.cfg.Clock})
+		if err != nil {
+			return newError("build store", KindPlan, err)
+		}
+		address, err := a.open(s)
+		if err != nil {
+			return err
+		}
+		a.Stores[name] = s
+		a.Fleet.Stores[name] = specifier.Store{
+			DataCentre: a.centre(i), Address: address,
+			LinkBytesPerSecond: a.cfg.Plan.Store.LinkBytesPerSecond, State: specifier.StateIn,
+		}
+	}
+	return nil
+}
+
+func (a *Assembly) buildEngines() error {
+	for i := range a.cfg.Plan.Engines {
+		name := identifier.Target(fmt.Sprintf("engine-%02d", i+1))
+		e, err := engine.New(engine.Config{
+			Settings: a.cfg.Plan.Engine, Name: name, Clock: a.cfg.Clock,
+			Seed: a.cfg.Seed + uint64(i), Loader: a.Supplier,
+		})
+		if err != nil {
+			return newError("build engine", KindPlan, err)
+		}
+		address, err := a.open(e)
+		if err != nil {
+			return err
+		}
+		a.Engines[name] = e
+		a.Fleet.Targets[name] = specifier.Target{
+			Service: a.cfg.Plan.ModelService, DataCentre: a.centre(i), Address: address, State: specifier.StateIn,
+			ColdLimit: a.cfg.Plan.Engine.ColdLimit, WarmLimit: a.cfg.Plan.WarmLimit, ChecksFence: a.cfg.Plan.Engine.ChecksFence,
+		}
+	}
+	return nil
+}
+
+func (a *Assembly) buildResponders() error {
+	for i := range a.cfg.Plan.Responders {
+		name := identifier.Target(fmt.Sprintf("plain-%02d", i+1))
+		p, err := responder.New(responder.Config{Settings: a.cfg.Plan.Responder, Name: name, Clock: a.cfg.Clock})
+		if err != nil {
+			return newError("build plain service", KindPlan, err)
+		}
+		address, err := a.open(p)
+		if err != nil {
+			return err
+		}
+		a.Responders[name] = p
+		a.Fleet.Targets[name] = specifier.Target{
+			Service: a.cfg.Plan.PlainService, DataCentre: a.centre(i), Address: address, State: specifier.StateIn,
+			ColdLimit: a.cfg.Plan.Responder.ColdLimit, WarmLimit: a.cfg.Plan.PlainLimit,
+		}
+	}
+	return nil
+}
+
+// buildHosts chooses the daemons' addresses.
+func (a *Assembly) buildHosts() error {
+	for i := range a.cfg.Plan.Daemons {
+		h := &Host{Name: identifier.Host(fmt.Sprintf("entry-%02d", i+1)), DataCentre: a.centre(i)}
+		for _, address := range []*netip.AddrPort{&h.Callers, &h.Peers, &h.Operators} {
+			free, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			*address = free
+		}
+		a.Hosts[h.Name] = h
+		a.Fleet.Hosts[h.Name] = specifier.Host{DataCentre: h.DataCentre, State: specifier.StateIn, Peer: h.Peers}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (netip.AddrPort, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, newError("choose address", KindStart, err)
+	}
+	defer func() { _ = ln.Close() }()
+	return addressOf(ln), nil
+}
+
+// HostNames returns the names of the entry hosts in order.
+func (a *Assembly) HostNames() []identifier.Host { return slices.Sorted(maps.Keys(a.Hosts)) }
+
+// Close stops the daemons and the stand-ins.
+func (a *Assembly) Close() {
+	for _, h := range a.Hosts {
+		h.Kill()
+	}
+	a.cancel()
+	for _, e := range a.Engines {
+		e.Close()
+	}
+	a.group.Wait()
+}
+
+// startTimeout bounds the start of the daemons.
+const startTimeout = 20 * time.Second
--- a/internal/target/caller/caller.go
+++ b/internal/target/caller/caller.go
@@ -5,10 +5,7 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptrace"
-	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +16,7 @@
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/dialer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
 
@@ -33,18 +31,12 @@
 
 // Transports provides connections that reach one incarnation of a target only.
 type Transports interface {
-	// RoundTripper returns the transport of a target. Its dials fail with an
-	// error that matches IncarnationError when the target is not the process
-	// that it was believed to be.
-	RoundTripper(target identifier.Target, address netip.AddrPort) http.RoundTripper
+	// RoundTripper returns the transport to one incarnation of a target. Its
+	// requests are sent at most once and report to the context's SentTracker.
+	RoundTripper(dialer.Endpoint) (http.RoundTripper, error)
 }
 
-// IncarnationError is implemented by errors of dials that met another incarnation.
-type IncarnationError interface {
-	error
-	// SeenIncarnation returns the incarnation that answered.
-	SeenIncarnation() identifier.Incarnation
-}
+var _ Transports = (*dialer.Dialer)(nil)
 
 // Config configures a Caller.
 type Config struct {
@@ -69,10 +61,10 @@
 type exchange struct {
 	start  reducer.Start
 	cancel context.CancelCauseFunc
-	// maybeSent is set just before the first byte of the request may leave.
-	maybeSent atomic.Bool
-	stall     clockwork.Timer
-	response  *http.Response
+	// sent knows whether a byte of the request may have left.
+	sent     *dialer.SentTracker
+	stall    clockwork.Timer
+	response *http.Response
 }
 
 var (
@@ -86,15 +78,12 @@
 		return nil, reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureLate, Detail: "the leave to use the target ended before the request was sent"}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{start: start, cancel: cancel}
+	x := &exchange{start: start, cancel: cancel, sent: new(dialer.SentTracker)}
 	left := start.Deadline.Sub(c.cfg.Clock.Now())
 	deadline := c.cfg.Clock.AfterFunc(left, func() { cancel(errDeadline) })
 	context.AfterFunc(ctx, func() { deadline.Stop() })
 	x.stall = c.cfg.Clock.AfterFunc(stallOf(start, left), func() { cancel(errStalled) })
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.maybeSent.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	response, err := c.cfg.Transports.RoundTripper(start.Target, start.Address).RoundTrip(req)
+	response, err := c.send(ctx, x, req)
 	if err != nil {
 		defer x.close()
 		return nil, x.failure(ctx, err, 0)
@@ -103,6 +92,16 @@
 	return x, nil
 }
 
+func (c *Caller) send(ctx context.Context, x *exchange, req *http.Request) (*http.Response, error) {
+	endpoint := dialer.Endpoint{Target: x.start.Target, Address: x.start.Address, Incarnation: x.start.Incarnation}
+	transport, err := c.cfg.Transports.RoundTripper(endpoint)
+	if err != nil {
+		return nil, err
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return transport.RoundTrip(req.WithContext(dialer.WithTracker(ctx, x.sent)))
+}
+
 // defaultStallTimeout is used when a profile gives none.
 const defaultStallTimeout = 5 * time.Second
 
@@ -127,16 +126,16 @@
 // failure describes why the exchange ended without a whole answer.
 func (x *exchange) failure(ctx context.Context, err error, delivered int) reducer.AttemptFailed {
 	failed := reducer.AttemptFailed{
-		Attempt: x.start.Attempt, Proven: !x.maybeSent.Load(), Detail: err.Error(),
+		Attempt: x.start.Attempt, Proven: !x.sent.Settle(), Detail: err.Error(),
 		Delivered: delivered, Reason: reducer.FailureBroken,
 	}
 	cause := context.Cause(ctx)
-	var other IncarnationError
+	var own *dialer.Error
+	isOwn := errors.As(err, &own)
 	switch {
-	case errors.As(err, &other):
+	case isOwn && own.Kind == dialer.KindIncarnation:
 		failed.Reason = reducer.FailureIncarnation
-		failed.Incarnation = other.SeenIncarnation()
-	case errors.Is(cause, errStalled):
+	case errors.Is(cause, errStalled) || isOwn && own.Kind == dialer.KindSilent:
 		failed.Reason = reducer.FailureStalled
 	case errors.Is(cause, errDeadline):
 		failed.Reason = reducer.FailureDeadline
