Ask owners of other data centres for their cold targets too

Cause: with one data centre taken out, a request to one of its daemons waited 20 s for its deadline and was refused, although targets elsewhere were only cold. Conclusion: to be covered by a test of real processes.

--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -40,6 +40,7 @@
 	s.services = slices.Sorted(maps.Keys(s.fleet.Services))
 	s.indexTeams()
 	s.rebuildTargets()
+	s.groupHosts()
 	s.assignTargets()
 }
 
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -224,7 +224,7 @@
 	TakenOver bool
 }
 
-// PeersChanged brings the live daemons of this daemon's data centre, itself included.
+// PeersChanged brings the live daemons that this daemon hears, itself included.
 type PeersChanged struct{ Hosts []identifier.Host }
 
 // MembersChanged brings the targets that the membership list calls leaving.
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -10,10 +10,12 @@
 
 // owning holds which targets this daemon owns and the permits it gave for them.
 type owning struct {
+	// live are all live daemons that are heard, this one included.
+	live []identifier.Host
 	// hosts are the live daemons of the data centre, this one included.
 	hosts []identifier.Host
-	// hostNames are the same as text, for rendezvous hashing.
-	hostNames []string
+	// hostNames are the live daemons of each data centre as text, for rendezvous hashing.
+	hostNames map[identifier.DataCentre][]string
 	owned     map[identifier.Target]*ownership
 	// wanted and read are the targets that the last effects named.
 	wanted []identifier.Target
@@ -40,9 +42,9 @@
 
 func newOwning(self identifier.Host) owning {
 	return owning{
-		hosts:     []identifier.Host{self},
-		hostNames: []string{string(self)},
-		owned:     map[identifier.Target]*ownership{},
+		live:  []identifier.Host{self},
+		hosts: []identifier.Host{self},
+		owned: map[identifier.Target]*ownership{},
 	}
 }
 
@@ -52,17 +54,30 @@
 		hosts = append(hosts, s.cfg.Host)
 	}
 	slices.Sort(hosts)
-	if slices.Equal(hosts, s.hosts) {
+	if slices.Equal(hosts, s.live) {
 		return
 	}
-	s.hosts = hosts
-	s.hostNames = nil
-	for _, host := range hosts {
-		s.hostNames = append(s.hostNames, string(host))
-	}
+	s.live = hosts
+	s.groupHosts()
 	s.assignTargets()
 }
 
+// groupHosts sorts the live daemons by their data centres.
+func (s *State) groupHosts() {
+	s.hosts = nil
+	s.hostNames = map[identifier.DataCentre][]string{}
+	for _, host := range s.live {
+		centre := s.fleet.Hosts[host].DataCentre
+		if host == s.cfg.Host {
+			centre = s.cfg.DataCentre
+		}
+		s.hostNames[centre] = append(s.hostNames[centre], string(host))
+		if centre == s.cfg.DataCentre {
+			s.hosts = append(s.hosts, host)
+		}
+	}
+}
+
 // assignTargets states which targets this daemon owns and reads: those of its
 // data centre for which it is first among the live daemons.
 func (s *State) assignTargets() {
@@ -181,24 +196,40 @@
 	}
 }
 
-// askable returns a cold target of this data centre whose owner may give leave
-// to run r there, or nil.
+// askable returns a cold target whose owner may give leave to run r there, or
+// nil. Targets of the own data centre go first.
 func (s *State) askable(r *request) *target {
+	var remote *target
 	for _, t := range s.byService[r.service] {
-		if !t.cold || t.incarnation == 0 || t.asking || s.now.Before(t.askAfter) || t.open(s.now) || r.tried[t.name] {
+		if !s.mayAsk(t, r) {
 			continue
 		}
-		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) || s.expectedOwner(t) == s.cfg.Host {
-			continue
+		if t.spec.DataCentre == s.cfg.DataCentre {
+			return t
 		}
-		return t
+		if remote == nil {
+			remote = t
+		}
+	}
+	return remote
+}
+
+// mayAsk reports whether t's owner may be asked for leave to run r.
+func (s *State) mayAsk(t *target, r *request) bool {
+	if !t.cold || t.incarnation == 0 || t.asking || s.now.Before(t.askAfter) || t.open(s.now) || r.tried[t.name] {
+		return false
+	}
+	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+		return false
 	}
-	return nil
+	owner := s.expectedOwner(t)
+	return s.takesWork(t) && owner != s.cfg.Host && owner != ""
 }
 
-// expectedOwner returns the live daemon that should own t.
+// expectedOwner returns the live daemon that should own t, or "" when none of
+// t's data centre is heard.
 func (s *State) expectedOwner(t *target) identifier.Host {
-	return identifier.Host(first(string(t.name), s.hostNames))
+	return identifier.Host(first(string(t.name), s.hostNames[t.spec.DataCentre]))
 }
 
 // askForPermit asks a cold target's owner for leave to run r there, and reports
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -71,6 +71,7 @@
 	s.attempts = newAttempts()
 	s.caching = newCaching(cfg.MaxPrefixes)
 	s.owning = newOwning(cfg.Host)
+	s.groupHosts()
 	return s
 }
 
--- a/internal/decision/reducer/status.go
+++ b/internal/decision/reducer/status.go
@@ -58,10 +58,7 @@
 	status := TargetStatus{
 		Target: t.name, DataCentre: t.spec.DataCentre, State: state,
 		Incarnation: t.incarnation, Cold: t.cold, Limit: s.limit(t),
-		Load: t.load(), InFlight: t.inflight,
-	}
-	if t.spec.DataCentre == s.cfg.DataCentre {
-		status.Owner = s.expectedOwner(t)
+		Load: t.load(), InFlight: t.inflight, Owner: s.expectedOwner(t),
 	}
 	if !t.heard.IsZero() {
 		status.Age = now.Sub(t.heard)
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -157,9 +157,23 @@
 	p.tellLive()
 }
 
-// tellLive gives the reducer the live daemons of the data centre.
+// tellLive gives the reducer the live daemons.
 func (p *peers) tellLive() {
-	p.around.post(reducer.PeersChanged{Hosts: p.liveHosts()})
+	p.around.post(reducer.PeersChanged{Hosts: p.heardHosts()})
+}
+
+// heardHosts returns the live daemons of all data centres in order, this one included.
+func (p *peers) heardHosts() []identifier.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := []identifier.Host{p.around.cfg.Settings.Host}
+	for host, live := range p.live {
+		if live && !p.leaving[host] {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
 }
 
 // liveHosts returns the live daemons of the data centre in order, this one included.
--- a/internal/standin/commander/file.go
+++ b/internal/standin/commander/file.go
@@ -3,17 +3,22 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/standin/engine"
+	"cardamomscale.example/cardamomscale/internal/standin/lister"
 	"cardamomscale.example/cardamomscale/internal/standin/proxier"
+	"cardamomscale.example/cardamomscale/internal/standin/registrar"
 	"cardamomscale.example/cardamomscale/internal/standin/responder"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
 	"cardamomscale.example/cardamomscale/internal/standin/storer"
 	"cardamomscale.example/cardamomscale/internal/standin/supplier"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
 
 // StandInKind says what a stand-in stands in for.
@@ -26,6 +31,8 @@
 	StandInStore   StandInKind = "store"
 	StandInWeights StandInKind = "weights"
 	StandInProxy   StandInKind = "proxy"
+	StandInObjects StandInKind = "objects"
+	StandInMembers StandInKind = "members"
 )
 
 // File lists the stand-ins of one process.
@@ -61,6 +68,10 @@
 		return s.weights(cfg)
 	case StandInProxy:
 		return s.proxy(cfg)
+	case StandInObjects:
+		return s.objects(cfg)
+	case StandInMembers:
+		return s.members(cfg)
 	default:
 		return nil, newError("build stand-in", KindInvalid, errors.Newf("kind %q of stand-in %q is unknown", s.Kind, s.Name))
 	}
@@ -120,6 +131,47 @@
 	}, nil
 }
 
+// objectSettings describes an object API.
+type objectSettings struct {
+	// WritesPerSecond and ReadsPerSecond limit all callers together; 0 means no limit.
+	WritesPerSecond rate.Limit `json:"writes-per-second"`
+	ReadsPerSecond  rate.Limit `json:"reads-per-second"`
+}
+
+func (s StandIn) objects(cfg Config) ([]service, error) {
+	settings := objectSettings{WritesPerSecond: 400, ReadsPerSecond: 2000}
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	o, err := registrar.New(registrar.Config{
+		Clock: cfg.Clock, Rand: rand.New(rand.NewPCG(s.Seed, s.Seed)),
+		WritesPerSecond: settings.WritesPerSecond, ReadsPerSecond: settings.ReadsPerSecond,
+	})
+	return s.single(o, err)
+}
+
+// memberSettings describes a membership list.
+type memberSettings struct {
+	// Lag is how long the list stays behind the truth.
+	Lag     server.Duration    `json:"lag"`
+	Members []messenger.Member `json:"members"`
+}
+
+func (s StandIn) members(cfg Config) ([]service, error) {
+	var settings memberSettings
+	if err := s.decode(&settings); err != nil {
+		return nil, err
+	}
+	m, err := lister.New(lister.Config{Clock: cfg.Clock, Lag: settings.Lag.Duration})
+	if err != nil {
+		return s.single(nil, err)
+	}
+	for _, member := range settings.Members {
+		m.Set(member)
+	}
+	return s.single(m, nil)
+}
+
 // single returns the one service of a stand-in, or the error of its construction.
 func (s StandIn) single(srv listenerServer, err error) ([]service, error) {
 	if err != nil {
