Close connections before handlers see a stopped stand-in

Cause: a stopping stand-in ended its requests' contexts first, so a handler could still send an empty answer in order. Conclusion: a stop looks like a crash to callers, as it should.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -22,6 +22,7 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
 	"cardamomscale.example/cardamomscale/internal/standin/storer"
+	"cardamomscale.example/cardamomscale/internal/standin/supplier"
 	"cardamomscale.example/cardamomscale/internal/standin/warmer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -418,6 +419,24 @@
 	}
 }
 
+func TestWeightsComeFromTheWeightStore(t *testing.T) {
+	settings := supplier.DefaultSettings()
+	settings.LoadTime.Duration = time.Millisecond
+	store, err := supplier.New(supplier.Config{Settings: settings, Clock: clockwork.NewRealClock()})
+	assert.NilError(t, err)
+	s := fastSettings()
+	s.WeightStore = serve(t, store)
+	f := newFixture(t, s)
+	order := messenger.Order{Weights: []messenger.LoadedWeights{{Model: testModel, Version: "v2", Adapters: []identifier.Adapter{"a"}}}}
+	f.Order(order)
+	f.Order(order)
+	waitFor(t, "the weights are loaded", func() bool { return f.Stats().WeightLoads == 1 })
+	assert.Equal(t, store.Stats().Loads, 1)
+	req := request("a", 0, 1)
+	req.WeightVersion, req.Adapter = "v2", "a"
+	assert.Assert(t, f.generate(req).done())
+}
+
 func TestRunKeepsItsWeightsAcrossASwap(t *testing.T) {
 	s := fastSettings()
 	s.DecodeTokensPerSecond = 100
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -67,13 +67,15 @@
 // connections, waits for the running handlers and returns nil. An Error of
 // KindListener means that ln failed before. Only one Serve may run at a time.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	ctx, cancel := context.WithCancel(ctx)
+	// Requests end by their closed connections, so that no handler can still
+	// answer in order when ctx ends.
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s.setStopped(false)
 	hs := &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+		BaseContext:       func(net.Listener) context.Context { return base },
 		ConnContext:       connContext,
 		ConnState:         s.track,
 	}
@@ -81,8 +83,8 @@
 	err := hs.Serve(ln)
 	stop()
 	stopped := ctx.Err() != nil
-	cancel()
 	_ = hs.Close()
+	cancel()
 	s.setStopped(true)
 	s.handlers.Wait()
 	if s.cfg.OnStop != nil {
