Report that an idle stand-in has become warm

Cause: load reports were kept only when a request came or went, so an idle target reported itself cold for good. Change: reading a report keeps the present one too. Figures: the new test fails without the change and passes with it. Conclusion: reports lag by their setting, no longer.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -518,3 +519,24 @@
 	assert.Equal(t, len(e.events.after(later, 1)), 1)
 	assert.Equal(t, e.reports.Latest(later).Running, 1)
 }
+
+func TestIdleEngineReportsThatItIsWarm(t *testing.T) {
+	s := fastSettings()
+	s.WarmTime = server.Duration{Duration: time.Second}
+	s.LoadLag = server.Duration{Duration: time.Second}
+	clock := clockwork.NewFakeClock()
+	e, err := New(Config{Settings: s, Name: "e", Clock: clock})
+	assert.NilError(t, err)
+	defer e.Close()
+	cold := func() bool {
+		w := httptest.NewRecorder()
+		e.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, messenger.PathLoad, nil))
+		var report messenger.LoadReport
+		assert.NilError(t, json.NewDecoder(w.Body).Decode(&report))
+		return report.Cold
+	}
+	clock.Advance(2 * time.Second)
+	assert.Assert(t, cold(), "the report does not lag")
+	clock.Advance(time.Second)
+	assert.Assert(t, !cold())
+}
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -8,7 +8,7 @@
 	Restart bool `json:"restart,omitempty"`
 	// RestartSilently does the same, but leaves idle connections open.
 	RestartSilently bool `json:"restart-silently,omitempty"`
-	// Freeze stalls all answers while it is true.
+	// Freeze stalls all answers to prompts while it is true; load reports go on.
 	Freeze *bool `json:"freeze,omitempty"`
 	// Refuse answers each request with a truthful refusal while it is true.
 	Refuse *bool `json:"refuse,omitempty"`
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -83,6 +83,7 @@
 
 func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
+	e.record()
 	report := e.reports.Latest(e.cfg.Clock.Now())
 	e.mu.Unlock()
 	e.answer(w, report)
--- a/internal/standin/responder/handler.go
+++ b/internal/standin/responder/handler.go
@@ -38,7 +38,9 @@
 
 func (s *Responder) handleLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	report := s.reports.Latest(s.cfg.Clock.Now())
+	now := s.cfg.Clock.Now()
+	s.reports.Record(now, s.load())
+	report := s.reports.Latest(now)
 	s.mu.Unlock()
 	server.SetIncarnation(w, s.warmer.Incarnation())
 	server.WriteJSON(w, http.StatusOK, report)
