Count the use of cache blocks across weight versions

Cause: no count showed whether a request used blocks of other weights. Change: cached blocks know the weights that computed them; Stats.MixedBlocks counts uses by others; refusals without an incarnation carry no header for it.

--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -22,7 +22,7 @@
 		e.finish(r, endingWrongVersion)
 		return
 	}
-	n := e.cache.pinChain(r.req.Blocks)
+	n := e.cache.pinChain(r.req.Blocks, r.weights())
 	r.pinned = r.req.Blocks[:n]
 	r.cachedTokens = min(n*e.cfg.BlockTokens, max(0, r.req.PromptTokens-1))
 	r.phase = phasePrefill
@@ -66,7 +66,7 @@
 	e.stats.PrefilledTokens += int64(r.req.PromptTokens - r.cachedTokens + r.req.ResumeOffset)
 	e.stats.CachedTokens += int64(r.cachedTokens)
 	held := len(r.pinned)
-	r.pinned = r.req.Blocks[:held+e.cache.insertChain(r.req.Blocks[held:])]
+	r.pinned = r.req.Blocks[:held+e.cache.insertChain(r.req.Blocks[held:], r.weights())]
 	r.phase = phaseDecode
 	e.decoding[r] = struct{}{}
 	e.produce(r)
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -15,11 +15,15 @@
 	order list.List
 	// changed is called for each block that enters or leaves.
 	changed func(key identifier.BlockKey, evicted bool)
+	// mixed counts uses of blocks that other weights computed.
+	mixed int
 }
 
 type cacheBlock struct {
 	key  identifier.BlockKey
 	pins int
+	// origin names the weights that computed the block.
+	origin weightsKey
 }
 
 func newCache(size int, changed func(identifier.BlockKey, bool)) *cache {
@@ -35,12 +39,15 @@
 }
 
 // pinChain pins the blocks of keys from the first on, up to the first one
-// that is missing, and returns their number.
-func (c *cache) pinChain(keys []identifier.BlockKey) int {
+// that is missing, for a run on the weights user. It returns their number.
+func (c *cache) pinChain(keys []identifier.BlockKey, user weightsKey) int {
 	for i, key := range keys {
 		if !c.pin(key) {
 			return i
 		}
+		if c.blocks[key].Value.(*cacheBlock).origin != user {
+			c.mixed++
+		}
 	}
 	return len(keys)
 }
@@ -63,24 +70,25 @@
 	}
 }
 
-// insert adds and pins a block. It returns false when all blocks are pinned.
-func (c *cache) insert(key identifier.BlockKey) bool {
+// insert adds and pins a block that origin computed. It returns false when all
+// blocks are pinned.
+func (c *cache) insert(key identifier.BlockKey, origin weightsKey) bool {
 	if c.pin(key) {
 		return true
 	}
 	if len(c.blocks) >= c.size && !c.evict() {
 		return false
 	}
-	c.blocks[key] = c.order.PushFront(&cacheBlock{key: key, pins: 1})
+	c.blocks[key] = c.order.PushFront(&cacheBlock{key: key, pins: 1, origin: origin})
 	c.changed(key, false)
 	return true
 }
 
 // insertChain inserts and pins keys up to the first one without space, and
 // returns their number.
-func (c *cache) insertChain(keys []identifier.BlockKey) int {
+func (c *cache) insertChain(keys []identifier.BlockKey, origin weightsKey) int {
 	for i, key := range keys {
-		if !c.insert(key) {
+		if !c.insert(key, origin) {
 			return i
 		}
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -46,6 +46,9 @@
 	// imports that matched the checksum but hold another block's bytes.
 	ChecksumFailures int `json:"checksum-failures"`
 	ForeignPayloads  int `json:"foreign-payloads"`
+	// MixedBlocks counts uses of cached blocks that another model or weight
+	// version computed.
+	MixedBlocks int `json:"mixed-blocks"`
 	// Runs counts the runs that started, by request.
 	Runs map[identifier.Request]int `json:"runs"`
 	// Started counts all of them, and StartedSinceMark those since the last mark.
@@ -163,6 +166,7 @@
 	stats.Running = e.running()
 	stats.Queued = e.queue.len()
 	stats.CachedBlocks = e.cache.len()
+	stats.MixedBlocks = e.cache.mixed
 	stats.Runs = make(map[identifier.Request]int, len(e.stats.Runs))
 	for id, n := range e.stats.Runs {
 		stats.Runs[id] = n
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -280,14 +280,18 @@
 		}
 	})
 	k := keys(0, 4)
-	assert.Equal(t, c.insertChain(k[:2]), 2)
-	assert.Assert(t, !c.insert(k[2]), "a pinned block was evicted")
+	v1, v2 := weightsKey{testModel, "v1"}, weightsKey{testModel, "v2"}
+	assert.Equal(t, c.insertChain(k[:2], v1), 2)
+	assert.Assert(t, !c.insert(k[2], v1), "a pinned block was evicted")
 	c.unpin(k[:2])
 	assert.Assert(t, c.pin(k[0]))
 	c.unpin(k[:1])
-	assert.Assert(t, c.insert(k[2]))
+	assert.Assert(t, c.insert(k[2], v1))
 	assert.DeepEqual(t, evicted, k[1:2])
-	assert.Equal(t, c.pinChain(k), 1)
+	assert.Equal(t, c.pinChain(k, v1), 1)
+	assert.Equal(t, c.mixed, 0)
+	assert.Equal(t, c.pinChain(k, v2), 1)
+	assert.Equal(t, c.mixed, 1)
 }
 
 func TestBlocksAreUsableOnlyAfterTheirPrefill(t *testing.T) {
@@ -466,7 +470,7 @@
 
 	refs := lookup(t, first, address, keys(0, 4))
 	assert.Equal(t, len(refs), 3)
-	req := messenger.ImportRequest{Store: address, Blocks: refs}
+	req := messenger.ImportRequest{Store: address, Model: testModel, WeightVersion: testVersion, Blocks: refs}
 	one := 1
 	assert.NilError(t, store.Apply(storer.Faults{CorruptNext: &one}))
 	assert.Equal(t, second.Import(t.Context(), req).Blocks, 0)
@@ -475,6 +479,7 @@
 	o := second.generate(request("b", 3, 1))
 	assert.Equal(t, o.frames[0].CachedTokens, 3*1024)
 	assert.Equal(t, second.Stats().ForeignPayloads, 0)
+	assert.Equal(t, second.Stats().MixedBlocks, 0)
 
 	req.Blocks[1].Generation += 100
 	third := newFixture(t, fastSettings())
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -71,6 +71,10 @@
 	return identifier.Attempt{Request: r.req.RequestID, Number: r.req.Attempt}
 }
 
+func (r *run) weights() weightsKey {
+	return weightsKey{model: r.req.Model, version: r.req.WeightVersion}
+}
+
 func (r *run) notify() {
 	select {
 	case r.wake <- struct{}{}:
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -85,13 +85,13 @@
 }
 
 // insert adds and pins an imported block.
-func (h *hold) insert(key identifier.BlockKey) error {
+func (h *hold) insert(key identifier.BlockKey, origin weightsKey) error {
 	h.engine.mu.Lock()
 	defer h.engine.mu.Unlock()
 	if h.engine.warmer.Incarnation() != h.incarnation {
 		return newError("import block", KindTransfer, errors.New("the engine has restarted"))
 	}
-	if !h.engine.cache.insert(key) {
+	if !h.engine.cache.insert(key, origin) {
 		return newError("import block", KindTransfer, errors.New("all blocks of the cache are in use"))
 	}
 	h.keys = append(h.keys, key)
@@ -133,7 +133,8 @@
 	if !bytes.Equal(payload, BlockPayload(ref.Key)) {
 		e.count(func(s *Stats) { s.ForeignPayloads++ })
 	}
-	return e.cfg.BlockBytes, h.insert(ref.Key)
+	origin := weightsKey{model: req.Model, version: req.WeightVersion}
+	return e.cfg.BlockBytes, h.insert(ref.Key, origin)
 }
 
 // exportBlock writes and commits one block.
--- a/internal/standin/server/message.go
+++ b/internal/standin/server/message.go
@@ -47,8 +47,11 @@
 }
 
 // Refuse answers with status and refusal and sets the headers that go with it.
+// Incarnation 0 stands for a stand-in that has none.
 func Refuse(w http.ResponseWriter, status int, refusal messenger.Refusal) {
-	SetIncarnation(w, refusal.Incarnation)
+	if refusal.Incarnation != 0 {
+		SetIncarnation(w, refusal.Incarnation)
+	}
 	w.Header().Set(messenger.HeaderRun, string(refusal.Run))
 	WriteJSON(w, status, refusal)
 }
