--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
 	"cardamomscale.example/cardamomscale/internal/standin/storer"
+	"cardamomscale.example/cardamomscale/internal/standin/supplier"
 	"cardamomscale.example/cardamomscale/internal/standin/warmer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -278,14 +280,18 @@
 		}
 	})
 	k := keys(0, 4)
-	assert.Equal(t, c.insertChain(k[:2]), 2)
-	assert.Assert(t, !c.insert(k[2]), "a pinned block was evicted")
+	v1, v2 := weightsKey{testModel, "v1"}, weightsKey{testModel, "v2"}
+	assert.Equal(t, c.insertChain(k[:2], v1), 2)
+	assert.Assert(t, !c.insert(k[2], v1), "a pinned block was evicted")
 	c.unpin(k[:2])
 	assert.Assert(t, c.pin(k[0]))
 	c.unpin(k[:1])
-	assert.Assert(t, c.insert(k[2]))
+	assert.Assert(t, c.insert(k[2], v1))
 	assert.DeepEqual(t, evicted, k[1:2])
-	assert.Equal(t, c.pinChain(k), 1)
+	assert.Equal(t, c.pinChain(k, v1), 1)
+	assert.Equal(t, c.mixed, 0)
+	assert.Equal(t, c.pinChain(k, v2), 1)
+	assert.Equal(t, c.mixed, 1)
 }
 
 func TestBlocksAreUsableOnlyAfterTheirPrefill(t *testing.T) {
@@ -418,6 +424,24 @@
 	}
 }
 
+func TestWeightsComeFromTheWeightStore(t *testing.T) {
+	settings := supplier.DefaultSettings()
+	settings.LoadTime.Duration = time.Millisecond
+	store, err := supplier.New(supplier.Config{Settings: settings, Clock: clockwork.NewRealClock()})
+	assert.NilError(t, err)
+	s := fastSettings()
+	s.WeightStore = serve(t, store)
+	f := newFixture(t, s)
+	order := messenger.Order{Weights: []messenger.LoadedWeights{{Model: testModel, Version: "v2", Adapters: []identifier.Adapter{"a"}}}}
+	f.Order(order)
+	f.Order(order)
+	waitFor(t, "the weights are loaded", func() bool { return f.Stats().WeightLoads == 1 })
+	assert.Equal(t, store.Stats().Loads, 1)
+	req := request("a", 0, 1)
+	req.WeightVersion, req.Adapter = "v2", "a"
+	assert.Assert(t, f.generate(req).done())
+}
+
 func TestRunKeepsItsWeightsAcrossASwap(t *testing.T) {
 	s := fastSettings()
 	s.DecodeTokensPerSecond = 100
@@ -446,7 +470,7 @@
 
 	refs := lookup(t, first, address, keys(0, 4))
 	assert.Equal(t, len(refs), 3)
-	req := messenger.ImportRequest{Store: address, Blocks: refs}
+	req := messenger.ImportRequest{Store: address, Model: testModel, WeightVersion: testVersion, Blocks: refs}
 	one := 1
 	assert.NilError(t, store.Apply(storer.Faults{CorruptNext: &one}))
 	assert.Equal(t, second.Import(t.Context(), req).Blocks, 0)
@@ -455,6 +479,7 @@
 	o := second.generate(request("b", 3, 1))
 	assert.Equal(t, o.frames[0].CachedTokens, 3*1024)
 	assert.Equal(t, second.Stats().ForeignPayloads, 0)
+	assert.Equal(t, second.Stats().MixedBlocks, 0)
 
 	req.Blocks[1].Generation += 100
 	third := newFixture(t, fastSettings())
@@ -499,3 +524,24 @@
 	assert.Equal(t, len(e.events.after(later, 1)), 1)
 	assert.Equal(t, e.reports.Latest(later).Running, 1)
 }
+
+func TestIdleEngineReportsThatItIsWarm(t *testing.T) {
+	s := fastSettings()
+	s.WarmTime = server.Duration{Duration: time.Second}
+	s.LoadLag = server.Duration{Duration: time.Second}
+	clock := clockwork.NewFakeClock()
+	e, err := New(Config{Settings: s, Name: "e", Clock: clock})
+	assert.NilError(t, err)
+	defer e.Close()
+	cold := func() bool {
+		w := httptest.NewRecorder()
+		e.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, messenger.PathLoad, nil))
+		var report messenger.LoadReport
+		assert.NilError(t, json.NewDecoder(w.Body).Decode(&report))
+		return report.Cold
+	}
+	clock.Advance(2 * time.Second)
+	assert.Assert(t, cold(), "the report does not lag")
+	clock.Advance(time.Second)
+	assert.Assert(t, !cold())
+}
