Give a prompt one home in the region, and tell peers the prefill rates

Traces showed two reasons: each data centre had its own home for a prefix, and peers' targets were taken for engines of 8,000 tokens/s since loads carried no rate, so that remote homes looked slow. Change: the home is chosen over the whole region when spill-over is permitted and is expected to hold 60% of an unknown prompt; the prefix's store is one of the home's data centre; loads carry the prefill rate; a start tells which believed blocks were not there.

--- a/internal/bench/demonstrator/demonstrator.go
+++ b/internal/bench/demonstrator/demonstrator.go
@@ -61,6 +61,8 @@
 	rng      *rand.Rand
 	families []string
 	bar      *progressbar.ProgressBar
+	// seen are the families that were sent before.
+	seen map[int]bool
 
 	group sync.WaitGroup
 	mu    sync.Mutex
@@ -75,7 +77,7 @@
 	if cfg.Progress == nil {
 		cfg.Progress = io.Discard
 	}
-	d := &Demonstrator{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), tally: newTally()}
+	d := &Demonstrator{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), tally: newTally(), seen: map[int]bool{}}
 	d.families = newFamilies(d.rng)
 	return d, nil
 }
@@ -86,6 +88,8 @@
 	// sharedBlocks is the length of a family's shared prefix, in blocks.
 	sharedBlocks = 8
 	blockChars   = 4096
+	// charsPerToken is the number of characters that count as one token.
+	charsPerToken = 4
 	// questionChars is the length of what differs between two prompts.
 	questionChars = 1200
 	answerTokens  = 24
@@ -242,6 +246,7 @@
 	prompt := d.prompt(d.families[family]+text(d.rng, questionChars), answerTokens)
 	// A family belongs to one team, so that its cache returns to it.
 	prompt.Key = teamKey(family % teamCount)
+	d.countNew(family)
 	prompt.Class = identifier.ClassInteractive
 	prompt.Stream = i%wholeShare != 0
 	d.group.Go(func() {
@@ -250,6 +255,17 @@
 	})
 }
 
+// countNew counts the tokens of a prompt that no prompt had before.
+func (d *Demonstrator) countNew(family int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tally.newTokens += questionChars / charsPerToken
+	if !d.seen[family] {
+		d.seen[family] = true
+		d.tally.newTokens += sharedBlocks * blockChars / charsPerToken
+	}
+}
+
 func (d *Demonstrator) count(class identifier.Class, o loader.Outcome, streamed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/bench/demonstrator/tally.go
+++ b/internal/bench/demonstrator/tally.go
@@ -25,8 +25,10 @@
 	gaps       *hdrhistogram.Histogram
 	classes    map[identifier.Class]*classTally
 	wrong      int
-	payment    loader.Outcome
-	duplicate  loader.Outcome
+	// newTokens counts the prompt tokens that were sent for the first time.
+	newTokens int64
+	payment   loader.Outcome
+	duplicate loader.Outcome
 	// lateStarts counts the requests that a data centre received although it
 	// had been taken out.
 	lateStarts int
@@ -96,6 +98,7 @@
 	figures.AppendRow(table.Row{"first token p95", quantile(t.firstToken, 95)})
 	figures.AppendRow(table.Row{"token gap p95", quantile(t.gaps, 95)})
 	figures.AppendRow(table.Row{"prompt tokens computed", percent(counts.PrefilledTokens, counts.PrefilledTokens+counts.CachedTokens)})
+	figures.AppendRow(table.Row{"of these unavoidable", percent(t.newTokens, counts.PrefilledTokens+counts.CachedTokens)})
 	figures.AppendRow(table.Row{"tokens imported", counts.ImportedBlocks * 1024})
 	figures.AppendRow(table.Row{"link use, peak of limit", fmt.Sprintf("%.0f%%", 100*counts.PeakLinkShare)})
 	for _, class := range identifier.Classes() {
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -76,13 +76,13 @@
 	if len(r.keys) == 0 || len(r.keys) < r.profile.KeepMinBlocks {
 		return false
 	}
-	_, _, ok := s.storeFor(r.keys[0])
+	_, _, ok := s.storeFor(r)
 	return ok
 }
 
 func (s *State) startLookup(r *request) {
 	r.phase = phaseLookup
-	name, store, _ := s.storeFor(r.keys[0])
+	name, store, _ := s.storeFor(r)
 	s.emit(Lookup{Request: r.id, Store: name, Address: store.Address, Keys: r.keys, Timeout: lookupTimeout})
 }
 
@@ -123,6 +123,17 @@
 	return held
 }
 
+// correct takes back what the daemon believed of the target's cache beyond the
+// blocks that the target really had.
+func (s *State) correct(r *request, cachedTokens int) {
+	had := cachedTokens / hasher.BlockTokens
+	for i := had; i < len(r.keys); i++ {
+		if p, ok := s.prefixes.Peek(r.keys[i]); ok {
+			p.drop(r.target.name)
+		}
+	}
+}
+
 // remember notes that t holds r's blocks now.
 func (s *State) remember(r *request, name identifier.Target) {
 	for _, key := range r.keys {
@@ -178,7 +189,7 @@
 	if len(r.stored) == 0 {
 		return scorer.Link{}
 	}
-	name, store, ok := s.storeFor(r.keys[0])
+	name, store, ok := s.storeFor(r)
 	if !ok {
 		return scorer.Link{}
 	}
@@ -196,7 +207,7 @@
 // bytes per second. The profile's share of the link is divided evenly among the
 // live daemons, so that together they stay within it.
 func (s *State) linkRate(name identifier.Store, store specifier.Store, profile specifier.Profile) int64 {
-	share := float64(store.LinkBytesPerSecond) * profile.LinkShare / float64(len(s.hosts))
+	share := float64(store.LinkBytesPerSecond) * profile.LinkShare / float64(len(s.live))
 	return int64(share / float64(s.linkOf(name).transfers+1))
 }
 
@@ -210,7 +221,7 @@
 }
 
 func (s *State) startImport(r *request, c choice) {
-	name, store, _ := s.storeFor(r.keys[0])
+	name, store, _ := s.storeFor(r)
 	rate := s.linkRate(name, store, r.profile)
 	s.linkOf(name).transfers++
 	r.phase = phaseImporting
@@ -300,7 +311,7 @@
 	if !r.profile.Keep || r.profile.Policy != specifier.PolicyFull || len(r.keys) < max(1, r.profile.KeepMinBlocks) {
 		return
 	}
-	name, store, ok := s.storeFor(r.keys[0])
+	name, store, ok := s.storeFor(r)
 	if !ok || len(r.stored) >= len(r.keys) {
 		return
 	}
--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -73,18 +73,22 @@
 	return s.fleet.DataCentres[t.spec.DataCentre].State != specifier.StateOut
 }
 
-// storeFor returns the store of this data centre that keeps the prefix of key.
-func (s *State) storeFor(key identifier.BlockKey) (identifier.Store, specifier.Store, bool) {
+// storeFor returns the store that keeps r's prefix: one in the data centre of the
+// prefix's home target, so that all daemons ask the same one.
+func (s *State) storeFor(r *request) (identifier.Store, specifier.Store, bool) {
+	centre := s.cfg.DataCentre
+	if home := s.homeOf(r, s.byService[r.service]); home != nil {
+		centre = home.spec.DataCentre
+	}
 	var names []string
 	for name, store := range s.fleet.Stores {
-		if store.DataCentre == s.cfg.DataCentre && store.State != specifier.StateOut {
+		if store.DataCentre == centre && store.State != specifier.StateOut {
 			names = append(names, string(name))
 		}
 	}
 	if len(names) == 0 {
 		return "", specifier.Store{}, false
 	}
-	slices.Sort(names)
-	best := identifier.Store(first(key.String(), names))
+	best := identifier.Store(first(r.keys[0].String(), names))
 	return best, s.fleet.Stores[best], true
 }
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -190,37 +190,47 @@
 }
 
 // chooseByFirstToken takes the target with the shortest expected time to the
-// first token. Among equal ones the rendezvous order of the prefix decides, so
-// that all daemons agree on a home for it.
+// first token. The prefix's home is the same for all daemons; unless another
+// target is known to hold more of the prompt, the home is expected to hold a
+// part of it, so that prompts with one prefix meet on one target.
 func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
 	cached := s.cachedBlocks(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
 	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored)}
 	var best choice
+	var bestScore time.Duration
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		blocks := cached[t.name]
-		plan := scorer.Best(prompt, s.scored(t, blocks), link)
+		plan := scorer.Best(prompt, s.scored(t, cached[t.name]), link)
 		score := plan.FirstToken
 		if t == home {
-			score -= homeBonus
+			score -= s.homeAdvantage(r, t, cached[t.name])
 		}
-		if best.target == nil || score < best.plan.FirstToken {
-			best = choice{target: t, plan: plan}
-			best.plan.FirstToken = score
+		if best.target == nil || score < bestScore {
+			best, bestScore = choice{target: t, plan: plan}, score
 		}
 	}
 	return best, best.target != nil
 }
 
-// homeBonus is by how much a prefix's home target may be slower than others and
-// still be chosen.
-const homeBonus = 50 * time.Millisecond
+// homeShare is the share of a prompt's unknown blocks that its home target is
+// expected to hold.
+const homeShare = 0.6
 
-// homeOf returns the rendezvous choice for r's first block, usable or not.
+// homeAdvantage is the time that the home target is expected to save by blocks
+// that this daemon does not know it to hold, because other daemons sent them.
+func (s *State) homeAdvantage(r *request, t *target, cached int) time.Duration {
+	unknown := max(0, len(r.keys)-cached)
+	tokens := homeShare * float64(unknown*hasher.BlockTokens)
+	return time.Duration(tokens / t.rate() * float64(time.Second))
+}
+
+// homeOf returns the rendezvous choice for r's first block, whether it has room
+// or not. All daemons of a region choose the same one, if work may go to other
+// data centres.
 func (s *State) homeOf(r *request, candidates []*target) *target {
 	if len(r.keys) == 0 {
 		return nil
@@ -229,7 +239,7 @@
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
-		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) {
+		if !s.takesWork(t) || t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
 			continue
 		}
 		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -107,7 +107,8 @@
 		p.around.post(reducer.LoadObserved{
 			Target: load.Target, Incarnation: load.Incarnation, Cold: load.Cold,
 			Running: int(load.Running), Queued: int(load.Queued), QueuedTokens: int(load.QueuedTokens),
-			Age: time.Duration(load.AgeMilliseconds) * time.Millisecond,
+			PrefillTokensPerSecond: float64(load.PrefillTokensPerSecond),
+			Age:                    time.Duration(load.AgeMilliseconds) * time.Millisecond,
 		})
 	}
 	p.mu.Lock()
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -215,7 +215,7 @@
 		TargetLoad: describer.TargetLoad{
 			Target: r.Target, Incarnation: r.Incarnation, Cold: r.Cold,
 			Running: int32(r.Running), Queued: int32(r.Queued), QueuedTokens: int32(r.QueuedTokens),
-			Sequence: o.Sequence,
+			PrefillTokensPerSecond: float32(r.PrefillTokensPerSecond), Sequence: o.Sequence,
 		},
 		AsOf: o.At,
 	}
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -69,6 +69,8 @@
 	Running      int32
 	Queued       int32
 	QueuedTokens int32
+	// PrefillTokensPerSecond is the target's prefill rate; 0 when it told none.
+	PrefillTokensPerSecond float32
 	// AgeMilliseconds is the age of the report when the message was built.
 	AgeMilliseconds uint32
 	// Sequence is the reader's count of its reads of the target.
