Treat what a peer has not acknowledged as unknown, and test the exchanges

Cause: tests found three faults. A restarted daemon took an acknowledgement of its former life for its own; a value that changed back after a lost reply was never sent again; and after a message above the size limit the server read on in its middle. Nothing else of the exchange, the reader, the member list or the certificates was tested. Change: acknowledgements name the session; the ledger keeps what was sent and whether it was acknowledged; an unreadable body ends the connection, and too large a configuration is refused before it is sent. Adds the tests. The first draft of the test that only changes are sent expected each load once; an unacknowledged load may rightly go twice, so the test now counts from the acknowledgement on.

--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -42,9 +42,11 @@
 	Session uint64
 	// Sequence rises with each content that the sender builds for the receiver.
 	Sequence uint64
-	// Ack is the sequence of the last reply that the sender took from the
-	// receiver. A receiver in another session has forgotten that reply.
-	Ack uint64
+	// Ack is the sequence of the last content that the sender took from the
+	// receiver, and AckSession is the session of that content. They say nothing
+	// to a receiver in another session.
+	Ack        uint64
+	AckSession uint64
 	// Stale is true in a reply when the heartbeat's content was older than one
 	// that had been taken before, so that it was dropped.
 	Stale         bool
--- a/internal/peer/exchanger/codec.go
+++ b/internal/peer/exchanger/codec.go
@@ -105,11 +105,16 @@
 	return c.dec.Decode(header)
 }
 
+// readBody reads a body. A failure closes the connection, since the next
+// message could not be found.
 func (c *codec) readBody(body any) error {
 	err := c.dec.Decode(body)
 	c.counters.received(c.method, c.reader.taken)
 	c.onMessage()
-	return err
+	if err != nil {
+		return errors.CombineErrors(err, c.conn.Close())
+	}
+	return nil
 }
 
 // write sends a header with its body. A failure closes the connection, since
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 	// idleIntervals is how long an inbound connection may be without a
 	// request; it exceeds the longest back-off.
 	idleIntervals = 3 * maxBackoffIntervals
+	// messageOverhead bounds what a message takes besides its raw bytes.
+	messageOverhead = 4 << 10
 	// maxStrangers bounds the peers that call without being among Config.Peers.
 	maxStrangers = 256
 )
@@ -198,8 +200,13 @@
 	return x.counters.wire.in.Load(), x.counters.wire.out.Load()
 }
 
-// PushConfig hands a configuration to a peer.
+// PushConfig hands a configuration to a peer. A configuration above
+// Config.MaxMessage is an Error of KindTooLarge and is not sent.
 func (x *Exchanger) PushConfig(ctx context.Context, host identifier.Host, msg describer.PushConfig) (describer.PushConfigReply, error) {
+	if uint64(len(msg.Raw))+messageOverhead > x.cfg.MaxMessage {
+		err := errors.Newf("configuration %d has %d bytes, limit is %d", msg.Version, len(msg.Raw), x.cfg.MaxMessage)
+		return describer.PushConfigReply{}, newError("push configuration", KindTooLarge, err)
+	}
 	return call[describer.PushConfigReply](ctx, x, host, describer.MethodPushConfig, &msg)
 }
 
--- /dev/null
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -0,0 +1,594 @@
+package exchanger
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/entry/certifier"
+	"cardamomscale.example/cardamomscale/internal/peer/describer"
+	"cardamomscale.example/cardamomscale/internal/standin/issuer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testStep is how far the fake clock moves between two looks at a condition.
+const testStep = 20 * time.Millisecond
+
+// network connects exchangers by pipes.
+type network struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*pipeListener
+	conns     []*silentConn
+}
+
+func newNetwork() *network {
+	return &network{listeners: make(map[netip.AddrPort]*pipeListener)}
+}
+
+func (n *network) listen(addr netip.AddrPort) net.Listener {
+	l := &pipeListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("nobody listens")
+	}
+	near, far := net.Pipe()
+	conn := &silentConn{Conn: near}
+	select {
+	case l.conns <- far:
+	case <-l.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, conn)
+	return conn, nil
+}
+
+// silence makes all present connections lose what they carry.
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range n.conns {
+		conn.silent.Store(true)
+	}
+}
+
+func (n *network) dials() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
+type pipeListener struct {
+	addr  netip.AddrPort
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
+
+// silentConn can lose all bytes while it stays open.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// recorder is a Handler that keeps what it gets.
+type recorder struct {
+	mu       sync.Mutex
+	contents []describer.Content
+	changes  []PeerChange
+}
+
+func (h *recorder) OnHeartbeat(content describer.Content) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.contents = append(h.contents, content)
+}
+
+func (h *recorder) OnPeerChange(change PeerChange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, change)
+}
+
+func (h *recorder) OnPushConfig(msg describer.PushConfig) (describer.PushConfigReply, error) {
+	if msg.Version == 0 {
+		return describer.PushConfigReply{}, errors.New("version 0")
+	}
+	return describer.PushConfigReply{Version: msg.Version}, nil
+}
+
+func (h *recorder) OnFetchConfig(msg describer.FetchConfig) (describer.FetchConfigReply, error) {
+	return describer.FetchConfigReply{Version: msg.Above + 1, Raw: []byte("raw")}, nil
+}
+
+func (h *recorder) OnPermit(msg describer.Permit) (describer.PermitReply, error) {
+	return describer.PermitReply{Granted: msg.Term == time.Second, Fence: 9}, nil
+}
+
+func (h *recorder) OnRelease(msg describer.ReleasePermit) (describer.ReleasePermitReply, error) {
+	return describer.ReleasePermitReply{Released: msg.Request == "r1"}, nil
+}
+
+func (h *recorder) OnExplain(msg describer.Explain) (describer.ExplainReply, error) {
+	return describer.ExplainReply{Found: true, JSON: []byte(`"` + msg.Request + `"`)}, nil
+}
+
+// loads returns all entries from a host for a target in order of arrival.
+func (h *recorder) loads(from identifier.Host, target identifier.Target) []describer.TargetLoad {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var loads []describer.TargetLoad
+	for _, content := range h.contents {
+		for _, load := range content.Loads {
+			if content.From == from && load.Target == target {
+				loads = append(loads, load)
+			}
+		}
+	}
+	return loads
+}
+
+// heard counts the contents of a host.
+func (h *recorder) heard(from identifier.Host) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, content := range h.contents {
+		if content.From == from {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *recorder) lastHealth(host identifier.Host) Health {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, change := range slices.Backward(h.changes) {
+		if change.Host == host {
+			return change.Health
+		}
+	}
+	return ""
+}
+
+// member is one exchanger of a test.
+type member struct {
+	*Exchanger
+	recorder *recorder
+	stop     func()
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 7000)
+}
+
+func host(i int) identifier.Host { return identifier.Host(fmt.Sprintf("host-%d", i)) }
+
+// fleet is a network of members on one fake clock.
+type fleet struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	network *network
+	peers   []Peer
+	adjust  func(*Config)
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, clock: clockwork.NewFakeClock(), network: newNetwork(), adjust: func(*Config) {}}
+	for i := 1; i <= size; i++ {
+		f.peers = append(f.peers, Peer{Host: host(i), Address: address(i)})
+	}
+	return f
+}
+
+// start runs member i.
+func (f *fleet) start(i int, seed uint64) *member {
+	f.t.Helper()
+	m := &member{recorder: &recorder{}}
+	cfg := Config{
+		Self:       host(i),
+		DataCentre: "dc-1",
+		Clock:      f.clock,
+		Listener:   f.network.listen(address(i)),
+		Dial:       f.network.dial,
+		Peers:      func() []Peer { return f.peers },
+		Handler:    m.recorder,
+		Seed:       seed,
+	}
+	f.adjust(&cfg)
+	x, err := New(cfg)
+	assert.NilError(f.t, err)
+	m.Exchanger = x
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- x.Run(ctx) }()
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(f.t, <-done)
+	})
+	f.t.Cleanup(m.stop)
+	return m
+}
+
+// await moves the clock until condition holds.
+func (f *fleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	check := func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		f.clock.Advance(testStep)
+		return poll.Continue("%s", what)
+	}
+	poll.WaitOn(f.t, check, poll.WithDelay(time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+// pass moves the clock on by d.
+func (f *fleet) pass(d time.Duration) {
+	f.t.Helper()
+	end := f.clock.Now().Add(d)
+	f.await("time passes", func() bool { return !f.clock.Now().Before(end) })
+}
+
+func testLoad(target identifier.Target, incarnation identifier.Incarnation, running int32, asOf time.Time) Load {
+	return Load{
+		TargetLoad: describer.TargetLoad{Target: target, Incarnation: incarnation, Running: running},
+		AsOf:       asOf,
+	}
+}
+
+func TestHeartbeatsCarryOnlyChanges(t *testing.T) {
+	f := newFleet(t, 2)
+	a, b := f.start(1, 1), f.start(2, 2)
+	asOf := f.clock.Now()
+	a.Publish(State{ConfigVersion: 3, Loads: []Load{testLoad("t1", 1, 4, asOf), testLoad("t2", 1, 5, asOf)}})
+	f.await("first loads", func() bool { return len(b.recorder.loads(host(1), "t2")) > 0 })
+
+	// Until b's acknowledgement arrives, a may send the loads again.
+	before := a.recorder.heard(host(2))
+	f.await("acknowledgement", func() bool { return a.recorder.heard(host(2)) >= before+2 })
+	sent := len(b.recorder.loads(host(1), "t2"))
+	a.Publish(State{ConfigVersion: 3, Loads: []Load{testLoad("t1", 1, 6, asOf), testLoad("t2", 1, 5, asOf)}})
+	f.await("changed load", func() bool {
+		loads := b.recorder.loads(host(1), "t1")
+		return loads[len(loads)-1].Running == 6
+	})
+	before = b.recorder.heard(host(1))
+	f.await("five more contents", func() bool { return b.recorder.heard(host(1)) >= before+5 })
+	assert.Equal(t, len(b.recorder.loads(host(1), "t2")), sent)
+	assert.Equal(t, b.recorder.lastHealth(host(1)), HealthLive)
+	assert.Equal(t, a.recorder.lastHealth(host(2)), HealthLive)
+	in, out := a.WireBytes()
+	assert.Assert(t, in > 0 && out > 0)
+	assert.Equal(t, a.Traffic()[0].Method, describer.MethodHeartbeat)
+	assert.Assert(t, a.Traffic()[0].Out > 0)
+}
+
+func TestOneExchangeForEachPairAndInterval(t *testing.T) {
+	f := newFleet(t, 2)
+	a, b := f.start(1, 1), f.start(2, 2)
+	f.await("first contents", func() bool {
+		return a.recorder.heard(host(2)) > 0 && b.recorder.heard(host(1)) > 0
+	})
+	before := b.recorder.heard(host(1))
+	const intervals = 20
+	f.pass(intervals * time.Second)
+	got := b.recorder.heard(host(1)) - before
+	assert.Assert(t, got >= intervals/2 && got <= intervals*3/2, "%d contents in %d intervals", got, intervals)
+}
+
+func TestUrgentChangeIsSentAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*State)
+	}{
+		{"cold", func(s *State) { s.Loads[0].Cold = true }},
+		{"incarnation", func(s *State) { s.Loads[0].Incarnation = 2 }},
+		{"unreachable", func(s *State) { s.Loads[0].Unreachable = true }},
+		{"configuration", func(s *State) { s.ConfigVersion = 8 }},
+		{"leaving", func(s *State) { s.Leaving = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			a, b := f.start(1, 1), f.start(2, 2)
+			state := State{ConfigVersion: 7, Loads: []Load{testLoad("t1", 1, 0, f.clock.Now())}}
+			a.Publish(state)
+			f.await("first load", func() bool { return len(b.recorder.loads(host(1), "t1")) > 0 })
+			before := b.recorder.heard(host(1))
+
+			changed := State{ConfigVersion: 7, Loads: slices.Clone(state.Loads)}
+			test.change(&changed)
+			a.Publish(changed)
+			// The clock stands still, so that only an urgent heartbeat can arrive.
+			check := func(poll.LogT) poll.Result {
+				if b.recorder.heard(host(1)) > before {
+					return poll.Success()
+				}
+				return poll.Continue("urgent heartbeat")
+			}
+			poll.WaitOn(t, check, poll.WithDelay(time.Millisecond), poll.WithTimeout(30*time.Second))
+		})
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := newFleet(t, 2)
+	a, b := f.start(1, 1), f.start(2, 2)
+	f.await("first contents", func() bool {
+		return a.recorder.heard(host(2)) > 0 && b.recorder.heard(host(1)) > 0
+	})
+	dials := f.network.dials()
+	f.network.silence()
+	heardA, heardB := a.recorder.heard(host(2)), b.recorder.heard(host(1))
+	f.await("contents on new connections", func() bool {
+		return a.recorder.heard(host(2)) > heardA && b.recorder.heard(host(1)) > heardB
+	})
+	assert.Assert(t, f.network.dials() > dials)
+}
+
+func TestUnheardPeerIsSuspectAndReturns(t *testing.T) {
+	f := newFleet(t, 2)
+	a, b := f.start(1, 1), f.start(2, 2)
+	f.await("live", func() bool { return a.recorder.lastHealth(host(2)) == HealthLive })
+	b.stop()
+	f.await("suspect", func() bool { return a.recorder.lastHealth(host(2)) == HealthSuspect })
+
+	state := State{Loads: []Load{testLoad("t1", 1, 4, f.clock.Now())}}
+	a.Publish(state)
+	b = f.start(2, 99)
+	f.await("live again", func() bool { return a.recorder.lastHealth(host(2)) == HealthLive })
+	f.await("load in the new session", func() bool { return len(b.recorder.loads(host(1), "t1")) > 0 })
+}
+
+func TestRestartedPeerIsToldEverything(t *testing.T) {
+	f := newFleet(t, 2)
+	a, b := f.start(1, 1), f.start(2, 2)
+	a.Publish(State{Loads: []Load{testLoad("t1", 1, 4, f.clock.Now())}})
+	f.await("load", func() bool { return len(b.recorder.loads(host(1), "t1")) > 0 })
+	b.stop()
+	b = f.start(2, 77)
+	f.await("load after the restart", func() bool { return len(b.recorder.loads(host(1), "t1")) > 0 })
+}
+
+func TestCalls(t *testing.T) {
+	f := newFleet(t, 2)
+	f.adjust = func(cfg *Config) {
+		if cfg.Self == host(2) {
+			cfg.MaxMessage = 1 << 16
+		}
+	}
+	a := f.start(1, 1)
+	f.start(2, 2)
+	f.await("live", func() bool { return a.recorder.lastHealth(host(2)) == HealthLive })
+	ctx := context.Background()
+
+	pushed, err := a.PushConfig(ctx, host(2), describer.PushConfig{Version: 5, Raw: []byte("x")})
+	assert.NilError(t, err)
+	assert.Equal(t, pushed.Version, uint64(5))
+	fetched, err := a.FetchConfig(ctx, host(2), describer.FetchConfig{Above: 5})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, fetched, describer.FetchConfigReply{Version: 6, Raw: []byte("raw")})
+	permit, err := a.Permit(ctx, host(2), describer.Permit{Term: time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, permit, describer.PermitReply{Granted: true, Fence: 9})
+	released, err := a.Release(ctx, host(2), describer.ReleasePermit{Request: "r1"})
+	assert.NilError(t, err)
+	assert.Assert(t, released.Released)
+	explained, err := a.Explain(ctx, host(2), describer.Explain{Request: "r1"})
+	assert.NilError(t, err)
+	assert.Equal(t, string(explained.JSON), `"r1"`)
+
+	_, err = a.PushConfig(ctx, host(2), describer.PushConfig{})
+	assertKind(t, err, KindRefused)
+	_, err = a.PushConfig(ctx, "host-9", describer.PushConfig{Version: 1})
+	assertKind(t, err, KindUnknownPeer)
+	_, err = a.PushConfig(ctx, host(2), describer.PushConfig{Version: 1, Raw: make([]byte, DefaultMaxMessage)})
+	assertKind(t, err, KindTooLarge)
+	_, err = a.PushConfig(ctx, host(2), describer.PushConfig{Version: 1, Raw: make([]byte, 1<<17)})
+	assertKind(t, err, KindBroken)
+	_, err = a.Explain(ctx, host(2), describer.Explain{Request: "r2"})
+	assert.NilError(t, err, "the connection is replaced after a message that was too large")
+}
+
+func assertKind(t *testing.T, err error, want Kind) {
+	t.Helper()
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.Equal(t, failure.Kind, want)
+}
+
+func TestUnreachablePeer(t *testing.T) {
+	f := newFleet(t, 2)
+	a := f.start(1, 1)
+	f.await("peer is known", func() bool { return a.find(host(2)) != nil })
+	_, err := a.Permit(context.Background(), host(2), describer.Permit{})
+	assertKind(t, err, KindUnreachable)
+}
+
+func TestMalformedInputLeavesTheServerAlive(t *testing.T) {
+	f := newFleet(t, 2)
+	a := f.start(1, 1)
+	rng := rand.New(rand.NewPCG(5, 5))
+	for range 50 {
+		conn, err := f.network.dial(context.Background(), address(1))
+		assert.NilError(t, err)
+		garbage := make([]byte, 1+rng.IntN(200))
+		for i := range garbage {
+			garbage[i] = byte(rng.Uint32())
+		}
+		go func() {
+			_, _ = conn.Write(garbage)
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		f.await("server", func() bool { return true })
+		conn.Close()
+	}
+	b := f.start(2, 2)
+	f.await("heartbeats go on", func() bool { return a.recorder.heard(host(2)) > 0 && b.recorder.heard(host(1)) > 0 })
+}
+
+func TestInboundConnectionsAreBounded(t *testing.T) {
+	f := newFleet(t, 1)
+	f.adjust = func(cfg *Config) { cfg.MaxConnections = 2 }
+	f.start(1, 1)
+	var conns []net.Conn
+	for range 2 {
+		conn, err := f.network.dial(context.Background(), address(1))
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+	}
+	third, err := f.network.dial(context.Background(), address(1))
+	assert.NilError(t, err)
+	_, err = third.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+
+	// The first two are idle and are closed in their turn.
+	var ended atomic.Int32
+	for _, conn := range conns {
+		go func() {
+			if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+				ended.Add(1)
+			}
+		}()
+	}
+	f.await("idle connections end", func() bool { return ended.Load() == 2 })
+}
+
+func TestPeerThatIsNoLongerWanted(t *testing.T) {
+	f := newFleet(t, 2)
+	var gone atomic.Bool
+	f.adjust = func(cfg *Config) {
+		all := cfg.Peers
+		cfg.Peers = func() []Peer {
+			if gone.Load() {
+				return nil
+			}
+			return all()
+		}
+	}
+	a := f.start(1, 1)
+	f.start(2, 2)
+	f.await("live", func() bool { return a.recorder.lastHealth(host(2)) == HealthLive })
+	gone.Store(true)
+	f.await("gone", func() bool { return a.recorder.lastHealth(host(2)) == HealthGone })
+}
+
+func TestMutualTLS(t *testing.T) {
+	f := newFleet(t, 3)
+	authority, err := issuer.New(f.clock.Now(), time.Hour)
+	assert.NilError(t, err)
+	roles := map[identifier.Host]string{host(1): "daemon", host(2): "daemon", host(3): "read"}
+	f.adjust = func(cfg *Config) {
+		bundle, err := authority.Issue(issuer.Request{
+			Name:      string(cfg.Self),
+			Roles:     []string{roles[cfg.Self]},
+			NotBefore: f.clock.Now(),
+			Validity:  time.Hour,
+		})
+		assert.NilError(t, err)
+		dir := t.TempDir()
+		assert.NilError(t, bundle.Write(dir))
+		c, err := certifier.New(certifier.Config{
+			Clock:           f.clock,
+			CAFile:          dir + "/" + issuer.CAFile,
+			CertificateFile: dir + "/" + issuer.CertificateFile,
+			KeyFile:         dir + "/" + issuer.KeyFile,
+		})
+		assert.NilError(t, err)
+		cfg.ClientTLS = c.ClientConfig(certifier.RoleDaemon)
+		cfg.ServerTLS = c.ServerConfig(certifier.RoleDaemon)
+	}
+	a, b, c := f.start(1, 1), f.start(2, 2), f.start(3, 3)
+	f.await("contents of daemons", func() bool {
+		return a.recorder.heard(host(2)) > 1 && b.recorder.heard(host(1)) > 1
+	})
+	assert.Equal(t, a.recorder.heard(host(3)), 0)
+	assert.Equal(t, b.recorder.heard(host(3)), 0)
+	assert.Equal(t, c.recorder.heard(host(1)), 0)
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{})
+	assertKind(t, err, KindInvalid)
+}
+
+func FuzzCodec(f *testing.F) {
+	f.Add([]byte{0xff, 0x81, 0x03, 0x01, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn := &bufferConn{Reader: bytes.NewReader(data)}
+		c := newCodec(conn, 1<<10, newCounters(), func() {})
+		var msg describer.Heartbeat
+		for c.readHeader(&msg) == nil && c.readBody(&msg) == nil {
+			assert.Assert(t, c.reader.taken <= 1<<10)
+		}
+	})
+}
+
+type bufferConn struct{ *bytes.Reader }
+
+func (bufferConn) Write(p []byte) (int, error) { return len(p), nil }
+
+func (bufferConn) Close() error { return nil }
--- a/internal/peer/exchanger/ledger.go
+++ b/internal/peer/exchanger/ledger.go
@@ -13,26 +13,39 @@
 // change before it is sent again.
 const demandChange = 0.1
 
-// ledger holds the entries of one sort that a peer has acknowledged.
+// record is the last value of an entry that was sent to a peer.
+type record[V any] struct {
+	value V
+	// sequence is that of the content which carried the value.
+	sequence uint64
+	acked    bool
+}
+
+// ledger holds what one peer was sent of one sort of entries. Until a value is
+// acknowledged, the peer may have it or any earlier one.
 type ledger[K comparable, V any] struct {
-	acked map[K]V
-	key   func(V) K
+	sent map[K]record[V]
+	key  func(V) K
 	// changed says whether now differs enough from old to be sent again.
 	changed func(old, now V) bool
 }
 
 func newLedger[K comparable, V any](key func(V) K, changed func(old, now V) bool) *ledger[K, V] {
-	return &ledger[K, V]{acked: make(map[K]V), key: key, changed: changed}
+	return &ledger[K, V]{sent: make(map[K]record[V]), key: key, changed: changed}
 }
 
-// delta returns up to limit entries of current that the peer lacks.
-func (l *ledger[K, V]) delta(current []V, limit int) []V {
+// delta returns up to limit entries of current that the peer may lack, to be
+// sent in the content with the given sequence. It begins elsewhere each time,
+// so that every entry has its turn.
+func (l *ledger[K, V]) delta(current []V, limit int, sequence uint64) []V {
 	var delta []V
-	for _, now := range current {
-		old, ok := l.acked[l.key(now)]
-		if ok && !l.changed(old, now) {
+	for i := range current {
+		now := current[(uint64(i)+sequence*uint64(limit))%uint64(len(current))]
+		old, ok := l.sent[l.key(now)]
+		if ok && old.acked && !l.changed(old.value, now) {
 			continue
 		}
+		l.sent[l.key(now)] = record[V]{value: now, sequence: sequence}
 		if delta = append(delta, now); len(delta) == limit {
 			break
 		}
@@ -40,26 +53,31 @@
 	return delta
 }
 
-// commit records that the peer has entries.
-func (l *ledger[K, V]) commit(entries []V) {
+// commit records that the peer has taken entries with the content of the given
+// sequence. An entry that was sent again since stays unacknowledged.
+func (l *ledger[K, V]) commit(entries []V, sequence uint64) {
 	for _, entry := range entries {
-		l.acked[l.key(entry)] = entry
+		key := l.key(entry)
+		if r, ok := l.sent[key]; ok && r.sequence == sequence {
+			r.acked = true
+			l.sent[key] = r
+		}
 	}
 }
 
 // retain forgets the entries that are no longer current, so that the ledger
 // does not outgrow what is sent.
 func (l *ledger[K, V]) retain(current []V) {
-	if len(l.acked) <= len(current) {
+	if len(l.sent) <= len(current) {
 		return
 	}
 	known := make(map[K]struct{}, len(current))
 	for _, entry := range current {
 		known[l.key(entry)] = struct{}{}
 	}
-	for key := range l.acked {
+	for key := range l.sent {
 		if _, ok := known[key]; !ok {
-			delete(l.acked, key)
+			delete(l.sent, key)
 		}
 	}
 }
@@ -140,7 +158,7 @@
 	loads   []Load
 }
 
-// ledgers hold all that one peer has acknowledged.
+// ledgers hold all that one peer was sent.
 type ledgers struct {
 	loads     *ledger[identifier.Target, Load]
 	summaries *ledger[identifier.DataCentre, describer.Summary]
@@ -169,17 +187,19 @@
 	}
 }
 
-// pack returns the entries of state that the peer lacks as of now.
-func (l *ledgers) pack(state *State, now time.Time, cfg *Config) parcel {
-	p := parcel{loads: l.loads.delta(state.Loads, cfg.MaxEntries)}
+// pack returns the entries of state that the peer may lack as of now.
+func (l *ledgers) pack(state *State, now time.Time, cfg *Config, sequence uint64) parcel {
+	limit := cfg.MaxEntries
+	p := parcel{loads: l.loads.delta(state.Loads, limit, sequence)}
 	p.content = describer.Content{
 		From:          cfg.Self,
 		DataCentre:    cfg.DataCentre,
+		Sequence:      sequence,
 		ConfigVersion: state.ConfigVersion,
 		Leaving:       state.Leaving,
-		Summaries:     l.summaries.delta(state.Summaries, cfg.MaxEntries),
-		Teams:         l.teams.delta(state.Teams, cfg.MaxEntries),
-		Links:         l.links.delta(state.Links, cfg.MaxEntries),
+		Summaries:     l.summaries.delta(state.Summaries, limit, sequence),
+		Teams:         l.teams.delta(state.Teams, limit, sequence),
+		Links:         l.links.delta(state.Links, limit, sequence),
 	}
 	for _, load := range p.loads {
 		entry := load.TargetLoad
@@ -195,8 +215,9 @@
 
 // commit records that the peer has taken p.
 func (l *ledgers) commit(p parcel) {
-	l.loads.commit(p.loads)
-	l.summaries.commit(p.content.Summaries)
-	l.teams.commit(p.content.Teams)
-	l.links.commit(p.content.Links)
+	sequence := p.content.Sequence
+	l.loads.commit(p.loads, sequence)
+	l.summaries.commit(p.content.Summaries, sequence)
+	l.teams.commit(p.content.Teams, sequence)
+	l.links.commit(p.content.Links, sequence)
 }
--- a/internal/peer/exchanger/peer.go
+++ b/internal/peer/exchanger/peer.go
@@ -76,11 +76,11 @@
 }
 
 func (p *peer) packLocked(state *State, now time.Time, cfg *Config, session uint64) parcel {
-	packed := p.ledgers.pack(state, now, cfg)
 	p.sequence++
+	packed := p.ledgers.pack(state, now, cfg, p.sequence)
 	packed.content.Session = session
-	packed.content.Sequence = p.sequence
 	packed.content.Ack = p.taken
+	packed.content.AckSession = p.session
 	return packed
 }
 
@@ -130,7 +130,8 @@
 	defer p.mu.Unlock()
 	p.inboundAt = now
 	fresh := p.takeLocked(content, cfg)
-	if fresh && content.Ack == p.replied.content.Sequence {
+	acked := content.AckSession == session && content.Ack == p.replied.content.Sequence
+	if fresh && acked {
 		p.ledgers.commit(p.replied)
 	}
 	p.replied = p.packLocked(state, now, cfg, session)
