Test that a timed-out call replaces its connection

Change: adds a test in which neither heartbeats nor the idle limit help. Conclusion: the replacement is covered; the former test stays for heartbeats.

--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -389,6 +389,39 @@
 	assert.Assert(t, f.network.dials() > dials)
 }
 
+func TestTimedOutCallReplacesItsConnection(t *testing.T) {
+	f := newFleet(t, 2)
+	// Neither a heartbeat nor the idle limit of the other side helps.
+	f.adjust = func(cfg *Config) { cfg.Interval = time.Hour }
+	a := f.start(1, 1)
+	f.start(2, 2)
+	f.await("peer is known", func() bool { return a.find(host(2)) != nil })
+	assert.NilError(t, f.explain(a, host(2)))
+	f.network.silence()
+	assertKind(t, f.explain(a, host(2)), KindTimeout)
+	assert.NilError(t, f.explain(a, host(2)))
+}
+
+// explain calls a peer while the clock moves.
+func (f *fleet) explain(from *member, to identifier.Host) error {
+	f.t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		_, err := from.Explain(context.Background(), to, describer.Explain{Request: "r1"})
+		done <- err
+	}()
+	var err error
+	f.await("call ends", func() bool {
+		select {
+		case err = <-done:
+			return true
+		default:
+			return false
+		}
+	})
+	return err
+}
+
 func TestUnheardPeerIsSuspectAndReturns(t *testing.T) {
 	f := newFleet(t, 2)
 	a, b := f.start(1, 1), f.start(2, 2)
