Hold orders' delay before a target is given up

Cause: the model over the holder found two owners after a voluntary give-up, since orders of the former holder could still be on their way. Change: a target that is given up, and a session that is released, wait for the margin first.

--- a/internal/decision/holder/event.go
+++ b/internal/decision/holder/event.go
@@ -110,6 +110,8 @@
 type DeleteSession struct {
 	Host   identifier.Host
 	Expect uint64
+	// NotBefore is when the last orders of the daemon have arrived.
+	NotBefore time.Time
 }
 
 // ReadOwner reads the owner of Target.
--- a/internal/decision/holder/rival.go
+++ b/internal/decision/holder/rival.go
@@ -11,7 +11,7 @@
 	version uint64
 	session Session
 	// seenAt is when version was first seen.
-	seenAt time.Time
+	seenAt  time.Time
 	pending bool
 }
 
@@ -95,7 +95,7 @@
 // hasten looks at once at the targets whose owner is found to be out of force.
 func (s *State) hasten(host identifier.Host, r *rival, now time.Time) {
 	for _, t := range s.targets {
-		if t.owner.Host == host && r.gone(t) {
+		if t.wanted && t.owner.Host == host && r.gone(t) {
 			t.due = now
 		}
 	}
--- a/internal/decision/holder/state.go
+++ b/internal/decision/holder/state.go
@@ -74,7 +74,7 @@
 	switch ev := ev.(type) {
 	case Woken:
 	case Wanted:
-		s.setWanted(ev.Targets)
+		s.setWanted(ev.Targets, now)
 	case Stopped:
 		s.stop(now)
 	case SessionRead:
@@ -169,7 +169,7 @@
 		s.report(name, s.targets[name], now)
 	}
 	if s.self.version > 0 {
-		s.emit(DeleteSession{Host: s.cfg.Host, Expect: s.self.version})
+		s.emit(DeleteSession{Host: s.cfg.Host, Expect: s.self.version, NotBefore: now.Add(s.cfg.Margin)})
 	}
 }
 
--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -24,9 +24,17 @@
 	due     time.Time
 }
 
-func (s *State) setWanted(names []identifier.Target) {
-	for _, t := range s.targets {
-		t.wanted = false
+func (s *State) setWanted(names []identifier.Target, now time.Time) {
+	wanted := make(map[identifier.Target]bool, len(names))
+	for _, name := range names {
+		wanted[name] = true
+	}
+	for name, t := range s.targets {
+		if t.wanted && !wanted[name] {
+			// Orders on their way arrive before the target is given up.
+			t.wanted = false
+			t.due = now.Add(s.cfg.Margin)
+		}
 	}
 	for _, name := range names {
 		t := s.targets[name]
@@ -34,9 +42,9 @@
 			t = &target{}
 			s.targets[name] = t
 		}
-		t.wanted = true
-		if !s.owns(t) {
-			t.due = time.Time{}
+		if !t.wanted {
+			t.wanted = true
+			t.due = now
 		}
 	}
 }
@@ -164,7 +172,15 @@
 		t.version = 0
 		t.owner = Owner{}
 	default:
-		t.due = now.Add(s.retryPause())
+		s.retryAt(t, now.Add(s.retryPause()))
+	}
+}
+
+// retryAt sets the time of the next call for t. A target that is being given
+// up keeps a later time.
+func (s *State) retryAt(t *target, at time.Time) {
+	if t.wanted || at.After(t.due) {
+		t.due = at
 	}
 }
 
@@ -175,10 +191,10 @@
 	}
 	t.pending = false
 	t.known = ev.Outcome == OutcomeOK
-	t.due = now
+	s.retryAt(t, now)
 	switch {
 	case ev.Outcome == OutcomeFailed:
-		t.due = now.Add(s.retryPause())
+		s.retryAt(t, now.Add(s.retryPause()))
 	case t.known && t.wrote == (Owner{}):
 		t.version = 0
 		t.owner = Owner{}
--- a/internal/platform/client/http_client.go
+++ b/internal/platform/client/http_client.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return NewError(cl.op, kindOfLost(sent), err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	return decode(resp, cl)
 }
 
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -84,7 +84,7 @@
 
 // Leaser holds the session and ownerships of one daemon.
 type Leaser struct {
-	cfg    Config
+	cfg Config
 
 	mu    sync.Mutex
 	state *holder.State
@@ -143,17 +143,24 @@
 	return l.state.Held(t, l.cfg.Clock.Now())
 }
 
-// Release gives up all targets at once and ends the session, so that others
-// need not wait. The Leaser does nothing after it. It returns the error of the
-// platform; the session then ends with its term.
+// Release gives up all targets at once, waits for the margin and ends the
+// session, so that others need not wait for the term. The Leaser does nothing
+// after it. It returns the error of the context or the platform; the session
+// then ends with its term.
 func (l *Leaser) Release(ctx context.Context) error {
-	var result error
 	for _, e := range l.reduce(holder.Stopped{}) {
 		if e, ok := e.(holder.DeleteSession); ok {
-			result = l.cfg.Store.Delete(ctx, sessionKey(e.Host), e.Expect)
+			return l.endSession(ctx, e)
 		}
 	}
-	return result
+	return nil
+}
+
+func (l *Leaser) endSession(ctx context.Context, e holder.DeleteSession) error {
+	if err := client.Sleep(ctx, l.cfg.Clock, e.NotBefore.Sub(l.cfg.Clock.Now())); err != nil {
+		return err
+	}
+	return l.cfg.Store.Delete(ctx, sessionKey(e.Host), e.Expect)
 }
 
 // Run holds the session and the wanted targets until ctx ends. It returns the
