Bound the records of changes and pace repeated ownership writes

Cause: records of changes grew without bound; a write lost again and again was repeated at once. Change: editor keeps 50 records; holder pauses after each write that is not confirmed, and gives up a record of its own host whatever its token. Conclusion: the tests of internal/platform pass with the race detector.

--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -97,7 +97,7 @@
 	case !t.known:
 		t.pending = true
 		s.emit(ReadOwner{Target: name})
-	case s.owns(t):
+	case t.version > 0 && t.owner.Host == s.cfg.Host:
 		s.drop(name, t)
 	default:
 		delete(s.targets, name)
@@ -191,9 +191,8 @@
 	}
 	t.pending = false
 	t.known = ev.Outcome == OutcomeOK
-	s.retryAt(t, now)
 	switch {
-	case ev.Outcome == OutcomeFailed:
+	case !t.known:
 		s.retryAt(t, now.Add(s.retryPause()))
 	case t.known && t.wrote == (Owner{}):
 		t.version = 0
--- a/internal/platform/editor/editor.go
+++ b/internal/platform/editor/editor.go
@@ -64,6 +64,12 @@
 	Fleet  json.RawMessage  `json:"fleet"`
 }
 
+// maxRecords is the number of Records that are kept.
+const maxRecords = 50
+
+// maxTrimmed bounds the deletions of one change.
+const maxTrimmed = 4
+
 const (
 	backoffBase = 50 * time.Millisecond
 	backoffMax  = time.Second
@@ -91,7 +97,26 @@
 		return client.Object{}, err
 	}
 	w := &writing{Editor: e, base: req.Base, token: token, value: value}
-	return w.run(ctx)
+	o, err := w.run(ctx)
+	if err == nil {
+		e.trim(ctx)
+	}
+	return o, err
+}
+
+// trim deletes the oldest Records beyond maxRecords. A failure leaves them to
+// the next change.
+func (e *Editor) trim(ctx context.Context) {
+	records, err := e.cfg.Store.List(ctx, specifier.HistoryPrefix)
+	if err != nil {
+		return
+	}
+	surplus := min(len(records)-maxRecords, maxTrimmed)
+	for i := range max(surplus, 0) {
+		if e.cfg.Store.Delete(ctx, records[i].Key, records[i].Version) != nil {
+			return
+		}
+	}
 }
 
 // record writes the Record of the document at base, which is about to be
@@ -108,6 +133,9 @@
 	if o.Version > base {
 		return conflict(o)
 	}
+	if o.Version < base {
+		return newError(op, KindNotAccepted, fmt.Errorf("read of version %d is older than %d", o.Version, base))
+	}
 	var doc envelope
 	if err := json.Unmarshal(o.Value, &doc); err != nil {
 		return newError(op, KindInvalid, err)
--- a/internal/platform/editor/editor_test.go
+++ b/internal/platform/editor/editor_test.go
@@ -109,3 +109,35 @@
 		cancel()
 	}
 }
+
+func TestRecordsAreBounded(t *testing.T) {
+	e, store := newEditor(t)
+	var version uint64
+	for range 60 {
+		o, err := e.Apply(t.Context(), change(version, "ana"))
+		assert.NilError(t, err)
+		version = o.Version
+	}
+	records, err := store.List(t.Context(), specifier.HistoryPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 50)
+}
+
+func TestReplacedChangeIsFoundByItsRecord(t *testing.T) {
+	e, store := newEditor(t)
+	replaced := false
+	store.SetHook(func(c rememberer.Call) rememberer.Fault {
+		switch {
+		case c.Op == rememberer.OpPut && c.Key == specifier.FleetKey && !replaced:
+			return rememberer.FaultLostAnswer
+		case c.Op == rememberer.OpGet && !replaced:
+			replaced = true
+			_, err := e.Apply(t.Context(), change(1, "ben"))
+			assert.NilError(t, err)
+		}
+		return rememberer.FaultNone
+	})
+	o, err := e.Apply(t.Context(), change(0, "ana"))
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, uint64(1))
+}
