Walk the holder's model at random with three daemons

Cause: the exhaustive search is bounded to short histories. Change: 3,000 seeded walks of 150 steps with delayed writes, stale reads, changed wishes and releases. Figures: no overlap in the walks; with a wait of a third of the term they find one. Conclusion: the search and the walks agree.

--- a/internal/decision/holder/model_test.go
+++ b/internal/decision/holder/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -289,6 +290,8 @@
 type bounds struct {
 	depth, faults int
 	span          time.Duration
+	// stops lets daemon a release its session.
+	stops bool
 }
 
 func (w *world) steps(b bounds) []step {
@@ -304,7 +307,13 @@
 			}})
 		}
 	}
+	if b.stops && w.faults >= b.faults/2 && !w.daemons["a"].stopped {
+		steps = append(steps, step{"stop a", func(w *world) { w.reduce("a", Stopped{}) }})
+	}
 	for i, f := range w.flights {
+		if e, ok := f.effect.(DeleteSession); ok && w.now.Before(e.NotBefore) {
+			continue
+		}
 		name := fmt.Sprintf("%s %T", f.host, f.effect)
 		steps = append(steps, step{name, func(w *world) { w.finish(i, OutcomeOK) }})
 		if w.faults < b.faults && !f.answered {
@@ -355,6 +364,7 @@
 }
 
 func TestNeverTwoOwners(t *testing.T) {
+	t.Parallel()
 	sound := Config{Term: modelTerm, Margin: unit, Wait: modelTerm}
 	noWait := sound
 	noWait.Wait = 0
@@ -376,9 +386,57 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			trace, states := search(newWorld(test.cfg, "a", "b"), test.bounds)
 			t.Logf("%d states, overlap after %q", states, trace)
 			assert.Equal(t, trace != nil, test.unsafe)
 		})
 	}
 }
+
+// walk takes random steps and returns the trace of the first overlap, or none.
+func walk(cfg Config, seed uint64, length int) []string {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	w := newWorld(cfg, "a", "b", "c")
+	b := bounds{faults: length / 10, span: time.Duration(length) * unit, stops: true}
+	for range length {
+		steps := w.steps(b)
+		s := steps[rnd.IntN(len(steps))]
+		s.run(w)
+		w.trace = append(w.trace, s.name)
+		if w.overlap() {
+			return w.trace
+		}
+	}
+	return nil
+}
+
+func TestNeverTwoOwnersOnLongWalks(t *testing.T) {
+	t.Parallel()
+	const walks, length = 3000, 150
+	sound := Config{Term: modelTerm, Margin: unit, Wait: modelTerm}
+	for seed := range uint64(walks) {
+		trace := walk(sound, seed, length)
+		assert.Assert(t, trace == nil, "seed %d: overlap after %q", seed, trace)
+	}
+	early := sound
+	early.Wait = modelTerm / 3
+	found := false
+	for seed := range uint64(walks) {
+		found = found || walk(early, seed, length) != nil
+	}
+	assert.Assert(t, found, "a wait of a third of the term is not found out")
+}
+
+func TestTakeOverHappens(t *testing.T) {
+	w := newWorld(Config{Term: modelTerm, Margin: unit, Wait: modelTerm}, "a", "b")
+	// Daemon a is paused for good; daemon b runs without faults.
+	for range 20 {
+		w.pass()
+		assert.Assert(t, !w.overlap())
+		w.reduce("b", Woken{})
+		w.runCalls("b")
+	}
+	_, _, ok := w.daemons["b"].Held(modelT, w.now)
+	assert.Assert(t, ok)
+}
