--- /dev/null
+++ b/internal/bench/planner/scenario.go
@@ -0,0 +1,217 @@
+// Package planner reads the scenarios of the load tool and plans the stand-ins
+// and the configuration that each one needs.
+package planner
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Scenario describes one run: the parts, the load and the faults.
+type Scenario struct {
+	Name string `json:"name"`
+	// About says in a sentence what the scenario shows.
+	About       string                  `json:"about"`
+	Region      identifier.Region       `json:"region"`
+	DataCentres []identifier.DataCentre `json:"data-centres"`
+	// Daemons, Engines, PlainTargets and Stores count the parts over all data
+	// centres; they are dealt out in turn.
+	Daemons      int `json:"daemons"`
+	Engines      int `json:"engines"`
+	PlainTargets int `json:"plain-targets"`
+	Stores       int `json:"stores"`
+	// Engine, PlainTarget and Store are the settings of each part.
+	Engine      EngineSettings `json:"engine"`
+	PlainTarget PlainSettings  `json:"plain-target"`
+	Store       StoreSettings  `json:"store"`
+	// WarmLimit bounds the requests on one engine, PlainLimit on one plain target.
+	WarmLimit  int      `json:"warm-limit"`
+	PlainLimit int      `json:"plain-limit"`
+	Platform   Platform `json:"platform"`
+	// Heartbeat, LoadInterval and SessionTerm set up the daemons.
+	Heartbeat    specifier.Duration `json:"heartbeat-interval"`
+	LoadInterval specifier.Duration `json:"load-report-interval"`
+	SessionTerm  specifier.Duration `json:"session-term"`
+	// Profile is the profile of the model service, PlainProfile that of the plain one.
+	Profile      specifier.Profile `json:"profile"`
+	PlainProfile specifier.Profile `json:"plain-profile"`
+	Load         Load              `json:"load"`
+	Faults       []Fault           `json:"faults"`
+	// OutGrace is how long a data centre that was taken out may still get new work.
+	OutGrace specifier.Duration `json:"out-grace"`
+}
+
+// Platform bounds the object API, in calls per second.
+type Platform struct {
+	WritesPerSecond float64 `json:"writes-per-second"`
+	ReadsPerSecond  float64 `json:"reads-per-second"`
+}
+
+// SetDefaults replaces p by the rates that the platform gives.
+func (p *Platform) SetDefaults() { *p = Platform{WritesPerSecond: 400, ReadsPerSecond: 2000} }
+
+// Load describes the callers' requests.
+type Load struct {
+	// WarmUp is how long the first rate of Arrivals runs before the measured time.
+	WarmUp specifier.Duration `json:"warm-up"`
+	// SeedFamilies is the number of families that are sent once before that.
+	SeedFamilies int `json:"seed-families"`
+	// Duration is the measured time.
+	Duration specifier.Duration `json:"duration"`
+	// Arrivals are the rates of requests, each in force from its time on.
+	Arrivals []Rate `json:"arrivals"`
+	// Surges are loads of single teams that come on top.
+	Surges []Surge `json:"surges"`
+	Teams  Teams   `json:"teams"`
+	// Classes holds the share of each class.
+	Classes  map[identifier.Class]float64 `json:"classes"`
+	Families Families                     `json:"families"`
+	// PlainShare is the share of calls to the plain service, and
+	// NonRepeatableShare the share of those that run at most once.
+	PlainShare         float64 `json:"plain-share"`
+	NonRepeatableShare float64 `json:"non-repeatable-share"`
+	// WholeShare is the share of prompts that are answered without streaming.
+	WholeShare float64 `json:"whole-share"`
+	// Deadline is the whole time that callers give a request.
+	Deadline specifier.Duration `json:"deadline"`
+	// Retries bounds how often a caller comes back after a refusal with Retry-After.
+	Retries int `json:"retries"`
+}
+
+// Rate is a rate of arrivals from a time on.
+type Rate struct {
+	At                specifier.Duration `json:"at"`
+	RequestsPerSecond float64            `json:"requests-per-second"`
+}
+
+// Surge is the load of one team in a span of time.
+type Surge struct {
+	// Team is the team's position, from 1.
+	Team              int                `json:"team"`
+	At                specifier.Duration `json:"at"`
+	Until             specifier.Duration `json:"until"`
+	RequestsPerSecond float64            `json:"requests-per-second"`
+	Class             identifier.Class   `json:"class"`
+}
+
+// SetDefaults replaces s by a surge of class batch.
+func (s *Surge) SetDefaults() { *s = Surge{Team: 1, Class: identifier.ClassBatch} }
+
+// Teams describes the teams.
+type Teams struct {
+	Count int `json:"count"`
+	// Skew is the exponent of the Zipf distribution of load over teams; 0 means equal shares.
+	Skew float64 `json:"skew"`
+	// Weights are the teams' weights in order; absent ones are 1.
+	Weights []float64 `json:"weights"`
+	// RequestsPerSecond and TokensPerSecond limit each team; 0 means no limit.
+	RequestsPerSecond float64 `json:"requests-per-second"`
+	TokensPerSecond   float64 `json:"tokens-per-second"`
+}
+
+// SetDefaults replaces t by ten teams, a few of them large.
+func (t *Teams) SetDefaults() { *t = Teams{Count: 10, Skew: 0.8} }
+
+// Families describes the prompts whose beginnings return.
+type Families struct {
+	Count int `json:"count"`
+	// SharedBlocks is the length of the shared beginning, in blocks of 1,024 tokens.
+	SharedBlocks int `json:"shared-blocks"`
+	// QuestionTokens is the length of what differs between two prompts.
+	QuestionTokens int `json:"question-tokens"`
+	// OutputTokens is the mean length of an answer; lengths are uniform from half of it to one and a half.
+	OutputTokens int `json:"output-tokens"`
+	// Skew lets popular families return sooner: the gap of the family of rank r grows as r to the power of Skew.
+	Skew float64 `json:"skew"`
+	// Gap is the mean time after which a family of middle popularity returns.
+	Gap specifier.Duration `json:"gap"`
+	// MinGap is the shortest time after which a family returns.
+	MinGap specifier.Duration `json:"min-gap"`
+}
+
+// SetDefaults replaces f by catalogues of eight blocks.
+func (f *Families) SetDefaults() {
+	*f = Families{
+		Count: 300, SharedBlocks: 8, QuestionTokens: 300, OutputTokens: 32, Skew: 0.6,
+		Gap:    specifier.Duration{Duration: 6 * time.Second},
+		MinGap: specifier.Duration{Duration: 500 * time.Millisecond},
+	}
+}
+
+// SetDefaults replaces l by a load of 30 s.
+func (l *Load) SetDefaults() {
+	*l = Load{
+		WarmUp:   specifier.Duration{Duration: 6 * time.Second},
+		Duration: specifier.Duration{Duration: 20 * time.Second},
+		Arrivals: []Rate{{RequestsPerSecond: 40}},
+		Classes: map[identifier.Class]float64{
+			identifier.ClassInteractive: 0.5, identifier.ClassStandard: 0.3, identifier.ClassBatch: 0.2,
+		},
+		PlainShare: 0.2, NonRepeatableShare: 0.2, WholeShare: 0.2,
+		Deadline: specifier.Duration{Duration: 10 * time.Second},
+	}
+	l.Teams.SetDefaults()
+	l.Families.SetDefaults()
+}
+
+// SetDefaults replaces s by a scenario of three data centres.
+func (s *Scenario) SetDefaults() {
+	*s = Scenario{
+		Region: "region-1", DataCentres: []identifier.DataCentre{"north", "south", "west"},
+		Daemons: 6, Engines: 12, PlainTargets: 3, Stores: 3,
+		PlainLimit:   16,
+		Heartbeat:    specifier.Duration{Duration: 200 * time.Millisecond},
+		LoadInterval: specifier.Duration{Duration: 100 * time.Millisecond},
+		SessionTerm:  specifier.Duration{Duration: 6 * time.Second},
+		Profile:      specifier.DefaultProfile(),
+		PlainProfile: specifier.DefaultProfile(),
+		OutGrace:     specifier.Duration{Duration: 3 * time.Second},
+	}
+	s.PlainProfile.Policy = specifier.PolicyLeastLoaded
+	s.PlainProfile.Keep = false
+	s.Engine.SetDefaults()
+	s.PlainTarget.SetDefaults()
+	s.Store.SetDefaults()
+	s.Platform.SetDefaults()
+	s.Load.SetDefaults()
+	s.WarmLimit = s.Engine.RunningLimit
+}
+
+// maxScenarioBytes bounds the size of a scenario's file.
+const maxScenarioBytes = 1 << 20
+
+// Read reads and checks the scenario of the file at path.
+func Read(path string) (Scenario, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Scenario{}, newError("read scenario", KindUnreadable, err, nil)
+	}
+	defer func() { _ = f.Close() }()
+	return Decode(path, f)
+}
+
+// Decode reads a Scenario in JSON from r, fills absent keys with defaults and
+// checks the whole. The error is an *Error that lists all problems.
+func Decode(name string, r io.Reader) (Scenario, error) {
+	var s Scenario
+	err := decoder.Decode(decoder.Config{Name: name, MaxBytes: maxScenarioBytes}, r, &s)
+	var found *decoder.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &found) && found.Kind == decoder.KindInvalid:
+		return s, newError("decode scenario", KindInvalid, found.Problems, found.Problems)
+	default:
+		return s, newError("decode scenario", KindUnreadable, err, nil)
+	}
+	if problems := s.problems(name); len(problems) > 0 {
+		return s, newError("check scenario", KindInvalid, problems, problems)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/bench/planner/validator.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/config/decoder"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// Bounds of a scenario.
+const (
+	maxParts       = 1000
+	maxDuration    = 10 * time.Minute
+	maxRate        = 10_000
+	maxFamilies    = 1_000_000
+	maxBlocks      = 64
+	maxTokens      = 32_768
+	maxRetries     = 100
+	maxTeams       = 1000
+	maxLinkFactor  = 1000
+	minLinkFactor  = 0.0001
+	shareTolerance = 0.001
+)
+
+// problems returns all that is wrong with s, each with name as its file.
+func (s Scenario) problems(name string) decoder.Problems {
+	r := &decoder.Reporter{File: name}
+	if s.Name == "" {
+		r.Reportf("name", "is empty")
+	}
+	if len(s.DataCentres) == 0 {
+		r.Reportf("data-centres", "is empty, want at least one")
+	}
+	decoder.Within(r, "daemons", s.Daemons, 1, maxParts)
+	decoder.Within(r, "engines", s.Engines, 1, maxParts)
+	decoder.Within(r, "plain-targets", s.PlainTargets, 0, maxParts)
+	decoder.Within(r, "stores", s.Stores, 0, maxParts)
+	decoder.Within(r, "warm-limit", s.WarmLimit, s.Engine.ColdLimit, maxParts)
+	decoder.Within(r, "plain-limit", s.PlainLimit, s.PlainTarget.ColdLimit, maxParts)
+	decoder.Within(r, "platform.writes-per-second", s.Platform.WritesPerSecond, 1, maxRate)
+	decoder.Within(r, "platform.reads-per-second", s.Platform.ReadsPerSecond, 1, maxRate)
+	duration(r, "heartbeat-interval", s.Heartbeat, time.Millisecond)
+	duration(r, "load-report-interval", s.LoadInterval, time.Millisecond)
+	duration(r, "session-term", s.SessionTerm, time.Millisecond)
+	duration(r, "out-grace", s.OutGrace, 0)
+	s.Load.check(r)
+	for i, f := range s.Faults {
+		s.checkFault(r, decoder.Index("faults", i), f)
+	}
+	if len(r.Problems) == 0 {
+		s.checkFleet(r)
+	}
+	return r.Problems
+}
+
+// checkFleet reports what is wrong with the configuration that s leads to.
+func (s Scenario) checkFleet(r *decoder.Reporter) {
+	fleet := s.Fleet("")
+	for _, p := range fleet.Problems(r.File) {
+		r.Reportf(p.Key, "%s", p.Message)
+	}
+}
+
+func duration(r *decoder.Reporter, key string, d specifier.Duration, low time.Duration) {
+	decoder.Within(r, key, d.Duration, low, maxDuration)
+}
+
+func (l Load) check(r *decoder.Reporter) {
+	duration(r, "load.warm-up", l.WarmUp, 0)
+	duration(r, "load.duration", l.Duration, time.Second)
+	duration(r, "load.deadline", l.Deadline, time.Millisecond)
+	decoder.Within(r, "load.seed-families", l.SeedFamilies, 0, l.Families.Count)
+	decoder.Within(r, "load.plain-share", l.PlainShare, 0, 1)
+	decoder.Within(r, "load.non-repeatable-share", l.NonRepeatableShare, 0, 1)
+	decoder.Within(r, "load.whole-share", l.WholeShare, 0, 1)
+	decoder.Within(r, "load.retries", l.Retries, 0, maxRetries)
+	decoder.Within(r, "load.teams.count", l.Teams.Count, 1, maxTeams)
+	decoder.Within(r, "load.teams.skew", l.Teams.Skew, 0, 10)
+	l.Families.check(r)
+	l.checkArrivals(r)
+	l.checkClasses(r)
+}
+
+func (f Families) check(r *decoder.Reporter) {
+	decoder.Within(r, "load.families.count", f.Count, 1, maxFamilies)
+	decoder.Within(r, "load.families.shared-blocks", f.SharedBlocks, 0, maxBlocks)
+	decoder.Within(r, "load.families.question-tokens", f.QuestionTokens, 1, maxTokens)
+	decoder.Within(r, "load.families.output-tokens", f.OutputTokens, 2, maxTokens)
+	decoder.Within(r, "load.families.skew", f.Skew, 0, 10)
+	duration(r, "load.families.gap", f.Gap, time.Millisecond)
+	duration(r, "load.families.min-gap", f.MinGap, 0)
+}
+
+func (l Load) checkArrivals(r *decoder.Reporter) {
+	if len(l.Arrivals) == 0 {
+		r.Reportf("load.arrivals", "is empty, want at least one rate")
+	}
+	for i, rate := range l.Arrivals {
+		key := decoder.Index("load.arrivals", i)
+		decoder.Within(r, decoder.Join(key, "requests-per-second"), rate.RequestsPerSecond, 0, maxRate)
+		earliest := time.Duration(0)
+		if i > 0 {
+			earliest = l.Arrivals[i-1].At.Duration
+		}
+		decoder.Within(r, decoder.Join(key, "at"), rate.At.Duration, earliest, l.Duration.Duration)
+	}
+	for i, surge := range l.Surges {
+		key := decoder.Index("load.surges", i)
+		decoder.Within(r, decoder.Join(key, "team"), surge.Team, 1, l.Teams.Count)
+		decoder.Within(r, decoder.Join(key, "until"), surge.Until.Duration, surge.At.Duration, l.Duration.Duration)
+		decoder.Within(r, decoder.Join(key, "requests-per-second"), surge.RequestsPerSecond, 0, maxRate)
+		decoder.OneOf(r, decoder.Join(key, "class"), surge.Class, identifier.Classes())
+	}
+}
+
+func (l Load) checkClasses(r *decoder.Reporter) {
+	sum := 0.0
+	for class, share := range l.Classes {
+		decoder.OneOf(r, "load.classes", class, identifier.Classes())
+		decoder.Within(r, decoder.Join("load.classes", string(class)), share, 0, 1)
+		sum += share
+	}
+	if sum < 1-shareTolerance || sum > 1+shareTolerance {
+		r.Reportf("load.classes", "has shares that sum up to %v, want 1", sum)
+	}
+}
+
+// checkFault reports a fault that names something that is not there.
+func (s Scenario) checkFault(r *decoder.Reporter, key string, f Fault) {
+	decoder.OneOf(r, decoder.Join(key, "kind"), f.Kind, FaultKinds())
+	decoder.Within(r, decoder.Join(key, "at"), f.At.Duration, 0, s.Load.Duration.Duration)
+	switch f.Kind {
+	case FaultDataCentreOut, FaultDataCentreIn, FaultDataCentreCold, FaultPartition:
+		decoder.OneOf(r, decoder.Join(key, "data-centre"), f.DataCentre, s.DataCentres)
+	case FaultTargetCold, FaultTargetFreeze, FaultTargetThaw:
+		targets := names[identifier.Target]("engine", s.Engines)
+		if f.Kind == FaultTargetCold {
+			targets = append(targets, names[identifier.Target]("plain", s.PlainTargets)...)
+		}
+		named(r, decoder.Join(key, "target"), f.Target, targets)
+	case FaultStoreKill, FaultStoreFull, FaultStoreRevive, FaultLinkFactor:
+		named(r, decoder.Join(key, "store"), f.Store, names[identifier.Store]("store", s.Stores))
+		if f.Kind == FaultLinkFactor {
+			decoder.Within(r, decoder.Join(key, "factor"), f.Factor, minLinkFactor, maxLinkFactor)
+		}
+	case FaultDaemonKill, FaultDaemonStop, FaultDaemonStart:
+		named(r, decoder.Join(key, "host"), f.Host, names[identifier.Host]("entry", s.Daemons))
+	}
+}
+
+// named reports a name that is not among all.
+func named[N ~string](r *decoder.Reporter, key string, name N, all []N) {
+	if slices.Contains(all, name) {
+		return
+	}
+	if len(all) == 0 {
+		r.Reportf(key, "is %q, but the scenario has none", name)
+		return
+	}
+	r.Reportf(key, "is %q, want %s to %s", name, all[0], all[len(all)-1])
+}
+
+// names returns the names that the parts of one kind get.
+func names[N ~string](kind string, n int) []N {
+	list := make([]N, n)
+	for i := range list {
+		list[i] = N(fmt.Sprintf("%s-%02d", kind, i+1))
+	}
+	return list
+}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -110,6 +110,12 @@
 // Ready reports whether the daemon can serve callers.
 func (d *Daemon) Ready() bool { return d.parts.Readiness.Ready() }
 
+// PeerBytes returns the bytes exchanged with peers since the start, in both directions.
+func (d *Daemon) PeerBytes() uint64 {
+	in, out := d.parts.Surroundings.peers.WireBytes()
+	return in + out
+}
+
 // Run serves until ctx ends, then shuts down gracefully: it stops taking
 // requests, lets the running ones end, and stops its parts together.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -67,6 +67,9 @@
 	ObjectAddress netip.AddrPort
 	MemberAddress netip.AddrPort
 
+	// Network is what connects the daemons.
+	Network *Network
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  sync.WaitGroup
@@ -85,6 +88,8 @@
 	daemon *daemon.Daemon
 	cancel context.CancelFunc
 	done   chan struct{}
+	// reserved holds the listeners that keep the addresses for the first daemon.
+	reserved map[netip.AddrPort]net.Listener
 }
 
 // New opens the stand-ins' addresses. Close ends all that it started.
@@ -105,6 +110,7 @@
 		Responders: map[identifier.Target]*responder.Responder{},
 		Stores:     map[identifier.Store]*storer.Storer{},
 		Hosts:      map[identifier.Host]*Host{},
+		Network:    newNetwork(),
 	}
 	if err := a.build(); err != nil {
 		a.Close()
@@ -171,6 +177,7 @@
 			return err
 		}
 		a.Stores[name] = s
+		a.Network.place(address, a.centre(i))
 		a.Fleet.Stores[name] = specifier.Store{
 			DataCentre: a.centre(i), Address: address,
 			LinkBytesPerSecond: a.cfg.Plan.Store.LinkBytesPerSecond, State: specifier.StateIn,
@@ -194,6 +201,7 @@
 			return err
 		}
 		a.Engines[name] = e
+		a.Network.place(address, a.centre(i))
 		a.Fleet.Targets[name] = specifier.Target{
 			Service: a.cfg.Plan.ModelService, DataCentre: a.centre(i), Address: address, State: specifier.StateIn,
 			ColdLimit: a.cfg.Plan.Engine.ColdLimit, WarmLimit: a.cfg.Plan.WarmLimit, ChecksFence: a.cfg.Plan.Engine.ChecksFence,
@@ -214,6 +222,7 @@
 			return err
 		}
 		a.Responders[name] = p
+		a.Network.place(address, a.centre(i))
 		a.Fleet.Targets[name] = specifier.Target{
 			Service: a.cfg.Plan.PlainService, DataCentre: a.centre(i), Address: address, State: specifier.StateIn,
 			ColdLimit: a.cfg.Plan.Responder.ColdLimit, WarmLimit: a.cfg.Plan.PlainLimit,
@@ -225,30 +234,19 @@
 // buildHosts chooses the daemons' addresses.
 func (a *Assembly) buildHosts() error {
 	for i := range a.cfg.Plan.Daemons {
-		h := &Host{Name: identifier.Host(fmt.Sprintf("entry-%02d", i+1)), DataCentre: a.centre(i)}
+		h := &Host{reserved: map[netip.AddrPort]net.Listener{}, Name: identifier.Host(fmt.Sprintf("entry-%02d", i+1)), DataCentre: a.centre(i)}
 		for _, address := range []*netip.AddrPort{&h.Callers, &h.Peers, &h.Operators} {
-			free, err := freeAddress()
-			if err != nil {
+			if err := h.reserve(address); err != nil {
 				return err
 			}
-			*address = free
 		}
 		a.Hosts[h.Name] = h
+		a.Network.place(h.Peers, h.DataCentre)
 		a.Fleet.Hosts[h.Name] = specifier.Host{DataCentre: h.DataCentre, State: specifier.StateIn, Peer: h.Peers}
 	}
 	return nil
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, newError("choose address", KindStart, err)
-	}
-	defer func() { _ = ln.Close() }()
-	return addressOf(ln), nil
-}
-
 // HostNames returns the names of the entry hosts in order.
 func (a *Assembly) HostNames() []identifier.Host { return slices.Sorted(maps.Keys(a.Hosts)) }
 
@@ -256,6 +254,7 @@
 func (a *Assembly) Close() {
 	for _, h := range a.Hosts {
 		h.Kill()
+		h.free()
 	}
 	a.cancel()
 	for _, e := range a.Engines {
--- a/internal/standin/assembler/counts.go
+++ b/internal/standin/assembler/counts.go
@@ -21,11 +21,21 @@
 	DuplicateRuns int
 	// PeakLinkShare is the highest rate of a store's link as a share of its limit.
 	PeakLinkShare float64
+	// LinkBytes counts the bytes that all stores' links carried, and LinkLimit is
+	// what they can carry together, in bytes per second.
+	LinkBytes int64
+	LinkLimit int64
+	// MaxLinkWaitMilliseconds is the longest wait of a transfer behind others.
+	MaxLinkWaitMilliseconds int64
+	// Runs counts the runs at targets, and RunRequests the requests that they belong to.
+	Runs        int
+	RunRequests int
 }
 
 // Counts sums up what the stand-ins have seen so far.
 func (a *Assembly) Counts() Counts {
 	var c Counts
+	runs := map[string]int{}
 	for _, e := range a.Engines {
 		s := e.Stats()
 		c.PrefilledTokens += s.PrefilledTokens
@@ -34,20 +44,38 @@
 		c.ExportedBlocks += s.ExportedBlocks
 		c.FallOvers += s.FallOvers
 		c.ColdLimitExceeded += s.ColdLimitExceeded
+		for id, n := range s.Runs {
+			runs[string(id)] += n
+		}
 	}
 	for _, r := range a.Responders {
 		s := r.Stats()
 		c.DuplicateRuns += s.Duplicates
 		c.FallOvers += s.FallOvers
 		c.ColdLimitExceeded += s.ColdLimitExceeded
+		for key, n := range s.Executions {
+			runs[key] += n
+		}
 	}
-	for name, s := range a.Stores {
-		limit := float64(a.Fleet.Stores[name].LinkBytesPerSecond)
-		c.PeakLinkShare = max(c.PeakLinkShare, float64(s.Stats().Link.PeakBytesPerSecond)/limit)
+	c.RunRequests = len(runs)
+	for _, n := range runs {
+		c.Runs += n
 	}
+	a.countLinks(&c)
 	return c
 }
 
+func (a *Assembly) countLinks(c *Counts) {
+	for name, s := range a.Stores {
+		limit := a.Fleet.Stores[name].LinkBytesPerSecond
+		link := s.Stats().Link
+		c.PeakLinkShare = max(c.PeakLinkShare, link.PeakBytesPerSecond/float64(limit))
+		c.LinkBytes += link.Bytes
+		c.LinkLimit += limit
+		c.MaxLinkWaitMilliseconds = max(c.MaxLinkWaitMilliseconds, link.MaxWaitMilliseconds)
+	}
+}
+
 // ColdTargets counts the targets that are cold.
 func (a *Assembly) ColdTargets() int {
 	n := 0
--- a/internal/standin/assembler/host.go
+++ b/internal/standin/assembler/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -38,6 +39,7 @@
 	d, err := daemon.New(daemon.Config{
 		Settings: a.settings(h), Clock: a.cfg.Clock,
 		Logger: a.cfg.Logger.Named(string(name)), Seed: a.cfg.Seed,
+		Dial: a.Network.dialer(h.DataCentre), Listen: h.listen,
 	})
 	if err != nil {
 		return newError("start daemon", KindStart, err)
@@ -93,6 +95,48 @@
 	return h.daemon == nil || h.daemon.Ready()
 }
 
+// reserve chooses an address and keeps it for the first daemon.
+func (h *Host) reserve(address *netip.AddrPort) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return newError("choose address", KindStart, err)
+	}
+	*address = addressOf(ln)
+	h.reserved[*address] = ln
+	return nil
+}
+
+// listen opens an address for a daemon.
+func (h *Host) listen(address netip.AddrPort) (net.Listener, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ln, ok := h.reserved[address]; ok {
+		delete(h.reserved, address)
+		return ln, nil
+	}
+	return net.Listen("tcp", address.String())
+}
+
+// free closes the addresses that no daemon has taken.
+func (h *Host) free() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, ln := range h.reserved {
+		_ = ln.Close()
+	}
+}
+
+// PeerBytes returns the bytes that the host's daemon has exchanged with peers
+// since its start, or 0 without a daemon.
+func (h *Host) PeerBytes() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.daemon == nil {
+		return 0
+	}
+	return h.daemon.PeerBytes()
+}
+
 // Stop shuts the host's daemon down gracefully and waits for its end.
 func (h *Host) Stop() {
 	h.mu.Lock()
--- a/internal/standin/assembler/plan.go
+++ b/internal/standin/assembler/plan.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/standin/engine"
@@ -35,4 +37,7 @@
 	Heartbeat    time.Duration
 	LoadInterval time.Duration
 	SessionTerm  time.Duration
+	// WritesPerSecond and ReadsPerSecond bound the object API; 0 takes a default.
+	WritesPerSecond rate.Limit
+	ReadsPerSecond  rate.Limit
 }
--- a/internal/standin/assembler/platform.go
+++ b/internal/standin/assembler/platform.go
@@ -1,10 +1,13 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 
+	"golang.org/x/time/rate"
+
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/platform/client"
@@ -12,17 +15,18 @@
 	"cardamomscale.example/cardamomscale/internal/standin/supplier"
 )
 
-// Rates of the platform, in calls per second.
+// Rates of the platform where the plan names none, in calls per second.
 const (
-	platformWrites = 400
-	platformReads  = 2000
+	platformWrites rate.Limit = 400
+	platformReads  rate.Limit = 2000
 )
 
 func (a *Assembly) buildPlatform() error {
 	var err error
 	a.Registrar, err = registrar.New(registrar.Config{
 		Clock: a.cfg.Clock, Rand: rand.New(rand.NewPCG(a.cfg.Seed, 1)),
-		WritesPerSecond: platformWrites, ReadsPerSecond: platformReads,
+		WritesPerSecond: cmp.Or(a.cfg.Plan.WritesPerSecond, platformWrites),
+		ReadsPerSecond:  cmp.Or(a.cfg.Plan.ReadsPerSecond, platformReads),
 	})
 	if err != nil {
 		return newError("build object API", KindPlan, err)
--- a/internal/standin/warmer/warmer.go
+++ b/internal/standin/warmer/warmer.go
@@ -30,6 +30,8 @@
 	// WarmTime and WarmRequests must both pass before a cold stand-in is warm.
 	WarmTime     server.Duration `json:"warm-time"`
 	WarmRequests int             `json:"warm-requests"`
+	// StartsWarm leaves out the first cold start; a restart is cold all the same.
+	StartsWarm bool `json:"starts-warm"`
 }
 
 // Config configures a Warmer.
@@ -71,7 +73,7 @@
 // Incarnation returns the incarnation that counted the request in.
 func (t Ticket) Incarnation() identifier.Incarnation { return t.incarnation }
 
-// New returns a cold Warmer of incarnation 1, or an Error of KindInvalid.
+// New returns a Warmer of incarnation 1, or an Error of KindInvalid.
 func New(cfg Config) (*Warmer, error) {
 	if cfg.Clock == nil {
 		return nil, invalid("the clock is missing")
@@ -84,7 +86,7 @@
 	}
 	w := &Warmer{cfg: cfg, since: cfg.Clock.Now()}
 	w.stats.Incarnation = 1
-	w.stats.Cold = true
+	w.stats.Cold = !cfg.StartsWarm
 	return w, nil
 }
 
