Hand out times on the stores' links, and weigh computed work in the choice

Change: the first live daemon of a store's data centre hands out times on its link one after another, exports give way to imports, unused time is returned; without the keeper a small share of one's own remains. The score adds the weighted cost of computing, and the home's advantage follows the share of blocks that homes were seen to hold.

--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -8,7 +9,6 @@
 	"cardamomscale.example/cardamomscale/internal/cache/hasher"
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
-	"cardamomscale.example/cardamomscale/internal/decision/scorer"
 )
 
 // caching holds what the daemon believes of the targets' caches and of the
@@ -17,7 +17,9 @@
 	prefixes *simplelru.LRU[identifier.BlockKey, *prefix]
 	// leaders finds the request that computes a block at the moment.
 	leaders map[identifier.BlockKey]*request
-	links   map[identifier.Store]*link
+	// homeHits is the recent share of blocks that a prefix's home target held
+	// although this daemon did not know it.
+	homeHits float64
 }
 
 // prefix is what is known of one block.
@@ -30,12 +32,6 @@
 	kept bool
 }
 
-// link is this daemon's use of one store's link.
-type link struct {
-	// transfers counts the imports and exports in progress.
-	transfers int
-}
-
 // maxHolders bounds the remembered targets of one block.
 const maxHolders = 4
 
@@ -47,7 +43,7 @@
 	return caching{
 		prefixes: prefixes,
 		leaders:  map[identifier.BlockKey]*request{},
-		links:    map[identifier.Store]*link{},
+		homeHits: initialHomeHits,
 	}
 }
 
@@ -123,6 +119,23 @@
 	return held
 }
 
+const (
+	// initialHomeHits is the assumed share before any prompt was sent.
+	initialHomeHits = 0.5
+	// homeHitsGain is the weight of one prompt in the recent share.
+	homeHitsGain = 0.05
+)
+
+// learnHomeHits takes in how many blocks the home target held of a prompt that
+// was sent there without knowing, and that a store holds.
+func (s *State) learnHomeHits(r *request, cachedTokens int) {
+	if !r.guessed || len(r.keys) == 0 || r.imported > 0 {
+		return
+	}
+	share := float64(cachedTokens/hasher.BlockTokens) / float64(len(r.keys))
+	s.homeHits += homeHitsGain * (min(share, 1) - s.homeHits)
+}
+
 // correct takes back what the daemon believed of the target's cache beyond the
 // blocks that the target really had.
 func (s *State) correct(r *request, cachedTokens int) {
@@ -184,73 +197,8 @@
 	}
 }
 
-// linkFor describes the free share of the link between r's store and the targets.
-func (s *State) linkFor(r *request) scorer.Link {
-	if len(r.stored) == 0 {
-		return scorer.Link{}
-	}
-	name, store, ok := s.storeFor(r)
-	if !ok {
-		return scorer.Link{}
-	}
-	return scorer.Link{
-		BytesPerSecond: float64(s.linkRate(name, store, r.profile)),
-		BlockBytes:     float64(s.fleet.Models[r.prompt.Model].BlockBytes),
-		Latency:        importLatency,
-	}
-}
-
-// importLatency is the fixed cost of one import order.
-const importLatency = 5 * time.Millisecond
-
-// linkRate returns the rate that one more transfer of this daemon may use, in
-// bytes per second. The profile's share of the link is divided evenly among the
-// live daemons, so that together they stay within it.
-func (s *State) linkRate(name identifier.Store, store specifier.Store, profile specifier.Profile) int64 {
-	share := float64(store.LinkBytesPerSecond) * profile.LinkShare / float64(len(s.live))
-	return int64(share / float64(s.linkOf(name).transfers+1))
-}
-
-func (s *State) linkOf(name identifier.Store) *link {
-	l := s.links[name]
-	if l == nil {
-		l = &link{}
-		s.links[name] = l
-	}
-	return l
-}
-
-func (s *State) startImport(r *request, c choice) {
-	name, store, _ := s.storeFor(r)
-	rate := s.linkRate(name, store, r.profile)
-	s.linkOf(name).transfers++
-	r.phase = phaseImporting
-	s.lead(r)
-	s.emit(Import{
-		Request: r.id, Target: c.target.name, TargetAddress: c.target.spec.Address,
-		Store: name, StoreAddress: store.Address,
-		Model: r.prompt.Model, Version: r.version,
-		Blocks: r.stored, BytesPerSecond: rate, Timeout: r.deadline.Sub(s.now),
-	})
-}
-
-func (s *State) onImportDone(ev ImportDone) {
-	s.linkOf(ev.Store).transfers--
-	r := s.requests[ev.Request]
-	if r == nil || r.phase != phaseImporting {
-		return
-	}
-	s.note(r.id, StepImported, ev.Target, "")
-	if ev.Failed {
-		r.stored = nil
-	}
-	if !s.stillUsable(r) {
-		s.unlead(r)
-		s.release(r)
-		s.requeue(r)
-		return
-	}
-	s.start(r)
+func (s *State) noteImport(r *request, ev ImportDone) {
+	s.note(r.id, StepImported, ev.Target, fmt.Sprintf("%d blocks, %d bytes from %s in %s", ev.Blocks, ev.Bytes, ev.Store, ev.Took))
 }
 
 // stillUsable reports whether r's reserved target can still take it.
@@ -319,11 +267,9 @@
 	if len(keys) == 0 {
 		return
 	}
-	rate := s.linkRate(name, store, r.profile)
-	s.linkOf(name).transfers++
-	s.emit(Export{
+	s.startExport(r, Export{
 		Target: t.name, TargetAddress: t.spec.Address, Store: name, StoreAddress: store.Address,
-		Keys: keys, BytesPerSecond: rate, Timeout: exportTimeout,
+		Keys: keys, Timeout: exportTimeout,
 	})
 }
 
@@ -343,7 +289,3 @@
 	}
 	return keys
 }
-
-func (s *State) onExportDone(ev ExportDone) {
-	s.linkOf(ev.Store).transfers--
-}
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -72,7 +72,9 @@
 	Version        identifier.WeightVersion
 	Blocks         []StoredBlock
 	BytesPerSecond int64
-	Timeout        time.Duration
+	// After is how long to wait before the import begins.
+	After   time.Duration
+	Timeout time.Duration
 }
 
 // Export orders an engine to export blocks.
@@ -83,7 +85,36 @@
 	StoreAddress   netip.AddrPort
 	Keys           []identifier.BlockKey
 	BytesPerSecond int64
-	Timeout        time.Duration
+	// After is how long to wait before the export begins.
+	After   time.Duration
+	Timeout time.Duration
+}
+
+// AskLink asks a store's link keeper for a time on the link.
+type AskLink struct {
+	Owner   identifier.Host
+	Request identifier.Request
+	Store   identifier.Store
+	Bytes   int64
+	// Share is the part of the link that the profile permits, from 0 to 1.
+	Share  float64
+	Export bool
+}
+
+// AnswerLink answers a LinkAsked.
+type AnswerLink struct {
+	Call    uint64
+	Granted bool
+	// Wait is how long the transfer waits for its time.
+	Wait time.Duration
+}
+
+// ReturnLink tells a link keeper what a transfer did not use.
+type ReturnLink struct {
+	Owner identifier.Host
+	Store identifier.Store
+	Bytes int64
+	Share float64
 }
 
 // Start sends a request to a target. From here on it may have run.
@@ -220,6 +251,9 @@
 func (Export) isEffect()       {}
 func (Start) isEffect()        {}
 func (Finish) isEffect()       {}
+func (AskLink) isEffect()      {}
+func (AnswerLink) isEffect()   {}
+func (ReturnLink) isEffect()   {}
 func (Claim) isEffect()        {}
 func (ForgetClaim) isEffect()  {}
 func (ReleaseClaim) isEffect() {}
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -147,11 +147,46 @@
 type ExportDone struct {
 	Target identifier.Target
 	Store  identifier.Store
+	// Asked and Blocks count the blocks that were asked for and that were exported.
+	Asked  int
 	Blocks int
 	Bytes  int64
 	Failed bool
 }
 
+// LinkAsked reports that a peer wants a time on the link of a store whose link
+// keeper this daemon is.
+type LinkAsked struct {
+	// Call identifies the question for the answer.
+	Call  uint64
+	Store identifier.Store
+	Bytes int64
+	// Share is the part of the link that the asker's profile permits, from 0 to 1.
+	Share float64
+	// Export is true for an export, which gives way to imports.
+	Export bool
+}
+
+// LinkSettled brings the link keeper's answer to AskLink.
+type LinkSettled struct {
+	Request identifier.Request
+	Store   identifier.Store
+	Export  bool
+	Granted bool
+	// Failed is true when the keeper gave no answer.
+	Failed bool
+	// Wait is how long the transfer waits for its time.
+	Wait time.Duration
+}
+
+// LinkReturned reports that a transfer used less of the link than was handed out.
+type LinkReturned struct {
+	Store identifier.Store
+	// Bytes is what was not used.
+	Bytes int64
+	Share float64
+}
+
 // ClaimSettled reports the outcome of a claim on a request that must not run twice.
 type ClaimSettled struct {
 	Request        identifier.Request
@@ -278,6 +313,9 @@
 func (LookupDone) isEvent()        {}
 func (ImportDone) isEvent()        {}
 func (ExportDone) isEvent()        {}
+func (LinkAsked) isEvent()         {}
+func (LinkSettled) isEvent()       {}
+func (LinkReturned) isEvent()      {}
 func (ClaimSettled) isEvent()      {}
 func (LoadObserved) isEvent()      {}
 func (IncarnationSeen) isEvent()   {}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -47,6 +47,7 @@
 	routing
 	attempts
 	caching
+	linking
 	owning
 	draining
 }
@@ -70,6 +71,7 @@
 	s.routing = newRouting()
 	s.attempts = newAttempts()
 	s.caching = newCaching(cfg.MaxPrefixes)
+	s.linking = newLinking()
 	s.owning = newOwning(cfg.Host)
 	s.groupHosts()
 	return s
@@ -134,6 +136,12 @@
 		s.onPeersChanged(ev)
 	case MembersChanged:
 		s.onMembersChanged(ev)
+	case LinkAsked:
+		s.onLinkAsked(ev)
+	case LinkSettled:
+		s.onLinkSettled(ev)
+	case LinkReturned:
+		s.onLinkReturned(ev)
 	case PermitAsked:
 		s.onPermitAsked(ev)
 	case PermitSettled:
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -46,6 +46,15 @@
 	prompt *Prompt
 	call   *Call
 
+	// importBytes is the size of the import that is asked for, importing is true
+	// while it runs, and imported counts the blocks that it brought.
+	importBytes int64
+	importing   bool
+	imported    int
+	// guessed is true when the target was chosen as the prefix's home without
+	// knowing what its cache holds.
+	guessed bool
+
 	version identifier.WeightVersion
 	keys    []identifier.BlockKey
 	stored  []StoredBlock
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -197,7 +197,7 @@
 	cached := s.cachedBlocks(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
-	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored)}
+	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored), ComputeWeight: s.computeWeight(r)}
 	var best choice
 	var bestScore time.Duration
 	for _, t := range candidates {
@@ -205,7 +205,7 @@
 			continue
 		}
 		plan := scorer.Best(prompt, s.scored(t, cached[t.name]), link)
-		score := plan.FirstToken
+		score := plan.Score
 		if t == home {
 			score -= s.homeAdvantage(r, t, cached[t.name])
 		}
@@ -213,19 +213,39 @@
 			best, bestScore = choice{target: t, plan: plan}, score
 		}
 	}
+	r.guessed = best.target != nil && best.target == home && cached[home.name] == 0 && len(r.stored) > 0
 	return best, best.target != nil
 }
 
-// homeShare is the share of a prompt's unknown blocks that its home target is
-// expected to hold.
-const homeShare = 0.6
+// newPrefixAdvantage is the share of a prompt's blocks that its home target is
+// expected to save later prompts, when nothing of it was stored yet.
+const newPrefixAdvantage = 0.3
 
-// homeAdvantage is the time that the home target is expected to save by blocks
-// that this daemon does not know it to hold, because other daemons sent them.
+// homeAdvantage is what the home target is expected to save by blocks that this
+// daemon does not know it to hold, because other daemons sent them, or that later
+// prompts will find there.
 func (s *State) homeAdvantage(r *request, t *target, cached int) time.Duration {
+	share := newPrefixAdvantage
+	if len(r.stored) > 0 {
+		share = max(share, s.homeHits)
+	}
 	unknown := max(0, len(r.keys)-cached)
-	tokens := homeShare * float64(unknown*hasher.BlockTokens)
-	return time.Duration(tokens / t.rate() * float64(time.Second))
+	tokens := share * float64(unknown*hasher.BlockTokens)
+	return time.Duration((1 + s.computeWeight(r)) * tokens / t.rate() * float64(time.Second))
+}
+
+// Weights of computed work against the time to the first token. Work that is
+// computed again delays other prompts too.
+const (
+	computeWeightFirstToken = 1.5
+	computeWeightService    = 3
+)
+
+func (s *State) computeWeight(r *request) float64 {
+	if r.profile.Weighs == specifier.WeighsService {
+		return computeWeightService
+	}
+	return computeWeightFirstToken
 }
 
 // homeOf returns the rendezvous choice for r's first block, whether it has room
--- a/internal/decision/scorer/scorer.go
+++ b/internal/decision/scorer/scorer.go
@@ -23,6 +23,9 @@
 	BlockTokens int
 	// StoredBlocks is the number of leading blocks that a store can serve.
 	StoredBlocks int
+	// ComputeWeight is the cost of one second of computing beyond the time to the
+	// first token, since it delays other prompts.
+	ComputeWeight float64
 }
 
 // Link describes the link between the store and the targets.
@@ -39,6 +42,8 @@
 type Plan struct {
 	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
+	// Score is FirstToken with the weighted cost of computing.
+	Score time.Duration
 	// ImportBlocks is the number of blocks to import behind the cached ones.
 	ImportBlocks int
 	// ComputedTokens is the number of tokens to prefill.
@@ -55,7 +60,7 @@
 		return recompute
 	}
 	imported := plan(p, t, l, cached, importable)
-	if imported.FirstToken < recompute.FirstToken {
+	if imported.Score < recompute.Score {
 		return imported
 	}
 	return recompute
@@ -63,11 +68,13 @@
 
 func plan(p Prompt, t Target, l Link, cached, imported int) Plan {
 	computed := max(p.Tokens-(cached+imported)*p.BlockTokens, 1)
-	first := t.QueueWait + t.Penalty + seconds(float64(computed)/max(t.PrefillTokensPerSecond, 1))
+	prefill := seconds(float64(computed) / max(t.PrefillTokensPerSecond, 1))
+	first := t.QueueWait + t.Penalty + prefill
 	if imported > 0 {
 		first += l.Latency + seconds(float64(imported)*l.BlockBytes/l.BytesPerSecond)
 	}
-	return Plan{FirstToken: first, ImportBlocks: imported, ComputedTokens: computed}
+	score := first + time.Duration(p.ComputeWeight*float64(prefill))
+	return Plan{FirstToken: first, Score: score, ImportBlocks: imported, ComputedTokens: computed}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -50,8 +50,8 @@
 	regionMeshLimit = 64
 	// remoteSample is the number of peers in each other data centre of a larger region.
 	remoteSample = 4
-	// permitTimeout bounds the reducer's answer to a permit.
-	permitTimeout = 200 * time.Millisecond
+	// answerTimeout bounds the reducer's answer to a peer.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // adopt takes over a version of the configuration.
@@ -244,34 +244,18 @@
 
 // OnPermit asks the reducer whether a peer may use a cold target.
 func (p *peers) OnPermit(m describer.Permit) (describer.PermitReply, error) {
-	call, answer := p.around.expectAnswer()
+	call, answer := p.around.permits.expect()
 	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Term: m.Term})
 	select {
 	case a := <-answer:
 		return describer.PermitReply{Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation}, nil
-	case <-p.around.clock.After(permitTimeout):
-		p.around.forgetAnswer(call)
+	case <-p.around.clock.After(answerTimeout):
+		p.around.permits.forget(call)
 		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
 		return describer.PermitReply{}, newError("permit", KindRun, errNoAnswer)
 	}
 }
 
-// expectAnswer registers a question to the reducer.
-func (s *surroundings) expectAnswer() (uint64, <-chan reducer.AnswerPermit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	ch := make(chan reducer.AnswerPermit, 1)
-	s.answers[s.calls] = ch
-	return s.calls, ch
-}
-
-func (s *surroundings) forgetAnswer(call uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.answers, call)
-}
-
 // OnRelease takes back a permit.
 func (p *peers) OnRelease(m describer.ReleasePermit) (describer.ReleasePermitReply, error) {
 	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -35,12 +35,12 @@
 	owners  owners
 	claims  *claims
 	drained chan struct{}
+	permits *questions[reducer.AnswerPermit]
+	links   *questions[reducer.AnswerLink]
 
 	mu       sync.Mutex
 	believed map[identifier.Target]identifier.Incarnation
 	loads    map[identifier.Target]exchanger.Load
-	answers  map[uint64]chan reducer.AnswerPermit
-	calls    uint64
 	wanted   []identifier.Target
 	version  uint64
 	leaving  bool
@@ -61,7 +61,8 @@
 		drained:  make(chan struct{}),
 		believed: map[identifier.Target]identifier.Incarnation{},
 		loads:    map[identifier.Target]exchanger.Load{},
-		answers:  map[uint64]chan reducer.AnswerPermit{},
+		permits:  newQuestions[reducer.AnswerPermit](),
+		links:    newQuestions[reducer.AnswerLink](),
 	}
 }
 
@@ -149,14 +150,7 @@
 }
 
 // AnswerPermit hands the reducer's answer to the waiting call of a peer.
-func (s *surroundings) AnswerPermit(e reducer.AnswerPermit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ch := s.answers[e.Call]; ch != nil {
-		ch <- e
-		delete(s.answers, e.Call)
-	}
-}
+func (s *surroundings) AnswerPermit(e reducer.AnswerPermit) { s.permits.answer(e.Call, e) }
 
 // ShareLoad passes a target's new state on to peers at once.
 func (s *surroundings) ShareLoad(e reducer.ShareLoad) {
--- a/internal/entry/executor/executor.go
+++ b/internal/entry/executor/executor.go
@@ -48,6 +48,10 @@
 	ReturnPermit(reducer.ReturnPermit)
 	AnswerPermit(reducer.AnswerPermit)
 	ShareLoad(reducer.ShareLoad)
+	// AskLink, AnswerLink and ReturnLink talk to link keepers.
+	AskLink(reducer.AskLink)
+	AnswerLink(reducer.AnswerLink)
+	ReturnLink(reducer.ReturnLink)
 	// Note records a step of a request.
 	Note(reducer.Note)
 	// Drained reports that no request is left.
@@ -236,6 +240,12 @@
 		around.AnswerPermit(effect)
 	case reducer.ShareLoad:
 		around.ShareLoad(effect)
+	case reducer.AskLink:
+		around.AskLink(effect)
+	case reducer.AnswerLink:
+		around.AnswerLink(effect)
+	case reducer.ReturnLink:
+		around.ReturnLink(effect)
 	case reducer.Note:
 		around.Note(effect)
 	case reducer.Drained:
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -24,13 +24,15 @@
 	MethodPermit      Method = "Permit"
 	MethodRelease     Method = "Release"
 	MethodExplain     Method = "Explain"
+	MethodLink        Method = "Link"
+	MethodReturnLink  Method = "ReturnLink"
 )
 
 // Methods lists all methods.
 func Methods() []Method {
 	return []Method{
 		MethodHeartbeat, MethodPushConfig, MethodFetchConfig,
-		MethodPermit, MethodRelease, MethodExplain,
+		MethodPermit, MethodRelease, MethodExplain, MethodLink, MethodReturnLink,
 	}
 }
 
@@ -165,3 +167,30 @@
 	Found bool
 	JSON  []byte
 }
+
+// Link asks a store's link keeper for a time on the link.
+type Link struct {
+	Store identifier.Store
+	Bytes int64
+	// Share is the part of the link that the asker's profile permits, from 0 to 1.
+	Share float64
+	// Export is true for an export, which gives way to imports.
+	Export bool
+}
+
+// LinkReply answers Link.
+type LinkReply struct {
+	Granted bool
+	// Wait is how long the transfer waits for its time.
+	Wait time.Duration
+}
+
+// ReturnLink tells a link keeper what a transfer did not use.
+type ReturnLink struct {
+	Store identifier.Store
+	Bytes int64
+	Share float64
+}
+
+// ReturnLinkReply answers ReturnLink.
+type ReturnLinkReply struct{ Returned bool }
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -63,6 +63,8 @@
 	OnPermit(msg describer.Permit) (describer.PermitReply, error)
 	OnRelease(msg describer.ReleasePermit) (describer.ReleasePermitReply, error)
 	OnExplain(msg describer.Explain) (describer.ExplainReply, error)
+	OnLink(msg describer.Link) (describer.LinkReply, error)
+	OnReturnLink(msg describer.ReturnLink) (describer.ReturnLinkReply, error)
 }
 
 // Config configures an Exchanger. Self, Clock, Listener, Dial, Peers and
@@ -231,6 +233,16 @@
 	return call[describer.ExplainReply](ctx, x, host, describer.MethodExplain, &msg)
 }
 
+// Link asks a store's link keeper for a time on the link.
+func (x *Exchanger) Link(ctx context.Context, host identifier.Host, msg describer.Link) (describer.LinkReply, error) {
+	return call[describer.LinkReply](ctx, x, host, describer.MethodLink, &msg)
+}
+
+// ReturnLink tells a link keeper what a transfer did not use.
+func (x *Exchanger) ReturnLink(ctx context.Context, host identifier.Host, msg describer.ReturnLink) (describer.ReturnLinkReply, error) {
+	return call[describer.ReturnLinkReply](ctx, x, host, describer.MethodReturnLink, &msg)
+}
+
 // call runs a method of a peer within Config.Timeout.
 func call[R any](ctx context.Context, x *Exchanger, host identifier.Host, method describer.Method, msg any) (R, error) {
 	reply := new(R)
--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -170,6 +170,14 @@
 	return describer.ReleasePermitReply{Released: msg.Request == "r1"}, nil
 }
 
+func (*recorder) OnLink(describer.Link) (describer.LinkReply, error) {
+	return describer.LinkReply{Granted: true}, nil
+}
+
+func (*recorder) OnReturnLink(describer.ReturnLink) (describer.ReturnLinkReply, error) {
+	return describer.ReturnLinkReply{Returned: true}, nil
+}
+
 func (h *recorder) OnExplain(msg describer.Explain) (describer.ExplainReply, error) {
 	return describer.ExplainReply{Found: true, JSON: []byte(`"` + msg.Request + `"`)}, nil
 }
--- a/internal/peer/exchanger/server.go
+++ b/internal/peer/exchanger/server.go
@@ -62,6 +62,18 @@
 	return err
 }
 
+// Link hands out a time on a store's link.
+func (s *service) Link(msg *describer.Link, reply *describer.LinkReply) (err error) {
+	*reply, err = s.x.cfg.Handler.OnLink(*msg)
+	return err
+}
+
+// ReturnLink takes back what a transfer did not use.
+func (s *service) ReturnLink(msg *describer.ReturnLink, reply *describer.ReturnLinkReply) (err error) {
+	*reply, err = s.x.cfg.Handler.OnReturnLink(*msg)
+	return err
+}
+
 // admit returns the peer named host. Hosts that are not yet among the peers
 // are admitted up to maxStrangers.
 func (x *Exchanger) admit(host identifier.Host) (*peer, error) {
--- a/internal/target/orderer/orderer.go
+++ b/internal/target/orderer/orderer.go
@@ -70,6 +70,9 @@
 
 // Import orders an engine to import blocks from a store.
 func (o *Orderer) Import(ctx context.Context, e reducer.Import) reducer.ImportDone {
+	if !o.wait(ctx, e.After) {
+		return reducer.ImportDone{Request: e.Request, Target: e.Target, Store: e.Store, Failed: true}
+	}
 	began := o.cfg.Clock.Now()
 	order := messenger.ImportRequest{
 		RequestID: e.Request, Store: e.StoreAddress, Model: e.Model, WeightVersion: e.Version,
@@ -89,10 +92,30 @@
 
 // Export orders an engine to export blocks to a store.
 func (o *Orderer) Export(ctx context.Context, e reducer.Export) reducer.ExportDone {
+	failed := reducer.ExportDone{Target: e.Target, Store: e.Store, Asked: len(e.Keys), Failed: true}
+	if !o.wait(ctx, e.After) {
+		return failed
+	}
 	order := messenger.ExportRequest{Store: e.StoreAddress, Blocks: e.Keys, BytesPerSecond: e.BytesPerSecond}
 	var result messenger.TransferResult
 	err := o.post(ctx, e.TargetAddress, messenger.PathExport, e.Timeout, order, &result)
-	return reducer.ExportDone{Target: e.Target, Store: e.Store, Blocks: result.Blocks, Bytes: result.Bytes, Failed: err != nil}
+	if err != nil {
+		return failed
+	}
+	return reducer.ExportDone{Target: e.Target, Store: e.Store, Asked: len(e.Keys), Blocks: result.Blocks, Bytes: result.Bytes}
+}
+
+// wait waits for a transfer's time and reports whether ctx is still in force.
+func (o *Orderer) wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-o.cfg.Clock.After(d):
+		return true
+	}
 }
 
 // maxAnswerBytes bounds an answer.
