Hold prompts in the daemon's fair queue until their target's queue is short

Cause: traces of the steady scenario showed prompts queueing for 1 to 6 s at engines: imported blocks were evicted before their prefill (imported 8, got 0), and 867 of 1,306 prompts found nothing in the store, because exports gave up behind imports. Change: no queue of more than 400 ms is built up at a target, a daemon looks through the first 16 of its queue, and exports may wait 500 ms for their time on the link.

--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -31,9 +31,9 @@
 	dynamicLinkShare = 0.85
 	// maxLinkWait is the longest wait for an import's time on the link.
 	maxLinkWait = 800 * time.Millisecond
-	// maxExportWait is the longest wait for an export's time, so that exports
-	// use the link only while imports leave it free.
-	maxExportWait = 60 * time.Millisecond
+	// maxExportWait is the longest wait for an export's time. It is shorter than
+	// that of imports, so that exports give way when the link is short.
+	maxExportWait = 500 * time.Millisecond
 	// maxWaitingExports bounds the exports for which a time was asked.
 	maxWaitingExports = 64
 	// importLatency is the fixed cost of one import order.
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -164,22 +164,33 @@
 	return list
 }
 
-// dispatch sends queued requests to targets until none has room.
+// dispatchDepth is the number of requests at the head of a queue of which any may
+// be sent, so that one that waits for its target does not hold up the others.
+const dispatchDepth = 16
+
+// dispatch sends queued requests to targets, in the order of their fair shares,
+// as far as targets have room.
 func (s *State) dispatch() {
 	for _, service := range s.services {
 		q := s.queueOf(service)
-		for len(q.waiting) > 0 {
-			r := q.waiting[0]
-			if !s.place(r) {
-				break
-			}
-			q.virtual = max(q.virtual, r.start)
-			if r.index >= 0 {
-				heap.Remove(&q.waiting, r.index)
-			}
-		}
+		s.dispatchQueue(q)
 		if len(q.waiting) == 0 {
 			clear(q.finish)
 		}
 	}
 }
+
+func (s *State) dispatchQueue(q *fairQueue) {
+	var held []*request
+	for len(q.waiting) > 0 && len(held) < dispatchDepth {
+		r := heap.Pop(&q.waiting).(*request)
+		if !s.place(r) {
+			held = append(held, r)
+			continue
+		}
+		q.virtual = max(q.virtual, r.start)
+	}
+	for _, r := range held {
+		heap.Push(&q.waiting, r)
+	}
+}
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -213,10 +213,18 @@
 			best, bestScore = choice{target: t, plan: plan}, score
 		}
 	}
-	r.guessed = best.target != nil && best.target == home && cached[home.name] == 0 && len(r.stored) > 0
-	return best, best.target != nil
+	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
+		return choice{}, false
+	}
+	r.guessed = best.target == home && cached[home.name] == 0 && len(r.stored) > 0
+	return best, true
 }
 
+// maxTargetWait is the longest queue of prompts that is built up at a target.
+// Beyond it a request waits in the daemon, where it can still go elsewhere, and
+// where its place depends on its team and class.
+const maxTargetWait = 400 * time.Millisecond
+
 // newPrefixAdvantage is the share of a prompt's blocks that its home target is
 // expected to save later prompts, when nothing of it was stored yet.
 const newPrefixAdvantage = 0.3
@@ -269,11 +277,15 @@
 	return best
 }
 
+// queueWait estimates how long a prompt waits at t before its prefill starts.
+func (s *State) queueWait(t *target) time.Duration {
+	waiting := max(t.pendingTokens, t.reportedQueue)
+	return time.Duration(float64(waiting) / t.rate() * float64(time.Second))
+}
+
 // scored describes t to the scorer.
 func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
-	waiting := max(t.pendingTokens, t.reportedQueue)
-	wait := time.Duration(float64(waiting) / t.rate() * float64(time.Second))
-	st := scorer.Target{QueueWait: wait, PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
+	st := scorer.Target{QueueWait: s.queueWait(t), PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
 	if t.spec.DataCentre != s.cfg.DataCentre {
 		st.Penalty = s.profileOf(t.spec.Service).SpillOverPenalty.Duration
 	}
