Index the configuration for decisions, and keep only the region's targets

Cause: Each choice of a target looked up profiles, data centres and stores by name and hashed the key for each target; targets of other regions were scored although no work may go there; a load report retried the queue; a restart searched all remembered prefixes. Change: The indexes are built when a configuration is adopted. Prefixes name the incarnation that holds them. A load report that makes no room leaves the queue alone. Entries of removed teams, services and stores are dropped.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -109,7 +109,7 @@
 func (s *State) resolveService(r *request, ev RequestArrived) *refusal {
 	r.service = ev.Service
 	if p, ok := ev.Work.(Prompt); ok && r.service == "" {
-		r.service = s.serviceOfModel(p.Model)
+		r.service = s.serviceOf[p.Model]
 		if r.service == "" {
 			return refuse(RefusalInvalid, "no service offers the model %q", p.Model)
 		}
@@ -125,17 +125,6 @@
 	return nil
 }
 
-// serviceOfModel returns the first service, by name, that offers model.
-func (s *State) serviceOfModel(model identifier.Model) identifier.Service {
-	var best identifier.Service
-	for name, service := range s.fleet.Services {
-		if slices.Contains(service.Models, model) && (best == "" || name < best) {
-			best = name
-		}
-	}
-	return best
-}
-
 func (s *State) resolveWork(r *request, ev RequestArrived) *refusal {
 	service := s.fleet.Services[r.service]
 	switch work := ev.Work.(type) {
--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -20,7 +20,7 @@
 func newAttempts() attempts { return attempts{retries: maxRetrySavings} }
 
 // earnRetry adds one request's share to the retry budget.
-func (s *State) earnRetry(profile specifier.Profile) {
+func (s *State) earnRetry(profile *specifier.Profile) {
 	s.retries = min(maxRetrySavings, s.retries+profile.RetryBudget)
 }
 
@@ -75,7 +75,7 @@
 	r.started = true
 	s.onAnswerFrom(r.target, ev.Incarnation)
 	s.prefilled(r)
-	s.remember(r, r.target.name)
+	s.remember(r, r.target)
 	s.unlead(r)
 	s.note(r.id, StepStarted, r.target.name, fmt.Sprintf("%d tokens from cache", ev.CachedTokens))
 }
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -18,18 +18,27 @@
 	// leaders finds the request that computes a block at the moment.
 	leaders map[identifier.BlockKey]*request
 	links   map[identifier.Store]*link
+	// counted numbers the calls of countCached.
+	counted uint64
 }
 
 // prefix is what is known of one block.
 type prefix struct {
-	// holders are the targets believed to have the block in their cache.
-	holders []identifier.Target
+	// holders are the targets believed to have the block in their cache, the
+	// latest first; those without a target are unused.
+	holders [maxHolders]holding
 	// uses counts the requests that had the block.
 	uses int
 	// kept is true once the block was exported to a store.
 	kept bool
 }
 
+// holding is one incarnation of a target that has a block in its cache.
+type holding struct {
+	target      *target
+	incarnation identifier.Incarnation
+}
+
 // link is this daemon's use of one store's link.
 type link struct {
 	// transfers counts the imports and exports in progress.
@@ -105,26 +114,34 @@
 	return blocks
 }
 
-// cachedBlocks returns, for each target, how many of r's leading blocks it is
-// believed to hold.
-func (s *State) cachedBlocks(r *request) map[identifier.Target]int {
-	held := map[identifier.Target]int{}
+// countCached counts, for each target, how many of r's leading blocks it is
+// believed to hold. The counts stand until the next call.
+func (s *State) countCached(r *request) {
+	s.counted++
 	for i := len(r.keys) - 1; i >= 0; i-- {
 		p, ok := s.prefixes.Get(r.keys[i])
 		if !ok {
 			continue
 		}
-		for _, name := range p.holders {
-			if held[name] == 0 {
-				held[name] = i + 1
+		for _, h := range p.holders {
+			t := h.target
+			if t != nil && h.incarnation == t.incarnation && t.cachedFor != s.counted {
+				t.cached, t.cachedFor = i+1, s.counted
 			}
 		}
 	}
-	return held
+}
+
+// cachedOn returns the count of the last countCached for t.
+func (s *State) cachedOn(t *target) int {
+	if t.cachedFor != s.counted {
+		return 0
+	}
+	return t.cached
 }
 
 // remember notes that t holds r's blocks now.
-func (s *State) remember(r *request, name identifier.Target) {
+func (s *State) remember(r *request, t *target) {
 	for _, key := range r.keys {
 		p, ok := s.prefixes.Get(key)
 		if !ok {
@@ -132,43 +149,41 @@
 			s.prefixes.Add(key, p)
 		}
 		p.uses++
-		p.hold(name)
+		p.hold(t)
 	}
 }
 
-// hold puts name first among the holders.
-func (p *prefix) hold(name identifier.Target) {
-	p.drop(name)
-	p.holders = append([]identifier.Target{name}, p.holders...)
-	if len(p.holders) > maxHolders {
-		p.holders = p.holders[:maxHolders]
-	}
+// hold puts t first among the holders.
+func (p *prefix) hold(t *target) {
+	p.drop(t)
+	copy(p.holders[1:], p.holders[:maxHolders-1])
+	p.holders[0] = holding{target: t, incarnation: t.incarnation}
 }
 
-func (p *prefix) drop(name identifier.Target) {
-	for i, holder := range p.holders {
-		if holder == name {
-			p.holders = append(p.holders[:i:i], p.holders[i+1:]...)
+// drop removes t and moves the holders behind it up.
+func (p *prefix) drop(t *target) {
+	for i, h := range p.holders {
+		if h.target == t {
+			copy(p.holders[i:], p.holders[i+1:])
+			p.holders[maxHolders-1] = holding{}
 			return
 		}
 	}
 }
 
-func (s *State) forgetCacheOf(name identifier.Target) {
-	for _, p := range s.prefixes.Values() {
-		p.drop(name)
-	}
-}
-
 func (s *State) onCacheObserved(ev CacheObserved) {
+	t := s.targets[ev.Target]
+	if t == nil {
+		return
+	}
 	for _, key := range ev.Stored {
 		if p, ok := s.prefixes.Peek(key); ok {
-			p.hold(ev.Target)
+			p.hold(t)
 		}
 	}
 	for _, key := range ev.Evicted {
 		if p, ok := s.prefixes.Peek(key); ok {
-			p.drop(ev.Target)
+			p.drop(t)
 		}
 	}
 }
@@ -195,7 +210,7 @@
 // linkRate returns the rate that one more transfer of this daemon may use, in
 // bytes per second. The profile's share of the link is divided evenly among the
 // live daemons, so that together they stay within it.
-func (s *State) linkRate(name identifier.Store, store specifier.Store, profile specifier.Profile) int64 {
+func (s *State) linkRate(name identifier.Store, store specifier.Store, profile *specifier.Profile) int64 {
 	share := float64(store.LinkBytesPerSecond) * profile.LinkShare / float64(len(s.hosts))
 	return int64(share / float64(s.linkOf(name).transfers+1))
 }
--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -16,6 +16,12 @@
 	services []identifier.Service
 	// teamOfKey finds the team of a bearer key's hash.
 	teamOfKey map[string]identifier.Team
+	// serviceOf finds the first service, by name, that offers a model.
+	serviceOf map[identifier.Model]identifier.Service
+	// profiles finds the profile that each service picks.
+	profiles map[identifier.Service]*specifier.Profile
+	// stores lists the names of this data centre's stores that take blocks, in order.
+	stores []string
 	// leaving holds the targets that the membership list calls leaving.
 	leaving map[identifier.Target]bool
 }
@@ -39,7 +45,10 @@
 	s.fleet = ev.Fleet
 	s.services = slices.Sorted(maps.Keys(s.fleet.Services))
 	s.indexTeams()
+	s.indexServices()
+	s.indexStores()
 	s.rebuildTargets()
+	s.forgetUnconfigured()
 	s.assignTargets()
 }
 
@@ -52,20 +61,82 @@
 	}
 }
 
+func (s *State) indexServices() {
+	s.serviceOf = map[identifier.Model]identifier.Service{}
+	s.profiles = make(map[identifier.Service]*specifier.Profile, len(s.services))
+	for _, name := range s.services {
+		service := s.fleet.Services[name]
+		profile := s.fleet.Profiles[service.Profile]
+		s.profiles[name] = &profile
+		for _, model := range service.Models {
+			if s.serviceOf[model] == "" {
+				s.serviceOf[model] = name
+			}
+		}
+	}
+}
+
+func (s *State) indexStores() {
+	s.stores = nil
+	for name, store := range s.fleet.Stores {
+		if store.DataCentre == s.cfg.DataCentre && store.State != specifier.StateOut {
+			s.stores = append(s.stores, string(name))
+		}
+	}
+	slices.Sort(s.stores)
+}
+
+// forgetUnconfigured drops what is kept of teams and stores that the
+// configuration has no more, so that no table outgrows it.
+func (s *State) forgetUnconfigured() {
+	for name := range s.buckets {
+		if _, ok := s.fleet.Teams[name]; !ok {
+			delete(s.buckets, name)
+		}
+	}
+	for name, l := range s.links {
+		if _, ok := s.fleet.Stores[name]; !ok && l.transfers == 0 {
+			delete(s.links, name)
+		}
+	}
+	for service, q := range s.queues {
+		for name := range q.finish {
+			if _, ok := s.fleet.Teams[name]; !ok {
+				delete(q.finish, name)
+			}
+		}
+		if _, ok := s.fleet.Services[service]; !ok && len(q.waiting) == 0 {
+			delete(s.queues, service)
+		}
+	}
+}
+
 func (s *State) onMembersChanged(ev MembersChanged) {
 	s.leaving = make(map[identifier.Target]bool, len(ev.Leaving))
 	for _, name := range ev.Leaving {
 		s.leaving[name] = true
 	}
+	for _, t := range s.targets {
+		t.takes = s.mayTake(t)
+	}
 }
 
-// profileOf returns the profile that a service picks.
-func (s *State) profileOf(service identifier.Service) specifier.Profile {
-	return s.fleet.Profiles[s.fleet.Services[service].Profile]
+// noProfile is the profile of a service that does not exist.
+var noProfile specifier.Profile
+
+// profileOf returns the profile that a service picks. It must not be changed.
+func (s *State) profileOf(service identifier.Service) *specifier.Profile {
+	if profile := s.profiles[service]; profile != nil {
+		return profile
+	}
+	return &noProfile
 }
 
 // takesWork reports whether operators and the membership list let t take new work.
-func (s *State) takesWork(t *target) bool {
+func (s *State) takesWork(t *target) bool { return t.takes }
+
+// mayTake computes what takesWork reports.
+func (s *State) mayTake(t *target) bool {
 	if t.spec.State == specifier.StateOut || s.leaving[t.name] {
 		return false
 	}
@@ -74,16 +145,9 @@
 
 // storeFor returns the store of this data centre that keeps the prefix of key.
 func (s *State) storeFor(key identifier.BlockKey) (identifier.Store, specifier.Store, bool) {
-	var names []string
-	for name, store := range s.fleet.Stores {
-		if store.DataCentre == s.cfg.DataCentre && store.State != specifier.StateOut {
-			names = append(names, string(name))
-		}
-	}
-	if len(names) == 0 {
+	if len(s.stores) == 0 {
 		return "", specifier.Store{}, false
 	}
-	slices.Sort(names)
-	best := identifier.Store(first(key.String(), names))
+	best := identifier.Store(first(key.String(), s.stores))
 	return best, s.fleet.Stores[best], true
 }
--- a/internal/decision/reducer/placement.go
+++ b/internal/decision/reducer/placement.go
@@ -2,16 +2,17 @@
 
 import "github.com/zeebo/xxh3"
 
-// weightOf returns the rendezvous weight of member for key.
-func weightOf(key, member string) uint64 {
-	return xxh3.HashStringSeed(member, xxh3.HashString(key))
+// weight returns the rendezvous weight of member for the key whose SeedOf is seed.
+func weight(seed uint64, member string) uint64 {
+	return xxh3.HashStringSeed(member, seed)
 }
 
 // first returns the member with the highest rendezvous weight for key.
 func first(key string, members []string) string {
 	best, bestWeight := "", uint64(0)
+	seed := SeedOf(key)
 	for _, member := range members {
-		if w := weightOf(key, member); best == "" || w > bestWeight {
+		if w := weight(seed, member); best == "" || w > bestWeight {
 			best, bestWeight = member, w
 		}
 	}
@@ -20,7 +21,8 @@
 
 // Before reports whether member a goes before b in the rendezvous order of key.
 func Before(key, a, b string) bool {
-	weightA, weightB := weightOf(key, a), weightOf(key, b)
+	seed := SeedOf(key)
+	weightA, weightB := weight(seed, a), weight(seed, b)
 	if weightA != weightB {
 		return weightA > weightB
 	}
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -167,7 +167,10 @@
 // dispatch sends queued requests to targets until none has room.
 func (s *State) dispatch() {
 	for _, service := range s.services {
-		q := s.queueOf(service)
+		q := s.queues[service]
+		if q == nil {
+			continue
+		}
 		for len(q.waiting) > 0 {
 			r := q.waiting[0]
 			if !s.place(r) {
@@ -178,7 +181,7 @@
 				heap.Remove(&q.waiting, r.index)
 			}
 		}
-		if len(q.waiting) == 0 {
+		if len(q.waiting) == 0 && len(q.finish) > 0 {
 			clear(q.finish)
 		}
 	}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -40,6 +40,8 @@
 	rng   *rand.Rand
 	keyer *hasher.Keyer
 	out   []Effect
+	// quiet is true when the event can't have made room for a queued request.
+	quiet bool
 
 	configuration
 	admission
@@ -79,8 +81,11 @@
 func (s *State) Reduce(ev Event, now time.Time) []Effect {
 	s.now = now
 	s.out = nil
+	s.quiet = false
 	s.reduce(ev)
-	s.dispatch()
+	if !s.quiet {
+		s.dispatch()
+	}
 	s.checkDrained()
 	return s.out
 }
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -32,7 +32,7 @@
 	id       identifier.Request
 	team     identifier.Team
 	service  identifier.Service
-	profile  specifier.Profile
+	profile  *specifier.Profile
 	class    identifier.Class
 	arrived  time.Time
 	deadline time.Time
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -116,7 +116,7 @@
 	if !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
-	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+	if !t.local && !r.profile.SpillOver {
 		return false
 	}
 	return s.hasRoom(t)
@@ -141,7 +141,7 @@
 			continue
 		}
 		load := float64(t.load()) / float64(max(1, s.limit(t)))
-		if t.spec.DataCentre != s.cfg.DataCentre {
+		if !t.local {
 			load += remoteLoadPenalty
 		}
 		if best == nil || load < bestLoad {
@@ -166,12 +166,12 @@
 	}
 	var best *target
 	var bestWeight uint64
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -193,7 +193,7 @@
 // first token. Among equal ones the rendezvous order of the prefix decides, so
 // that all daemons agree on a home for it.
 func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
-	cached := s.cachedBlocks(r)
+	s.countCached(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
 	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored)}
@@ -202,8 +202,7 @@
 		if !s.usable(t, r) {
 			continue
 		}
-		blocks := cached[t.name]
-		plan := scorer.Best(prompt, s.scored(t, blocks), link)
+		plan := scorer.Best(prompt, s.scored(t, s.cachedOn(t)), link)
 		score := plan.FirstToken
 		if t == home {
 			score -= homeBonus
@@ -225,14 +224,14 @@
 	if len(r.keys) == 0 {
 		return nil
 	}
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
-		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) {
+		if !t.local || !s.takesWork(t) {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -244,8 +243,8 @@
 	waiting := max(t.pendingTokens, t.reportedQueue)
 	wait := time.Duration(float64(waiting) / t.rate() * float64(time.Second))
 	st := scorer.Target{QueueWait: wait, PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
-	if t.spec.DataCentre != s.cfg.DataCentre {
-		st.Penalty = s.profileOf(t.spec.Service).SpillOverPenalty.Duration
+	if !t.local {
+		st.Penalty = t.profile.SpillOverPenalty.Duration
 	}
 	return st
 }
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -12,6 +12,11 @@
 type target struct {
 	name identifier.Target
 	spec specifier.Target
+	// local is true for a target of this daemon's data centre.
+	local bool
+	// takes is true while operators and the membership list let it take new work.
+	takes   bool
+	profile *specifier.Profile
 
 	// incarnation is 0 until the target was heard of.
 	incarnation identifier.Incarnation
@@ -35,6 +40,9 @@
 	askAfter time.Time
 	// pendingTokens counts this daemon's tokens that wait for prefill there.
 	pendingTokens int
+	// cached counts the leading blocks of the request that cachedFor numbers.
+	cached    int
+	cachedFor uint64
 
 	health
 }
@@ -85,18 +93,27 @@
 	return max(t.inflight, t.reported+t.inflight-t.inflightThen)
 }
 
-// rebuildTargets brings the known targets in line with the configuration.
+// rebuildTargets brings the known targets in line with the configuration. Only
+// those of the daemon's own region are kept, since no work goes to others.
 func (s *State) rebuildTargets() {
+	region := s.fleet.DataCentres[s.cfg.DataCentre].Region
 	for name, spec := range s.fleet.Targets {
+		if s.fleet.DataCentres[spec.DataCentre].Region != region {
+			continue
+		}
 		known := s.targets[name]
 		if known == nil || known.spec.Address != spec.Address {
 			known = &target{name: name, cold: true}
 			s.targets[name] = known
 		}
 		known.spec = spec
+		known.local = spec.DataCentre == s.cfg.DataCentre
+		known.profile = s.profileOf(spec.Service)
+		known.takes = s.mayTake(known)
 	}
 	for name := range s.targets {
-		if _, ok := s.fleet.Targets[name]; !ok {
+		spec, ok := s.fleet.Targets[name]
+		if !ok || s.fleet.DataCentres[spec.DataCentre].Region != region {
 			delete(s.targets, name)
 		}
 	}
@@ -119,6 +136,7 @@
 	if t == nil || ev.Incarnation < t.incarnation {
 		return
 	}
+	before := s.usability(t)
 	asOf := s.now.Add(-ev.Age)
 	if ev.Incarnation == t.incarnation && asOf.Before(t.heard) {
 		return
@@ -131,6 +149,20 @@
 	if ev.PrefillTokensPerSecond > 0 {
 		t.prefillRate = ev.PrefillTokensPerSecond
 	}
+	after := s.usability(t)
+	gained := after.room && !before.room
+	s.quiet = !gained && after.cold == before.cold && after.incarnation == before.incarnation
+}
+
+// usability is what decides whether a target can take a queued request.
+type usability struct {
+	incarnation identifier.Incarnation
+	cold        bool
+	room        bool
+}
+
+func (s *State) usability(t *target) usability {
+	return usability{incarnation: t.incarnation, cold: t.cold, room: s.hasRoom(t)}
 }
 
 // onIncarnationSeen makes a target cold as soon as a new incarnation is seen, and
@@ -161,7 +193,6 @@
 	t.reported, t.reportedQueue, t.inflightThen = 0, 0, t.inflight
 	t.heard = time.Time{}
 	t.health = health{}
-	s.forgetCacheOf(t.name)
 	s.emit(Believe{Target: t.name, Incarnation: seen})
 	if first {
 		return
@@ -180,8 +211,7 @@
 	if t.cold {
 		return t.spec.ColdLimit
 	}
-	profile := s.profileOf(t.spec.Service)
-	steps, stepTime := profile.RampSteps, profile.RampStepTime.Duration
+	steps, stepTime := t.profile.RampSteps, t.profile.RampStepTime.Duration
 	if steps <= 0 || stepTime <= 0 {
 		return t.spec.WarmLimit
 	}
