Remember the end of a target's ramp

Cause: Each choice of a target computed each target's step in its ramp. Change: A target whose ramp has ended says so until it is cold or configured anew.

--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -23,6 +23,8 @@
 	cold        bool
 	// warmSince is when the incarnation was first known to be warm.
 	warmSince time.Time
+	// ramped is true once the ramp that began at warmSince has ended.
+	ramped bool
 
 	// reported is the number of running and queued requests of the last report,
 	// and inflightThen the daemon's own at that time.
@@ -110,6 +112,7 @@
 		known.local = spec.DataCentre == s.cfg.DataCentre
 		known.profile = s.profileOf(spec.Service)
 		known.takes = s.mayTake(known)
+		known.ramped = false
 	}
 	for name := range s.targets {
 		spec, ok := s.fleet.Targets[name]
@@ -182,6 +185,7 @@
 	if !cold && t.cold {
 		t.cold = false
 		t.warmSince = s.now
+		t.ramped = false
 	}
 }
 
@@ -211,11 +215,15 @@
 	if t.cold {
 		return t.spec.ColdLimit
 	}
+	if t.ramped {
+		return t.spec.WarmLimit
+	}
 	steps, stepTime := t.profile.RampSteps, t.profile.RampStepTime.Duration
 	if steps <= 0 || stepTime <= 0 {
 		return t.spec.WarmLimit
 	}
 	step := min(steps, 1+int(s.now.Sub(t.warmSince)/stepTime))
+	t.ramped = step == steps
 	return t.spec.ColdLimit + (t.spec.WarmLimit-t.spec.ColdLimit)*step/steps
 }
 
