--- /dev/null
+++ b/internal/cache/hasher/hasher_bench_test.go
@@ -0,0 +1,36 @@
+package hasher
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// BenchmarkDigests measures the digests of a prompt.
+func BenchmarkDigests(b *testing.B) {
+	for _, blocks := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			prompt := strings.Repeat("x", blocks*BlockBytes)
+			b.ReportAllocs()
+			for range b.N {
+				Digests(prompt)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*blocks), "ns/block")
+		})
+	}
+}
+
+// BenchmarkKeys measures the keys of a prompt within one scope.
+func BenchmarkKeys(b *testing.B) {
+	keyer := New(Config{Secret: []byte("secret of 16 bytes")})
+	for _, blocks := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			digests := Digests(strings.Repeat("x", blocks*BlockBytes))
+			b.ReportAllocs()
+			for range b.N {
+				keyer.Keys(Scope{Team: "team", Model: "model", Version: "v1"}, digests)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*blocks), "ns/block")
+		})
+	}
+}
--- /dev/null
+++ b/internal/decision/holder/holder_bench_test.go
@@ -0,0 +1,104 @@
+package holder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+const (
+	benchTerm   = 10 * time.Second
+	benchMargin = 2 * time.Second
+	// benchSpan is the virtual time of one run.
+	benchSpan = 10 * time.Minute
+)
+
+// benchPlatform answers all calls of one daemon at once and counts them.
+type benchPlatform struct {
+	version uint64
+	reads   int
+	writes  int
+}
+
+// answer returns the event that answers e, or nil.
+func (p *benchPlatform) answer(e Effect) Event {
+	switch e := e.(type) {
+	case ReadSession:
+		p.reads++
+		return SessionRead{Host: e.Host, Outcome: OutcomeMissing}
+	case WriteSession:
+		p.writes++
+		p.version++
+		return SessionWritten{Host: e.Host, Outcome: OutcomeOK, Version: p.version}
+	case ReadOwner:
+		p.reads++
+		return OwnerRead{Target: e.Target, Outcome: OutcomeMissing}
+	case WriteOwner:
+		p.writes++
+		p.version++
+		return OwnerWritten{Target: e.Target, Outcome: OutcomeOK, Version: p.version}
+	}
+	return nil
+}
+
+// simulate holds targets for span and returns the number of those held at the end.
+func (p *benchPlatform) simulate(b *testing.B, targets int, span time.Duration) int {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	end := now.Add(span)
+	s := New(Config{
+		Host: "entry-0000", DataCentre: "dc-00", Nonce: "n", Term: benchTerm, Margin: benchMargin, Wait: benchTerm,
+		Jitter: 0.1, Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	var names []identifier.Target
+	for i := range targets {
+		names = append(names, identifier.Target(fmt.Sprintf("target-%05d", i)))
+	}
+	held := 0
+	events := []Event{Wanted{Targets: names}}
+	for now.Before(end) {
+		next := now.Add(time.Second)
+		for len(events) > 0 {
+			effects := s.Reduce(events[0], now)
+			events = events[1:]
+			for _, e := range effects {
+				switch e := e.(type) {
+				case WakeAt:
+					next = e.Time
+				case Gained:
+					held++
+				case Lost:
+					b.Fatalf("lost %s", e.Target)
+				}
+				if ev := p.answer(e); ev != nil {
+					events = append(events, ev)
+				}
+			}
+		}
+		now = next
+		events = append(events, Woken{})
+	}
+	return held
+}
+
+// BenchmarkRenewals counts the calls that hold targets for ten minutes of
+// virtual time, and measures what they cost the daemon.
+func BenchmarkRenewals(b *testing.B) {
+	for _, targets := range []int{1, 4, 12, 48} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			p := &benchPlatform{}
+			for range b.N {
+				if held := p.simulate(b, targets, benchSpan); held != targets {
+					b.Fatalf("held %d targets, want %d", held, targets)
+				}
+			}
+			seconds := float64(b.N) * benchSpan.Seconds()
+			setUp := float64(b.N * targets)
+			b.ReportMetric((float64(p.writes)-setUp)/seconds, "renewals/s")
+			b.ReportMetric((float64(p.reads)+setUp)/float64(b.N), "set-up-calls")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/seconds, "cpu-us/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/target/caller/caller_bench_test.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/target/dialer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
+)
+
+// cannedTransport answers each request with the same bytes.
+type cannedTransport struct{ body []byte }
+
+func (t cannedTransport) RoundTripper(dialer.Endpoint) (http.RoundTripper, error) { return t, nil }
+
+func (t cannedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(t.body)), Request: r}, nil
+}
+
+// countingSink counts the tokens of an answer.
+type countingSink struct{ tokens int }
+
+func (s *countingSink) Started(reducer.AttemptStarted) {}
+func (s *countingSink) Token(int, string) error        { s.tokens++; return nil }
+
+func cannedAnswer(b *testing.B, attempt identifier.Attempt, tokens int) []byte {
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body)
+	for i := range tokens + 1 {
+		frame := messenger.GenerateFrame{RequestID: attempt.Request, Attempt: attempt.Number, Offset: i, Token: " word", Incarnation: 7}
+		if i == tokens {
+			frame.Token, frame.Done = "", true
+		}
+		if err := enc.Encode(frame); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return body.Bytes()
+}
+
+// BenchmarkGenerate measures the reading and checking of an answer's frames.
+func BenchmarkGenerate(b *testing.B) {
+	attempt := identifier.Attempt{Request: "0192f0c1-8c5a-7cc0-a8a1-3b8f5f9a1c11", Number: 1}
+	for _, tokens := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			clock := clockwork.NewRealClock()
+			c, err := New(Config{Transports: cannedTransport{cannedAnswer(b, attempt, tokens)}, Clock: clock})
+			if err != nil {
+				b.Fatal(err)
+			}
+			start := reducer.Start{Attempt: attempt, Target: "t", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 7, Deadline: clock.Now().Add(time.Hour), StallTimeout: time.Minute}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				sink := &countingSink{}
+				ev := c.Generate(context.Background(), start, messenger.GenerateRequest{RequestID: attempt.Request}, sink)
+				if sink.tokens != tokens {
+					b.Fatalf("%d tokens were passed on, want %d: %+v", sink.tokens, tokens, ev)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+		})
+	}
+}
