Check the bounds of the reducer's tables

Cause: Nothing checked that tables end with the configuration's entries, and that a choice allocates nothing. Change: Tests of the bounds, of restarts and of load reports that make room. Figures: a choice allocates 0 times at 50 and at 545 targets. Conclusion: The tables are bounded by the configuration and by constants.

--- /dev/null
+++ b/internal/decision/reducer/tables_test.go
@@ -0,0 +1,160 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// adopt puts the next version of a fleet in force.
+func adopt(s *State, fleet specifier.Fleet) {
+	s.Reduce(ConfigAdopted{Version: s.version + 1, Fleet: fleet}, benchNow)
+}
+
+// TestTablesFollowConfiguration checks that nothing is kept of teams, services,
+// stores and targets that the configuration has no more.
+func TestTablesFollowConfiguration(t *testing.T) {
+	size := fleetSize{dataCentres: 1, regions: 1, hosts: 3, targets: 6, teams: 50, services: 2}
+	s := benchState(size)
+	prompts := benchPrompts()
+	for i := range size.teams {
+		s.run(identifier.Request(fmt.Sprint(i)), benchKey(i), prompts[i])
+	}
+	assert.Equal(t, len(s.buckets), size.teams)
+	assert.Assert(t, len(s.links) > 0)
+	for name := range s.links {
+		s.onExportDone(ExportDone{Store: name})
+		s.links[name].transfers = 0
+	}
+	small := size
+	small.teams, small.services, small.targets = 2, 1, 3
+	next := benchFleet(small)
+	next.Stores = nil
+	adopt(s, next)
+	assert.Equal(t, len(s.buckets), small.teams)
+	assert.Equal(t, len(s.links), 0)
+	assert.Equal(t, len(s.queues), small.services)
+	assert.Equal(t, len(s.targets), small.targets)
+	for _, q := range s.queues {
+		assert.Assert(t, len(q.finish) <= small.teams)
+	}
+}
+
+// TestTargetsAreThoseOfRegion checks that targets of other regions take no room.
+func TestTargetsAreThoseOfRegion(t *testing.T) {
+	s := benchState(fleetSize{dataCentres: 6, regions: 3, hosts: 2, targets: 5, teams: 1, services: 1})
+	assert.Equal(t, len(s.targets), 10)
+	for _, known := range s.targets {
+		centre := s.fleet.DataCentres[known.spec.DataCentre]
+		assert.Equal(t, centre.Region, identifier.Region("region-0"))
+	}
+	moved := s.fleet.Clone()
+	centre := moved.DataCentres["dc-03"]
+	centre.Region = "region-1"
+	moved.DataCentres["dc-03"] = centre
+	adopt(s, moved)
+	assert.Equal(t, len(s.targets), 5)
+}
+
+// TestRequestsAreBounded checks that a full daemon refuses as not run.
+func TestRequestsAreBounded(t *testing.T) {
+	s := benchState(fleetSize{dataCentres: 1, regions: 1, hosts: 1, targets: 2, teams: 1, services: 1})
+	s.cfg.MaxRequests = 3
+	p := benchPrompts()[0]
+	for i := range 3 {
+		s.Reduce(RequestArrived{Request: identifier.Request(fmt.Sprint(i)), KeyHash: benchKey(0), Work: p}, benchNow)
+	}
+	effects := s.Reduce(RequestArrived{Request: "last", KeyHash: benchKey(0), Work: p}, benchNow)
+	refusal, ok := effects[len(effects)-1].(Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refusal.Kind, RefusalOverload)
+	assert.Equal(t, refusal.Run, RunNot)
+	assert.Equal(t, len(s.requests), 3)
+}
+
+// TestPrefixesAreBounded checks that the oldest prefixes are forgotten first.
+func TestPrefixesAreBounded(t *testing.T) {
+	s := New(Config{Host: "entry-0000", DataCentre: "dc-00", MaxPrefixes: 16, BlockSecret: []byte("secret of 16 bytes")})
+	adopt(s, benchFleet(fleetSize{dataCentres: 1, regions: 1, hosts: 1, targets: 1, teams: 1, services: 1}))
+	known := s.targets["target-00000"]
+	keyOf := func(i int) identifier.BlockKey { return identifier.BlockKey{byte(i)} }
+	for i := range 40 {
+		s.remember(&request{keys: []identifier.BlockKey{keyOf(i)}}, known)
+	}
+	assert.Equal(t, s.prefixes.Len(), 16)
+	assert.Assert(t, !s.prefixes.Contains(keyOf(0)))
+	assert.Assert(t, s.prefixes.Contains(keyOf(39)))
+}
+
+// TestRestartEmptiesCache checks that a prefix is not believed to be in the
+// cache of a target's next incarnation.
+func TestRestartEmptiesCache(t *testing.T) {
+	s := benchState(fleetSize{dataCentres: 1, regions: 1, hosts: 1, targets: 2, teams: 1, services: 1})
+	known := s.targets["target-00000"]
+	r := &request{keys: []identifier.BlockKey{{1}, {2}}}
+	s.remember(r, known)
+	s.countCached(r)
+	assert.Equal(t, s.cachedOn(known), 2)
+	assert.Equal(t, s.cachedOn(s.targets["target-00001"]), 0)
+	s.Reduce(IncarnationSeen{Target: known.name, Incarnation: 8, Cold: true}, benchNow)
+	s.countCached(r)
+	assert.Equal(t, s.cachedOn(known), 0)
+	s.Reduce(CacheObserved{Target: known.name, Stored: r.keys[:1]}, benchNow)
+	s.countCached(r)
+	assert.Equal(t, s.cachedOn(known), 1)
+	s.Reduce(CacheObserved{Target: known.name, Evicted: r.keys[:1]}, benchNow)
+	s.countCached(r)
+	assert.Equal(t, s.cachedOn(known), 0)
+}
+
+// TestLoadReportStartsQueued checks that a load report which makes room starts
+// a queued request at once, and that others leave it queued.
+func TestLoadReportStartsQueued(t *testing.T) {
+	s := benchState(fleetSize{dataCentres: 1, regions: 1, hosts: 1, targets: 1, teams: 1, services: 1})
+	s.Reduce(benchLoad(0, benchWarmLimit), benchNow)
+	s.Reduce(RequestArrived{Request: "r", KeyHash: benchKey(0), Timeout: time.Minute, Work: benchPrompts()[0]}, benchNow)
+	s.Reduce(LookupDone{Request: "r", Failed: true}, benchNow)
+	assert.Equal(t, len(startsOf(s.Reduce(benchLoad(0, benchWarmLimit), benchNow))), 0)
+	assert.Equal(t, len(startsOf(s.Reduce(benchLoad(0, benchWarmLimit-1), benchNow))), 1)
+}
+
+func startsOf(effects []Effect) []Start {
+	var starts []Start
+	for _, effect := range effects {
+		if start, ok := effect.(Start); ok {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
+// TestChoiceAllocatesNothing checks that the choice of a target allocates no
+// memory, however many targets and teams there are.
+func TestChoiceAllocatesNothing(t *testing.T) {
+	for _, size := range []fleetSize{{1, 1, 45, 50, 100, 1}, {1, 1, 45, 545, 2000, 1}} {
+		s := benchState(size)
+		p := benchPrompts()[0]
+		s.run("first", benchKey(0), p)
+		s.now = benchNow
+		r, no := s.admit(RequestArrived{Request: "r", KeyHash: benchKey(1), Timeout: time.Minute, Work: p})
+		assert.Assert(t, no == nil)
+		assert.Equal(t, len(r.keys), benchPromptBlocks)
+		allocations := testing.AllocsPerRun(100, func() {
+			if _, ok := s.choose(r); !ok {
+				t.Fatal("no target was chosen")
+			}
+		})
+		assert.Equal(t, allocations, 0.0)
+		perRequest := testing.AllocsPerRun(100, func() { s.run("again", benchKey(1), p) })
+		assert.Assert(t, perRequest < maxRequestAllocations, "%v allocations with %+v", perRequest, size)
+	}
+}
+
+// maxRequestAllocations bounds the allocations of all events of one request of
+// benchPromptBlocks blocks.
+const maxRequestAllocations = 100
