Drop what daemons keep of hosts and targets that were removed

Change: A removed target is disbelieved, and a silent host without an entry in the configuration is forgotten. A heartbeat always makes its sender live. Conclusion: Both tables are bounded by the configuration.

--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -176,7 +176,7 @@
 }
 
 // Believe states which incarnation of a target connections may reach. Idle
-// connections to an earlier one are closed.
+// connections to an earlier one are closed. Incarnation 0 means that none may be reached.
 type Believe struct {
 	Target      identifier.Target
 	Incarnation identifier.Incarnation
--- a/internal/decision/reducer/tables_test.go
+++ b/internal/decision/reducer/tables_test.go
@@ -158,3 +158,18 @@
 // maxRequestAllocations bounds the allocations of all events of one request of
 // benchPromptBlocks blocks.
 const maxRequestAllocations = 100
+
+// TestRemovedTargetIsDisbelieved checks that connections to a target end when
+// the configuration has it no more.
+func TestRemovedTargetIsDisbelieved(t *testing.T) {
+	s := benchState(fleetSize{dataCentres: 1, regions: 1, hosts: 1, targets: 2, teams: 1, services: 1})
+	next := s.fleet.Clone()
+	delete(next.Targets, "target-00001")
+	var gone []Believe
+	for _, effect := range s.Reduce(ConfigAdopted{Version: 2, Fleet: next}, benchNow) {
+		if believe, ok := effect.(Believe); ok {
+			gone = append(gone, believe)
+		}
+	}
+	assert.DeepEqual(t, gone, []Believe{{Target: "target-00001"}})
+}
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -114,10 +114,11 @@
 		known.takes = s.mayTake(known)
 		known.ramped = false
 	}
-	for name := range s.targets {
-		spec, ok := s.fleet.Targets[name]
+	for _, t := range s.sortedTargets() {
+		spec, ok := s.fleet.Targets[t.name]
 		if !ok || s.fleet.DataCentres[spec.DataCentre].Region != region {
-			delete(s.targets, name)
+			delete(s.targets, t.name)
+			s.emit(Believe{Target: t.name})
 		}
 	}
 	s.byService = map[identifier.Service][]*target{}
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -59,6 +60,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version, p.raw, p.fleet = version, raw, fleet
+	p.forgetLocked()
+}
+
+// strangerMemory is how long a silent host that the configuration does not name
+// is remembered.
+const strangerMemory = time.Minute
+
+// forgetLocked drops what is kept of hosts that are silent and not configured.
+func (p *peers) forgetLocked() {
+	now := p.around.clock.Now()
+	forget := func(host identifier.Host) bool {
+		_, configured := p.fleet.Hosts[host]
+		return !configured && now.Sub(p.heard[host]) > strangerMemory
+	}
+	maps.DeleteFunc(p.live, func(host identifier.Host, _ bool) bool { return forget(host) })
+	maps.DeleteFunc(p.leaving, func(host identifier.Host, _ bool) bool { return forget(host) })
+	maps.DeleteFunc(p.versions, func(host identifier.Host, _ uint64) bool { return forget(host) })
+	maps.DeleteFunc(p.heard, func(host identifier.Host, _ time.Time) bool { return forget(host) })
 }
 
 // wanted returns the daemons to exchange heartbeats with: all of the own data
@@ -115,7 +134,8 @@
 	p.versions[c.From] = c.ConfigVersion
 	behind := c.ConfigVersion > p.version && !p.fetching
 	p.fetching = p.fetching || behind
-	changed := p.setLeavingLocked(c.From, c.Leaving)
+	changed := p.setLeavingLocked(c.From, c.Leaving) || !p.live[c.From]
+	p.live[c.From] = true
 	p.mu.Unlock()
 	if behind {
 		go p.fetch(c.From)
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -99,10 +99,14 @@
 	s.publishLocked()
 }
 
-// Believe limits connections to one incarnation of a target.
+// Believe limits connections to one incarnation of a target, or to none.
 func (s *surroundings) Believe(e reducer.Believe) {
 	s.mu.Lock()
-	s.believed[e.Target] = e.Incarnation
+	if e.Incarnation == 0 {
+		delete(s.believed, e.Target)
+	} else {
+		s.believed[e.Target] = e.Incarnation
+	}
 	s.mu.Unlock()
 	s.dialer.Close(e.Target)
 }
