--- a/internal/decision/holder/self.go
+++ b/internal/decision/holder/self.go
@@ -59,6 +59,7 @@
 func (s *State) writeSelf(now time.Time) {
 	c := &s.self
 	c.renewal++
+	c.forgetLapsed(now, s.cfg.Term)
 	c.sentAt[c.renewal] = now
 	expect := c.version
 	if expect == 0 {
@@ -74,6 +75,16 @@
 	})
 }
 
+// forgetLapsed drops the times of writes that would be out of force even if they
+// took effect now, so that a long outage of the platform leaves no long table.
+func (c *self) forgetLapsed(now time.Time, term time.Duration) {
+	for n, sent := range c.sentAt {
+		if now.Sub(sent) > term {
+			delete(c.sentAt, n)
+		}
+	}
+}
+
 // settled takes note that the write numbered renewal has made version.
 func (s *State) settled(renewal, version uint64) {
 	c := &s.self
--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -42,6 +42,21 @@
 			t.due = time.Time{}
 		}
 	}
+	s.forgetRivals()
+}
+
+// forgetRivals drops what was seen of hosts that no known record names. A host
+// that is met again is observed for the whole wait again.
+func (s *State) forgetRivals() {
+	named := make(map[identifier.Host]bool, len(s.rivals))
+	for _, t := range s.targets {
+		named[t.owner.Host] = true
+	}
+	for host, r := range s.rivals {
+		if !r.pending && !named[host] {
+			delete(s.rivals, host)
+		}
+	}
 }
 
 // owns reports whether the owner's record names the present incarnation.
