--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -20,18 +20,29 @@
 	// homeHits is the recent share of blocks that a prefix's home target held
 	// although this daemon did not know it.
 	homeHits float64
+	// counted numbers the calls of countCached.
+	counted uint64
 }
 
 // prefix is what is known of one block.
 type prefix struct {
-	// holders are the targets believed to have the block in their cache.
-	holders []identifier.Target
+	// holders are the targets believed to have the block in their cache, the
+	// latest first; those without a target are unused.
+	holders [maxHolders]holding
 	// uses counts the requests that had the block.
 	uses int
 	// kept is true once the block was exported to a store.
 	kept bool
 }
 
+// holding is one incarnation of a target that has a block in its cache.
+type holding struct {
+	target      *target
+	incarnation identifier.Incarnation
+	// since is when the target last used the block, as far as this daemon knows.
+	since time.Time
+}
+
 // maxHolders bounds the remembered targets of one block.
 const maxHolders = 4
 
@@ -101,22 +112,30 @@
 	return blocks
 }
 
-// cachedBlocks returns, for each target, how many of r's leading blocks it is
-// believed to hold.
-func (s *State) cachedBlocks(r *request) map[identifier.Target]int {
-	held := map[identifier.Target]int{}
+// countCached counts, for each target, how many of r's leading blocks it is
+// believed to hold. The counts stand until the next call.
+func (s *State) countCached(r *request) {
+	s.counted++
 	for i := len(r.keys) - 1; i >= 0; i-- {
 		p, ok := s.prefixes.Get(r.keys[i])
 		if !ok {
 			continue
 		}
-		for _, name := range p.holders {
-			if held[name] == 0 {
-				held[name] = i + 1
+		for _, h := range p.holders {
+			t := h.target
+			if t != nil && h.incarnation == t.incarnation && t.cachedFor != s.counted && s.now.Sub(h.since) < t.cacheLifetime {
+				t.cached, t.cachedFor, t.cachedSince = i+1, s.counted, h.since
 			}
 		}
 	}
-	return held
+}
+
+// cachedOn returns the count of the last countCached for t.
+func (s *State) cachedOn(t *target) int {
+	if t.cachedFor != s.counted {
+		return 0
+	}
+	return t.cached
 }
 
 const (
@@ -136,19 +155,46 @@
 	s.homeHits += homeHitsGain * (min(share, 1) - s.homeHits)
 }
 
+// Bounds of the time for which a target is believed to hold a block.
+const (
+	initialCacheLifetime = time.Minute
+	minCacheLifetime     = 100 * time.Millisecond
+	maxCacheLifetime     = time.Hour
+	// lifetimeCut and lifetimeGain scale the time after a wrong and a right belief.
+	lifetimeCut  = 0.9
+	lifetimeGain = 1.25
+)
+
+// learnLifetime adjusts for how long r's target is believed to hold blocks, by
+// whether it still held those that r was sent there for.
+func (s *State) learnLifetime(r *request, cachedTokens int) {
+	if r.believed == 0 || r.imported > 0 {
+		return
+	}
+	t := r.target
+	age := s.now.Sub(r.believedSince)
+	if cachedTokens/hasher.BlockTokens < r.believed {
+		t.cacheLifetime = max(minCacheLifetime, min(t.cacheLifetime, time.Duration(lifetimeCut*float64(age))))
+		return
+	}
+	if 2*age > t.cacheLifetime {
+		t.cacheLifetime = min(maxCacheLifetime, max(t.cacheLifetime, time.Duration(lifetimeGain*float64(age))))
+	}
+}
+
 // correct takes back what the daemon believed of the target's cache beyond the
 // blocks that the target really had.
 func (s *State) correct(r *request, cachedTokens int) {
 	had := cachedTokens / hasher.BlockTokens
 	for i := had; i < len(r.keys); i++ {
 		if p, ok := s.prefixes.Peek(r.keys[i]); ok {
-			p.drop(r.target.name)
+			p.drop(r.target)
 		}
 	}
 }
 
 // remember notes that t holds r's blocks now.
-func (s *State) remember(r *request, name identifier.Target) {
+func (s *State) remember(r *request, t *target) {
 	for _, key := range r.keys {
 		p, ok := s.prefixes.Get(key)
 		if !ok {
@@ -156,43 +202,41 @@
 			s.prefixes.Add(key, p)
 		}
 		p.uses++
-		p.hold(name)
+		p.hold(t, s.now)
 	}
 }
 
-// hold puts name first among the holders.
-func (p *prefix) hold(name identifier.Target) {
-	p.drop(name)
-	p.holders = append([]identifier.Target{name}, p.holders...)
-	if len(p.holders) > maxHolders {
-		p.holders = p.holders[:maxHolders]
-	}
+// hold puts t first among the holders.
+func (p *prefix) hold(t *target, now time.Time) {
+	p.drop(t)
+	copy(p.holders[1:], p.holders[:maxHolders-1])
+	p.holders[0] = holding{target: t, incarnation: t.incarnation, since: now}
 }
 
-func (p *prefix) drop(name identifier.Target) {
-	for i, holder := range p.holders {
-		if holder == name {
-			p.holders = append(p.holders[:i:i], p.holders[i+1:]...)
+// drop removes t and moves the holders behind it up.
+func (p *prefix) drop(t *target) {
+	for i, h := range p.holders {
+		if h.target == t {
+			copy(p.holders[i:], p.holders[i+1:])
+			p.holders[maxHolders-1] = holding{}
 			return
 		}
 	}
 }
 
-func (s *State) forgetCacheOf(name identifier.Target) {
-	for _, p := range s.prefixes.Values() {
-		p.drop(name)
-	}
-}
-
 func (s *State) onCacheObserved(ev CacheObserved) {
+	t := s.targets[ev.Target]
+	if t == nil {
+		return
+	}
 	for _, key := range ev.Stored {
 		if p, ok := s.prefixes.Peek(key); ok {
-			p.hold(ev.Target)
+			p.hold(t, s.now)
 		}
 	}
 	for _, key := range ev.Evicted {
 		if p, ok := s.prefixes.Peek(key); ok {
-			p.drop(ev.Target)
+			p.drop(t)
 		}
 	}
 }
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -245,15 +245,11 @@
 		s.dropExport(e)
 		return
 	}
-	rate, _ := s.transferRate(ev, s.profileOf(s.serviceOf(e.Target)).LinkShare)
+	rate, _ := s.transferRate(ev, s.profileOf(s.fleet.Targets[e.Target].Service).LinkShare)
 	e.BytesPerSecond, e.After = rate, ev.Wait
 	s.emit(e)
 }
 
-func (s *State) serviceOf(name identifier.Target) identifier.Service {
-	return s.fleet.Targets[name].Service
-}
-
 func (s *State) onImportDone(ev ImportDone) {
 	r := s.requests[ev.Request]
 	if r == nil || r.phase != phaseImporting {
@@ -289,7 +285,7 @@
 }
 
 func (s *State) onExportDone(ev ExportDone) {
-	share := s.profileOf(s.serviceOf(ev.Target)).LinkShare
+	share := s.profileOf(s.fleet.Targets[ev.Target].Service).LinkShare
 	unused := int64(ev.Asked-ev.Blocks) * s.exportBlockBytes(ev)
 	s.returnLink(ev.Store, unused, share)
 }
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -172,9 +172,12 @@
 // as far as targets have room.
 func (s *State) dispatch() {
 	for _, service := range s.services {
-		q := s.queueOf(service)
+		q := s.queues[service]
+		if q == nil {
+			continue
+		}
 		s.dispatchQueue(q)
-		if len(q.waiting) == 0 {
+		if len(q.waiting) == 0 && len(q.finish) > 0 {
 			clear(q.finish)
 		}
 	}
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -32,7 +32,7 @@
 	id       identifier.Request
 	team     identifier.Team
 	service  identifier.Service
-	profile  specifier.Profile
+	profile  *specifier.Profile
 	class    identifier.Class
 	arrived  time.Time
 	deadline time.Time
@@ -54,6 +54,10 @@
 	// guessed is true when the target was chosen as the prefix's home without
 	// knowing what its cache holds.
 	guessed bool
+	// believed is the number of blocks that the target was believed to hold, and
+	// believedSince when it was last known to.
+	believed      int
+	believedSince time.Time
 
 	version identifier.WeightVersion
 	keys    []identifier.BlockKey
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -116,7 +116,7 @@
 	if !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
-	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+	if !t.local && !r.profile.SpillOver {
 		return false
 	}
 	return s.hasRoom(t)
@@ -141,7 +141,7 @@
 			continue
 		}
 		load := float64(t.load()) / float64(max(1, s.limit(t)))
-		if t.spec.DataCentre != s.cfg.DataCentre {
+		if !t.local {
 			load += remoteLoadPenalty
 		}
 		if best == nil || load < bestLoad {
@@ -166,12 +166,12 @@
 	}
 	var best *target
 	var bestWeight uint64
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -194,7 +194,7 @@
 // target is known to hold more of the prompt, the home is expected to hold a
 // part of it, so that prompts with one prefix meet on one target.
 func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
-	cached := s.cachedBlocks(r)
+	s.countCached(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
 	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored), ComputeWeight: s.computeWeight(r)}
@@ -204,10 +204,10 @@
 		if !s.usable(t, r) {
 			continue
 		}
-		plan := scorer.Best(prompt, s.scored(t, cached[t.name]), link)
+		plan := scorer.Best(prompt, s.scored(t, s.cachedOn(t)), link)
 		score := plan.Score
 		if t == home {
-			score -= s.homeAdvantage(r, t, cached[t.name])
+			score -= s.homeAdvantage(r, t, s.cachedOn(t))
 		}
 		if best.target == nil || score < bestScore {
 			best, bestScore = choice{target: t, plan: plan}, score
@@ -216,7 +216,9 @@
 	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
 		return choice{}, false
 	}
-	r.guessed = best.target == home && cached[home.name] == 0 && len(r.stored) > 0
+	r.believed = s.cachedOn(best.target)
+	r.believedSince = best.target.cachedSince
+	r.guessed = best.target == home && s.cachedOn(home) == 0 && len(r.stored) > 0
 	return best, true
 }
 
@@ -263,14 +265,14 @@
 	if len(r.keys) == 0 {
 		return nil
 	}
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
-		if !s.takesWork(t) || t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+		if !s.takesWork(t) || !t.local && !r.profile.SpillOver {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -286,8 +288,8 @@
 // scored describes t to the scorer.
 func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
 	st := scorer.Target{QueueWait: s.queueWait(t), PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
-	if t.spec.DataCentre != s.cfg.DataCentre {
-		st.Penalty = s.profileOf(t.spec.Service).SpillOverPenalty.Duration
+	if !t.local {
+		st.Penalty = t.profile.SpillOverPenalty.Duration
 	}
 	return st
 }
