Let the owner of a target end a suspicion that it turned cold

Cause: after a broken answer a daemon takes the target for cold and asks its owner for leave. The owner, which reads the target as warm, refused, and an unchanged load is sent to peers again only after the refresh time of 10 s. The target was lost to all daemons but its owner until then. Change: a refused permit says that the target is warm and how old the report is; the asking daemon believes it when the report is later than the failure. Conclusion: a reset no longer takes a warm target out of use. Without the owner's word, and without the comparison of ages, TestOwnerEndsSuspicion fails.

--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -157,8 +157,11 @@
 	Granted bool
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
-	// Incarnation is the one that leave is given for.
+	// Incarnation is the one that leave is given for, or that is warm.
 	Incarnation identifier.Incarnation
+	// Warm says that the target needs no leave, by a report that is Age old.
+	Warm bool
+	Age  time.Duration
 }
 
 // WantTargets states which targets this daemon should own.
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -250,8 +250,12 @@
 	Granted bool
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
-	// Incarnation is the one that the owner gave leave for.
+	// Incarnation is the one that the owner gave leave for, or knows to be warm.
 	Incarnation identifier.Incarnation
+	// Warm says that the owner knows the target to be warm, by a report that was
+	// Age old when it answered.
+	Warm bool
+	Age  time.Duration
 	// Asked is when the question was sent; the permit's term counts from it.
 	Asked time.Time
 }
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -248,6 +248,10 @@
 
 func (s *State) onPermitAsked(ev PermitAsked) {
 	t, own := s.targets[ev.Target], s.owned[ev.Target]
+	if t != nil && own != nil && !t.cold && s.owns(t) {
+		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry, Warm: true, Incarnation: t.incarnation, Age: s.now.Sub(t.heard)})
+		return
+	}
 	if t == nil || own == nil || !t.cold || !s.takesWork(t) || !s.coldRoom(t) {
 		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry})
 		return
@@ -275,6 +279,9 @@
 	if ev.Granted {
 		s.onIncarnationSeen(ev.Target, ev.Incarnation, true)
 	}
+	if ev.Warm {
+		s.onOwnerWarm(t, ev)
+	}
 	r := s.requests[ev.Request]
 	waiting := r != nil && r.phase == phasePermit
 	if ev.Granted && (!waiting || !s.permitUsable(t, ev)) {
@@ -290,6 +297,17 @@
 	}
 }
 
+// onOwnerWarm ends the suspicion that t has turned cold, if its owner has read
+// a later report of the same incarnation.
+func (s *State) onOwnerWarm(t *target, ev PermitSettled) {
+	asOf := ev.Asked.Add(-ev.Age)
+	if t == nil || ev.Incarnation != t.incarnation || !asOf.After(t.heard) {
+		return
+	}
+	t.heard = asOf
+	s.onIncarnationSeen(t.name, ev.Incarnation, false)
+}
+
 // permitUsable reports whether a granted permit still fits what is known of t.
 func (s *State) permitUsable(t *target, ev PermitSettled) bool {
 	return t != nil && s.takesWork(t) && ev.Incarnation == t.incarnation && s.now.Before(ev.Asked.Add(maxColdUse))
--- /dev/null
+++ b/internal/decision/reducer/suspicion_test.go
@@ -0,0 +1,92 @@
+package reducer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// pair is the owner of target-0 and another daemon of its data centre.
+type pair struct {
+	owner, other *State
+	now          time.Time
+}
+
+// newPair returns two daemons that know target-0 to be warm.
+func newPair() *pair {
+	p := &pair{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	hosts := []identifier.Host{"host-a", "host-b"}
+	fleet := worldFleet(hosts)
+	for _, host := range hosts {
+		fleet.Hosts[host] = specifier.Host{DataCentre: "dc", State: specifier.StateIn}
+	}
+	fleet.Targets = map[identifier.Target]specifier.Target{
+		"target-0": {Service: "labels", DataCentre: "dc", State: specifier.StateIn, ColdLimit: 1, WarmLimit: 8},
+	}
+	for _, host := range hosts {
+		state := New(Config{Host: host, DataCentre: "dc", Seed: 1, BlockSecret: []byte("secret")})
+		state.Reduce(PeersChanged{Hosts: hosts}, p.now)
+		state.Reduce(ConfigAdopted{Version: 1, Fleet: fleet}, p.now)
+		p.observe(state)
+		if state.expectedOwner(state.targets["target-0"]) == host {
+			p.owner = state
+		} else {
+			p.other = state
+		}
+	}
+	p.owner.Reduce(OwnershipChanged{Target: "target-0", Held: true, Fence: 1, Until: p.now.Add(time.Hour)}, p.now)
+	return p
+}
+
+func (p *pair) observe(s *State) {
+	s.Reduce(LoadObserved{Target: "target-0", Incarnation: 1}, p.now)
+}
+
+// effectOf returns the first effect of type E.
+func effectOf[E Effect](effects []Effect) (E, bool) {
+	i := slices.IndexFunc(effects, func(e Effect) bool { _, ok := e.(E); return ok })
+	if i < 0 {
+		var none E
+		return none, false
+	}
+	return effects[i].(E), true
+}
+
+// ask carries a permit's question to the owner and its answer back, and returns the effects of the answer.
+func (p *pair) ask(t *testing.T, effects []Effect) []Effect {
+	t.Helper()
+	question, ok := effectOf[AskPermit](effects)
+	assert.Assert(t, ok, "effects: %v", effects)
+	answer, ok := effectOf[AnswerPermit](p.owner.Reduce(PermitAsked{From: p.other.cfg.Host, Target: question.Target, Request: question.Request, Term: question.Term}, p.now))
+	assert.Assert(t, ok)
+	return p.other.Reduce(PermitSettled{
+		Owner: question.Owner, Request: question.Request, Target: question.Target, Granted: answer.Granted,
+		RetryAfter: answer.RetryAfter, Incarnation: answer.Incarnation, Warm: answer.Warm, Age: answer.Age, Asked: p.now,
+	}, p.now)
+}
+
+// TestOwnerEndsSuspicion resets an answer at a daemon that does not read the
+// target's load. It uses the target again once the owner has read a later report.
+func TestOwnerEndsSuspicion(t *testing.T) {
+	p := newPair()
+	arrived := RequestArrived{Request: "first", KeyHash: "k1", Service: "labels", Work: promptOf("short")}
+	started, ok := effectOf[Start](p.other.Reduce(arrived, p.now))
+	assert.Assert(t, ok)
+	p.now = p.now.Add(time.Second)
+	failed := AttemptFailed{Attempt: started.Attempt, Reason: FailureBroken}
+	effects := p.ask(t, p.other.Reduce(failed, p.now))
+	_, ok = effectOf[Start](effects)
+	assert.Assert(t, !ok, "the owner's report is older than the reset")
+
+	p.now = p.now.Add(time.Second)
+	p.observe(p.owner)
+	p.now = p.now.Add(time.Second)
+	effects = p.ask(t, p.other.Reduce(Tick{}, p.now))
+	_, ok = effectOf[Start](effects)
+	assert.Assert(t, ok, "effects: %v", effects)
+}
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -246,6 +246,7 @@
 	w.later(call.host, PermitSettled{
 		Owner: call.ask.Owner, Request: call.ask.Request, Target: call.ask.Target,
 		Granted: e.Granted, RetryAfter: e.RetryAfter, Incarnation: e.Incarnation, Asked: call.asked,
+		Warm: e.Warm, Age: e.Age,
 	})
 }
 
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -247,7 +247,9 @@
 	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Term: m.Term})
 	select {
 	case a := <-answer:
-		return describer.PermitReply{Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation}, nil
+		return describer.PermitReply{
+			Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation, Warm: a.Warm, Age: a.Age,
+		}, nil
 	case <-p.around.clock.After(permitTimeout):
 		p.around.forgetAnswer(call)
 		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -128,6 +128,7 @@
 			settled.RetryAfter = permitRetryAfterError
 		} else {
 			settled.Granted, settled.RetryAfter, settled.Incarnation = reply.Granted, reply.RetryAfter, reply.Incarnation
+			settled.Warm, settled.Age = reply.Warm, reply.Age
 		}
 		s.post(settled)
 	}()
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -141,6 +141,10 @@
 	Incarnation identifier.Incarnation
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
+	// Warm says that the target needs no leave, by a report of Incarnation that
+	// is Age old.
+	Warm bool
+	Age  time.Duration
 }
 
 // ReleasePermit gives a slot back; repeating it is harmless.
