Drop idle connections after an answer that stalled

Cause: after a fault in between that silences all open connections, each attempt of a request took another silent connection from a pool. Change: a stalled answer drops the idle connections to all targets. Conclusion: a request meets at most one silent connection, unless others fall silent later; TestGuaranteeIdleSilentConnectionsAreReplaced fails without.

--- a/internal/target/caller/caller.go
+++ b/internal/target/caller/caller.go
@@ -34,6 +34,8 @@
 	// RoundTripper returns the transport to one incarnation of a target. Its
 	// requests are sent at most once and report to the context's SentTracker.
 	RoundTripper(dialer.Endpoint) (http.RoundTripper, error)
+	// CloseAll drops the idle connections to all targets.
+	CloseAll()
 }
 
 var _ Transports = (*dialer.Dialer)(nil)
@@ -59,8 +61,9 @@
 
 // exchange is one attempt's HTTP exchange.
 type exchange struct {
-	start  reducer.Start
-	cancel context.CancelCauseFunc
+	start      reducer.Start
+	transports Transports
+	cancel     context.CancelCauseFunc
 	// sent knows whether a byte of the request may have left.
 	sent     *dialer.SentTracker
 	stall    clockwork.Timer
@@ -78,7 +81,7 @@
 		return nil, reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureLate, Detail: "the leave to use the target ended before the request was sent"}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{start: start, cancel: cancel, sent: new(dialer.SentTracker)}
+	x := &exchange{start: start, transports: c.cfg.Transports, cancel: cancel, sent: new(dialer.SentTracker)}
 	left := start.Deadline.Sub(c.cfg.Clock.Now())
 	deadline := c.cfg.Clock.AfterFunc(left, func() { cancel(errDeadline) })
 	context.AfterFunc(ctx, func() { deadline.Stop() })
@@ -144,6 +147,10 @@
 	case failed.Proven:
 		failed.Reason = reducer.FailureUnreachable
 	}
+	if failed.Reason == reducer.FailureStalled {
+		// What silenced one connection may have silenced those that are idle.
+		x.transports.CloseAll()
+	}
 	return failed
 }
 
--- a/internal/testing/prover/answers_test.go
+++ b/internal/testing/prover/answers_test.go
@@ -77,6 +77,32 @@
 	}
 }
 
+// TestGuaranteeIdleSilentConnectionsAreReplaced silences the idle connections to
+// all targets, of which there are more than a request may make attempts.
+func TestGuaranteeIdleSilentConnectionsAreReplaced(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 1, engines: 4, plains: 4})
+	l := c.loader()
+	run := startLoad(t, l, 24)
+	within(t, startLimit, "all targets have worked", func() bool { return !c.anyUnused() })
+	run.stop()
+	c.proxies(proxier.Faults{SilenceDown: true}, c.targetProxies()...)
+	checkWhole(t, []loader.Outcome{
+		l.Complete(context.Background(), prompt("after silence", answerTokens)),
+		l.Call(context.Background(), lookup("after-silence")),
+	})
+}
+
+// anyUnused reports whether any target has not started a request yet.
+func (c *cluster) anyUnused() bool {
+	for _, n := range c.seen().sinceMarkBy {
+		if n == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TestGuaranteeCutAnswersAreNotWhole cuts answers of requests that are not
 // tried again and kills the daemon in the middle of a stream.
 func TestGuaranteeCutAnswersAreNotWhole(t *testing.T) {
