Keep places on cold targets until nothing can use them any more

Cause: Reading the ownership code against its guarantee found nine faults. A daemon whose session lapsed and came back under the same fence forgot its permits and its wait. It gave permits between deciding to give a target up and losing it, while the next owner finds no record and does not wait. A late return of one permit ended a later one of the same request. A place was free as soon as an attempt stalled or broke, although the target may run it to its deadline. Requests whose import outlived a restart all started on the cold target. A peer that suspected a warm target was refused by its owner until the next report. A report from a peer that turned a target cold was shared again by each receiver. A retried request at the head of a queue held up all others, and a request that had failed at the only target left never went there again. Change: Permits carry the number of their question and the target's incarnation, outlive a lapse, and stay after an unproven failure until the attempt's deadline or a new incarnation. A target is owned only while it is wanted. An import's place counts only for the incarnation and warmth it was taken at. Owners grant room on targets that they know to be warm. Only what a daemon saw itself is shared. The queue passes over requests that wait for other targets.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -117,6 +117,9 @@
 	t := r.target
 	s.blame(t, ev)
 	s.unlead(r)
+	if !ev.Proven {
+		s.keepPlace(r)
+	}
 	s.release(r)
 	r.phase = phaseQueued
 	r.index = -1
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -253,13 +253,14 @@
 	s.start(r)
 }
 
-// stillUsable reports whether r's reserved target can still take it.
+// stillUsable reports whether r's reserved target can still take it. A place on
+// a warm target says nothing once the target has turned cold.
 func (s *State) stillUsable(r *request) bool {
 	t := r.target
-	if !s.takesWork(t) || t.open(s.now) {
+	if !s.takesWork(t) || t.open(s.now) || t.incarnation != r.incarnation {
 		return false
 	}
-	return !t.cold || s.owns(t) || r.permitFrom != ""
+	return !t.cold || !r.cutoff.IsZero() && (s.owns(t) || r.permitFrom != "")
 }
 
 // lead makes r the one that computes its blocks; later requests may follow it.
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -140,15 +140,19 @@
 type AskPermit struct {
 	Owner   identifier.Host
 	Request identifier.Request
-	Target  identifier.Target
-	Term    time.Duration
+	// Number counts the request's questions.
+	Number int
+	Target identifier.Target
+	Term   time.Duration
 }
 
 // ReturnPermit tells a cold target's owner that a permit is no longer used.
 type ReturnPermit struct {
 	Owner   identifier.Host
 	Request identifier.Request
-	Target  identifier.Target
+	// Number is that of the question by which the permit was got.
+	Number int
+	Target identifier.Target
 }
 
 // AnswerPermit answers a PermitAsked.
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -238,6 +238,9 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number counts the request's questions, so that a late return of one permit
+	// does not end a later one.
+	Number int
 	// Term is how long the request may run at most.
 	Term time.Duration
 }
@@ -246,6 +249,8 @@
 type PermitSettled struct {
 	Owner   identifier.Host
 	Request identifier.Request
+	// Number is that of the question.
+	Number  int
 	Target  identifier.Target
 	Granted bool
 	// RetryAfter is when to ask again after a refusal.
@@ -261,6 +266,8 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number is that of the question by which the permit was got.
+	Number int
 }
 
 // DrainStarted reports that this daemon is shutting down.
--- /dev/null
+++ b/internal/decision/reducer/liveness_test.go
@@ -0,0 +1,101 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// warmLabels makes both targets of the service "labels" warm and fully used by nobody.
+func warmLabels(d *single) {
+	for _, name := range []identifier.Target{"target-0", "target-1"} {
+		d.feed(IncarnationSeen{Target: name, Incarnation: 1})
+	}
+	d.pass(time.Minute)
+}
+
+func (d *single) prompt() []Effect {
+	d.n++
+	id := identifier.Request(fmt.Sprintf("r%d", d.n))
+	return d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 20 * time.Second, Work: Prompt{Model: "m", Tokens: 10, MaxTokens: 5}})
+}
+
+func TestRetriedRequestDoesNotBlockTheQueue(t *testing.T) {
+	d := newSingle(true, nil)
+	warmLabels(d)
+	var starts []Start
+	for {
+		start, ok := one[Start](d.prompt())
+		if !ok {
+			break
+		}
+		starts = append(starts, start)
+		d.pass(time.Millisecond)
+	}
+	// The last prompt waits; the first fails at its target and may not go there again yet.
+	failed := starts[0]
+	effects := d.feed(AttemptFailed{Attempt: failed.Attempt, Reason: FailureRefused, Proven: true})
+	for _, start := range starts[1:] {
+		if start.Target == failed.Target {
+			effects = append(effects, d.feed(AttemptDone{Attempt: start.Attempt, Incarnation: 1})...)
+		}
+	}
+	next, ok := one[Start](effects)
+	assert.Assert(t, ok, "target %s is free and a request waits", failed.Target)
+	assert.Equal(t, next.Target, failed.Target)
+	assert.Assert(t, next.Attempt.Request != failed.Attempt.Request)
+}
+
+func TestOnlyTargetLeftIsTriedAgain(t *testing.T) {
+	d := newSingle(true, nil)
+	warmLabels(d)
+	d.feed(MembersChanged{Leaving: []identifier.Target{"target-1"}})
+	start, ok := one[Start](d.prompt())
+	assert.Assert(t, ok)
+	again, ok := one[Start](d.feed(AttemptFailed{Attempt: start.Attempt, Reason: FailureRefused, Proven: true}))
+	assert.Assert(t, ok, "the only target that takes work is usable")
+	assert.Equal(t, again.Target, start.Target)
+}
+
+func TestRefusalIsGivenAtOnce(t *testing.T) {
+	d := newSingle(true, nil)
+	warmLabels(d)
+	start, ok := one[Start](d.prompt())
+	assert.Assert(t, ok)
+	var refuse Refuse
+	for range 10 {
+		effects := d.feed(AttemptFailed{Attempt: start.Attempt, Reason: FailureRefused, Proven: true})
+		if refuse, ok = one[Refuse](effects); ok {
+			break
+		}
+		start, ok = one[Start](effects)
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, refuse.Run, RunNot)
+	assert.Assert(t, refuse.RetryAfter > 0)
+	assert.Assert(t, d.now.Before(start.Deadline), "no time has passed since the last attempt failed")
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	d := newSingle(true, nil)
+	warmLabels(d)
+	const requests = 200
+	budget := d.s.fleet.Profiles["lunch"].RetryBudget
+	retries := 0
+	for range requests {
+		start, ok := one[Start](d.prompt())
+		for ok {
+			effects := d.feed(AttemptFailed{Attempt: start.Attempt, Reason: FailureRefused, Proven: true})
+			if start, ok = one[Start](effects); ok {
+				retries++
+			}
+		}
+		d.pass(time.Second)
+	}
+	assert.Assert(t, retries > 0)
+	assert.Assert(t, float64(retries) <= maxRetrySavings+requests*budget, "%d retries", retries)
+}
--- /dev/null
+++ b/internal/decision/reducer/ownership_test.go
@@ -0,0 +1,254 @@
+package reducer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/cache/hasher"
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// coldTarget is the only target of the service "orders" in worldFleet.
+const coldTarget identifier.Target = "target-2"
+
+// single drives one State by hand.
+type single struct {
+	s    *State
+	now  time.Time
+	host identifier.Host
+	peer identifier.Host
+	n    int
+}
+
+// newSingle returns the State of coldTarget's expected owner, or of its peer.
+func newSingle(owner bool, change func(*specifier.Fleet)) *single {
+	names := []string{"host-a", "host-b"}
+	host := first(string(coldTarget), names)
+	peer := names[0]
+	if peer == host {
+		peer = names[1]
+	}
+	if !owner {
+		host, peer = peer, host
+	}
+	d := &single{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), host: identifier.Host(host), peer: identifier.Host(peer)}
+	hosts := []identifier.Host{"host-a", "host-b"}
+	fleet := worldFleet(hosts)
+	if change != nil {
+		change(&fleet)
+	}
+	d.s = New(Config{Host: d.host, DataCentre: "dc", Seed: 1, BlockSecret: []byte("secret")})
+	d.feed(PeersChanged{Hosts: hosts})
+	d.feed(ConfigAdopted{Version: 1, Fleet: fleet})
+	return d
+}
+
+func (d *single) feed(ev Event) []Effect { return d.s.Reduce(ev, d.now) }
+
+func (d *single) pass(t time.Duration) []Effect {
+	d.now = d.now.Add(t)
+	return d.feed(Tick{})
+}
+
+// hold makes the State own coldTarget under fence.
+func (d *single) hold(fence uint64, takenOver bool) []Effect {
+	return d.feed(OwnershipChanged{Target: coldTarget, Held: true, Fence: fence, Until: d.now.Add(time.Minute), TakenOver: takenOver})
+}
+
+func (d *single) seen(incarnation identifier.Incarnation, cold bool) []Effect {
+	return d.feed(IncarnationSeen{Target: coldTarget, Incarnation: incarnation, Cold: cold})
+}
+
+// look brings a repeatable call and returns its start, if there is one.
+func (d *single) look() (Start, bool) {
+	d.n++
+	id := identifier.Request(fmt.Sprintf("r%d", d.n))
+	return one[Start](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "orders", Timeout: 20 * time.Second, Work: Call{Method: "GET", Path: "/look"}}))
+}
+
+// ask lets the peer ask for a permit and reports whether it is granted.
+func (d *single) ask(id identifier.Request, number int) bool {
+	answer, _ := one[AnswerPermit](d.feed(PermitAsked{From: d.peer, Target: coldTarget, Request: id, Number: number, Term: 20 * time.Second}))
+	return answer.Granted
+}
+
+// one returns the first effect of a kind.
+func one[E Effect](effects []Effect) (E, bool) {
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			return e, true
+		}
+	}
+	var none E
+	return none, false
+}
+
+func TestPermitsOutliveALapseOfTheSession(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	assert.Assert(t, d.ask("p1", 1) && d.ask("p2", 1))
+	d.feed(OwnershipChanged{Target: coldTarget})
+	assert.Assert(t, !d.ask("p3", 1))
+	d.hold(1, false)
+	assert.Assert(t, !d.ask("p3", 1), "two permits are out and the limit is two")
+	d.feed(PermitReturned{From: d.peer, Target: coldTarget, Request: "p1", Number: 1})
+	assert.Assert(t, d.ask("p3", 1))
+}
+
+func TestTakeOverWaitIsNotShortened(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(2, true)
+	d.feed(OwnershipChanged{Target: coldTarget})
+	d.hold(2, false)
+	assert.Assert(t, !d.ask("p1", 1))
+	d.pass(maxColdUse + permitMargin)
+	d.hold(2, false)
+	assert.Assert(t, d.ask("p1", 1))
+}
+
+func TestNoPermitOnceTheTargetIsGivenUp(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	hosts := []identifier.Host{d.host}
+	for i := 0; first(string(coldTarget), names(hosts)) == string(d.host); i++ {
+		hosts = append(hosts, identifier.Host(fmt.Sprintf("host-x%d", i)))
+	}
+	change := func(f *specifier.Fleet) {
+		for _, host := range hosts {
+			f.Hosts[host] = specifier.Host{DataCentre: "dc", State: specifier.StateIn}
+		}
+	}
+	fleet := worldFleet(nil)
+	change(&fleet)
+	d.feed(ConfigAdopted{Version: 2, Fleet: fleet})
+	want, ok := one[WantTargets](d.feed(PeersChanged{Hosts: hosts}))
+	assert.Assert(t, ok)
+	for _, name := range want.Targets {
+		assert.Assert(t, name != coldTarget)
+	}
+	assert.Assert(t, !d.ask("p1", 1), "the next owner finds no record and does not wait")
+	_, started := d.look()
+	assert.Assert(t, !started)
+}
+
+func names(hosts []identifier.Host) []string {
+	var list []string
+	for _, host := range hosts {
+		list = append(list, string(host))
+	}
+	return list
+}
+
+func TestLateReturnLeavesALaterPermit(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	assert.Assert(t, d.ask("p1", 1))
+	assert.Assert(t, d.ask("p1", 2))
+	assert.Assert(t, !d.ask("p2", 1))
+	d.feed(PermitReturned{From: d.peer, Target: coldTarget, Request: "p1", Number: 1})
+	assert.Assert(t, d.ask("p2", 1))
+	d.feed(PermitReturned{From: d.peer, Target: coldTarget, Request: "p1", Number: 1})
+	assert.Assert(t, !d.ask("p3", 1))
+}
+
+func TestUnprovenFailureKeepsThePlaceOnAColdTarget(t *testing.T) {
+	for _, reason := range []FailureReason{FailureStalled, FailureBroken, FailureCaller} {
+		d := newSingle(true, nil)
+		d.seen(1, true)
+		d.hold(1, false)
+		start, ok := d.look()
+		assert.Assert(t, ok)
+		assert.Assert(t, d.ask("p1", 1))
+		_, again := one[Start](d.feed(AttemptFailed{Attempt: start.Attempt, Reason: reason}))
+		assert.Assert(t, !again && !d.ask("p2", 1), "%s: the target may still run the request", reason)
+		d.feed(CallerGone{Request: start.Attempt.Request})
+		d.seen(2, true)
+		assert.Assert(t, d.ask("p3", 1) && d.ask("p4", 1), "%s: a new incarnation runs nothing of the earlier one", reason)
+	}
+}
+
+func TestUnprovenFailureKeepsThePermit(t *testing.T) {
+	for _, proven := range []bool{false, true} {
+		d := newSingle(false, nil)
+		d.seen(1, true)
+		d.n++
+		ask, ok := one[AskPermit](d.feed(RequestArrived{Request: "r1", KeyHash: "k1", Service: "orders", Timeout: 20 * time.Second, Work: Call{Method: "GET", Path: "/look"}}))
+		assert.Assert(t, ok)
+		start, ok := one[Start](d.feed(PermitSettled{Owner: d.peer, Request: "r1", Target: coldTarget, Number: ask.Number, Granted: true, Incarnation: 1, Asked: d.now}))
+		assert.Assert(t, ok)
+		back, returned := one[ReturnPermit](d.feed(AttemptFailed{Attempt: start.Attempt, Reason: FailureBroken, Proven: proven}))
+		assert.Equal(t, returned, proven)
+		assert.Assert(t, !returned || back.Number == ask.Number)
+	}
+}
+
+func TestRestartDuringImport(t *testing.T) {
+	d := newSingle(true, func(f *specifier.Fleet) {
+		f.Stores = map[identifier.Store]specifier.Store{"store-0": {DataCentre: "dc", State: specifier.StateIn, LinkBytesPerSecond: 1 << 30}}
+		profile := f.Profiles["lunch"]
+		profile.RampStepTime = specifier.Duration{}
+		f.Profiles["lunch"] = profile
+		for name := range f.Targets {
+			if name == "target-1" {
+				delete(f.Targets, name)
+			}
+		}
+	})
+	const engine identifier.Target = "target-0"
+	d.feed(PeersChanged{Hosts: []identifier.Host{d.host}})
+	d.feed(OwnershipChanged{Target: engine, Held: true, Fence: 1, Until: d.now.Add(time.Minute)})
+	d.feed(IncarnationSeen{Target: engine, Incarnation: 1})
+	var importing []identifier.Request
+	for i := range worldColdLimit + 2 {
+		id := identifier.Request(fmt.Sprintf("r%d", i))
+		text := strings.Repeat(string(rune('a'+i)), 8*hasher.BlockBytes)
+		lookup, ok := one[Lookup](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 20 * time.Second, Work: promptOf(text)}))
+		assert.Assert(t, ok)
+		var blocks []StoredBlock
+		for _, key := range lookup.Keys {
+			blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
+		}
+		_, ok = one[Import](d.feed(LookupDone{Request: id, Store: "store-0", Blocks: blocks}))
+		assert.Assert(t, ok)
+		importing = append(importing, id)
+	}
+	d.feed(IncarnationSeen{Target: engine, Incarnation: 2, Cold: true})
+	started := 0
+	for _, id := range importing {
+		for _, effect := range d.feed(ImportDone{Request: id, Target: engine, Store: "store-0", Failed: true}) {
+			if start, ok := effect.(Start); ok {
+				started++
+				assert.Assert(t, !start.SendBy.IsZero(), "a cold target is used within its owner's term")
+			}
+		}
+	}
+	assert.Assert(t, started <= worldColdLimit, "%d requests started on a cold target", started)
+}
+
+func TestOwnerLetsAPeerUseATargetThatIsWarm(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, false)
+	d.pass(time.Minute)
+	assert.Assert(t, d.ask("p1", 1), "a peer that suspects a warm target would wait for its next report")
+}
+
+func TestPeersReportIsNotSharedAgain(t *testing.T) {
+	d := newSingle(false, nil)
+	d.feed(LoadObserved{Target: coldTarget, Incarnation: 1})
+	d.pass(time.Second)
+	_, shared := one[ShareLoad](d.feed(LoadObserved{Target: coldTarget, Incarnation: 1, Cold: true}))
+	assert.Assert(t, !shared)
+	_, shared = one[ShareLoad](d.feed(LoadObserved{Target: coldTarget, Incarnation: 2, Cold: true}))
+	assert.Assert(t, !shared)
+	_, shared = one[ShareLoad](d.seen(3, true))
+	assert.Assert(t, shared, "what this daemon saw itself is news to its peers")
+}
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,17 +28,26 @@
 // ownership is the right to say who uses a cold target.
 type ownership struct {
 	fence uint64
-	// until is when the right ends unless it is renewed.
+	// until is when the right ends unless it is renewed; zero while it is lost.
 	until time.Time
 	// usable is when permits of earlier owners have ended.
-	usable  time.Time
-	permits map[permitKey]time.Time
+	usable time.Time
+	// permits outlive a loss of the right, which may come back under the same fence.
+	permits map[permitKey]permit
 }
 
-// permitKey names one permit of a peer.
+// permitKey names one permit of a peer, or one place of this daemon.
 type permitKey struct {
 	host    identifier.Host
 	request identifier.Request
+	number  int
+}
+
+// permit is a place on a cold target that may be in use.
+type permit struct {
+	until time.Time
+	// incarnation is the only one of the target that the request can reach.
+	incarnation identifier.Incarnation
 }
 
 func newOwning(self identifier.Host) owning {
@@ -114,7 +124,7 @@
 // nothing in use.
 func (s *State) usesCold(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && t.cold && t.inflight+len(own.permits) > 0
+	return own != nil && !own.until.IsZero() && t.cold && t.inflight+len(own.permits) > 0
 }
 
 // coldInUse reports whether any owned target is cold and in use.
@@ -142,25 +152,30 @@
 }
 
 func (s *State) onOwnershipChanged(ev OwnershipChanged) {
+	own := s.owned[ev.Target]
 	if !ev.Held {
-		delete(s.owned, ev.Target)
+		if own != nil {
+			own.until = time.Time{}
+		}
 		return
 	}
-	own := s.owned[ev.Target]
-	if own == nil || own.fence != ev.Fence {
-		own = &ownership{fence: ev.Fence, permits: map[permitKey]time.Time{}}
+	if own == nil {
+		own = &ownership{permits: map[permitKey]permit{}}
 		s.owned[ev.Target] = own
-		if ev.TakenOver {
-			own.usable = s.now.Add(maxColdUse + permitMargin)
-		}
 	}
+	if own.fence != ev.Fence && ev.TakenOver {
+		own.usable = s.now.Add(maxColdUse + permitMargin)
+	}
+	own.fence = ev.Fence
 	own.until = ev.Until
 }
 
-// owns reports whether this daemon may say now who uses t.
+// owns reports whether this daemon may say now who uses t. A target that it
+// gives up is owned no more from the moment when that is decided, since its next
+// owner finds no record and does not wait.
 func (s *State) owns(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && s.now.Before(own.until)
+	return own != nil && s.now.Before(own.until) && slices.Contains(s.wanted, t.name)
 }
 
 // coldRoom reports whether this daemon, as the owner, may put one more request
@@ -240,25 +255,29 @@
 		return false
 	}
 	t.asking = true
+	r.asks++
 	r.phase = phasePermit
 	term := min(r.deadline.Sub(s.now), maxColdUse)
-	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Target: t.name, Term: term})
+	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Number: r.asks, Target: t.name, Term: term})
 	return true
 }
 
 func (s *State) onPermitAsked(ev PermitAsked) {
 	t, own := s.targets[ev.Target], s.owned[ev.Target]
-	if t == nil || own == nil || !t.cold || !s.takesWork(t) || !s.coldRoom(t) {
+	if t == nil || !s.takesWork(t) || !s.hasRoom(t) {
 		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry})
 		return
 	}
-	own.permits[permitKey{ev.From, ev.Request}] = s.now.Add(min(ev.Term, maxColdUse) + permitMargin)
+	if own != nil {
+		until := s.now.Add(min(ev.Term, maxColdUse) + permitMargin)
+		own.permits[permitKey{ev.From, ev.Request, ev.Number}] = permit{until, t.incarnation}
+	}
 	s.emit(AnswerPermit{Call: ev.Call, Granted: true, Incarnation: t.incarnation})
 }
 
 func (s *State) onPermitReturned(ev PermitReturned) {
 	if own := s.owned[ev.Target]; own != nil {
-		delete(own.permits, permitKey{ev.From, ev.Request})
+		delete(own.permits, permitKey{ev.From, ev.Request, ev.Number})
 	}
 }
 
@@ -273,12 +292,12 @@
 		}
 	}
 	if ev.Granted {
-		s.onIncarnationSeen(ev.Target, ev.Incarnation, true)
+		s.learn(ev.Target, ev.Incarnation, true)
 	}
 	r := s.requests[ev.Request]
-	waiting := r != nil && r.phase == phasePermit
+	waiting := r != nil && r.phase == phasePermit && r.asks == ev.Number
 	if ev.Granted && (!waiting || !s.permitUsable(t, ev)) {
-		s.emit(ReturnPermit{Owner: ev.Owner, Request: ev.Request, Target: ev.Target})
+		s.emit(ReturnPermit{Owner: ev.Owner, Request: ev.Request, Number: ev.Number, Target: ev.Target})
 	}
 	switch {
 	case !waiting:
@@ -308,17 +327,42 @@
 	if r.permitFrom == "" {
 		return
 	}
-	s.emit(ReturnPermit{Owner: r.permitFrom, Request: r.id, Target: r.target.name})
+	s.emit(ReturnPermit{Owner: r.permitFrom, Request: r.id, Number: r.asks, Target: r.target.name})
 	r.permitFrom = ""
 }
 
-// expirePermits forgets the permits that no daemon can still use, in a fixed order.
+// keepPlace counts r's place on a cold target as used until its attempt ends by
+// itself, because the target may still run it.
+func (s *State) keepPlace(r *request) {
+	if r.cutoff.IsZero() || r.target.incarnation != r.incarnation {
+		return
+	}
+	if r.permitFrom != "" {
+		r.permitFrom = "" // The owner's record of the permit ends by its term.
+		return
+	}
+	if own := s.owned[r.target.name]; own != nil {
+		until := earlier(r.deadline, r.cutoff).Add(permitMargin)
+		own.permits[permitKey{s.cfg.Host, r.id, r.number}] = permit{until, r.incarnation}
+	}
+}
+
+// endPermits forgets the permits for earlier incarnations of t, which run nothing any more.
+func (s *State) endPermits(t *target) {
+	own := s.owned[t.name]
+	if own == nil {
+		return
+	}
+	maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return p.incarnation < t.incarnation })
+}
+
+// expirePermits forgets the permits that no daemon can still use, and the lost
+// ownerships that have none left.
 func (s *State) expirePermits() {
-	for _, own := range s.owned {
-		for key, until := range own.permits {
-			if s.now.After(until) {
-				delete(own.permits, key)
-			}
+	for name, own := range s.owned {
+		maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return s.now.After(p.until) })
+		if own.until.IsZero() && len(own.permits) == 0 && !s.now.Before(own.usable) {
+			delete(s.owned, name)
 		}
 	}
 }
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -168,18 +168,47 @@
 func (s *State) dispatch() {
 	for _, service := range s.services {
 		q := s.queueOf(service)
-		for len(q.waiting) > 0 {
-			r := q.waiting[0]
-			if !s.place(r) {
-				break
-			}
+		s.dispatchQueue(q)
+		if len(q.waiting) == 0 {
+			clear(q.finish)
+		}
+	}
+}
+
+// dispatchQueue places requests in order. One that waits for a target other than
+// those it failed at does not hold up the others.
+func (s *State) dispatchQueue(q *fairQueue) {
+	var passed []*request
+	for len(q.waiting) > 0 {
+		r := q.waiting[0]
+		s.allowTried(r)
+		if s.place(r) {
 			q.virtual = max(q.virtual, r.start)
 			if r.index >= 0 {
 				heap.Remove(&q.waiting, r.index)
 			}
+			continue
 		}
-		if len(q.waiting) == 0 {
-			clear(q.finish)
+		if len(r.tried) == 0 {
+			break
+		}
+		heap.Remove(&q.waiting, r.index)
+		passed = append(passed, r)
+	}
+	for _, r := range passed {
+		heap.Push(&q.waiting, r)
+	}
+}
+
+// allowTried lets r go to the targets that it failed at when no other one takes work.
+func (s *State) allowTried(r *request) {
+	if len(r.tried) == 0 {
+		return
+	}
+	for _, t := range s.byService[r.service] {
+		if !r.tried[t.name] && s.takesWork(t) && !t.open(s.now) && t.incarnation != 0 {
+			return
 		}
 	}
+	clear(r.tried)
 }
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -64,6 +64,10 @@
 	tried     map[identifier.Target]bool
 	// permitFrom is the owner that gave leave for the present target, or empty.
 	permitFrom identifier.Host
+	// asks counts the questions for permits; the last one's number is a permit's.
+	asks int
+	// incarnation is that of the target when it was chosen.
+	incarnation identifier.Incarnation
 	// sendBy and cutoff bound the sending and the running on a cold target.
 	sendBy time.Time
 	cutoff time.Time
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -62,6 +62,7 @@
 // reserve takes a place on the chosen target.
 func (s *State) reserve(r *request, c choice) {
 	r.target = c.target
+	r.incarnation = c.target.incarnation
 	r.computing = c.plan.ComputedTokens
 	c.target.inflight++
 	c.target.pendingTokens += r.computing
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -123,7 +123,9 @@
 	if ev.Incarnation == t.incarnation && asOf.Before(t.heard) {
 		return
 	}
-	s.onIncarnationSeen(ev.Target, ev.Incarnation, ev.Cold)
+	if s.learn(ev.Target, ev.Incarnation, ev.Cold) && s.reads(ev.Target) {
+		s.shareCold(t)
+	}
 	t.reported = ev.Running + ev.Queued
 	t.reportedQueue = ev.QueuedTokens
 	t.inflightThen = t.inflight
@@ -133,40 +135,59 @@
 	}
 }
 
-// onIncarnationSeen makes a target cold as soon as a new incarnation is seen, and
-// starts its ramp when the incarnation says that it is warm.
+// onIncarnationSeen takes in what a target itself told this daemon, and passes
+// on that it turned cold.
 func (s *State) onIncarnationSeen(name identifier.Target, seen identifier.Incarnation, cold bool) {
+	if s.learn(name, seen, cold) {
+		s.shareCold(s.targets[name])
+	}
+}
+
+// learn makes a target cold as soon as a new incarnation is seen, and starts its
+// ramp when the incarnation says that it is warm. It reports whether the target
+// turned cold or changed its incarnation. What peers told is not shared again, so
+// that an old report can't go round among them.
+func (s *State) learn(name identifier.Target, seen identifier.Incarnation, cold bool) bool {
 	t := s.targets[name]
 	if t == nil || seen < t.incarnation || seen == 0 {
-		return
+		return false
 	}
+	news := false
 	if seen > t.incarnation {
+		news = t.incarnation != 0
 		s.renew(t, seen)
 	}
 	if cold && !t.cold {
 		t.cold = true
-		s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: seen, Cold: true}})
+		news = true
 	}
 	if !cold && t.cold {
 		t.cold = false
 		t.warmSince = s.now
 	}
+	return news
+}
+
+// shareCold tells the peers that t is cold.
+func (s *State) shareCold(t *target) {
+	s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: t.incarnation, Cold: true}})
+}
+
+// reads reports whether this daemon reads the target's load itself.
+func (s *State) reads(name identifier.Target) bool {
+	return slices.ContainsFunc(s.read, func(r TargetAddress) bool { return r.Target == name })
 }
 
 // renew forgets what was known of a target's earlier incarnation.
 func (s *State) renew(t *target, seen identifier.Incarnation) {
-	first := t.incarnation == 0
 	t.incarnation = seen
 	t.cold = true
 	t.reported, t.reportedQueue, t.inflightThen = 0, 0, t.inflight
 	t.heard = time.Time{}
 	t.health = health{}
 	s.forgetCacheOf(t.name)
+	s.endPermits(t)
 	s.emit(Believe{Target: t.name, Incarnation: seen})
-	if first {
-		return
-	}
-	s.emit(ShareLoad{Load: LoadObserved{Target: t.name, Incarnation: seen, Cold: true}})
 }
 
 func (s *State) onTargetUnreachable(ev TargetUnreachable) {
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -219,11 +219,11 @@
 			c.answered = true
 		}
 	case AskPermit:
-		w.feed(e.Owner, PermitAsked{Call: w.nextCall(p.host, e), From: p.host, Target: e.Target, Request: e.Request, Term: e.Term})
+		w.feed(e.Owner, PermitAsked{Call: w.nextCall(p.host, e), From: p.host, Target: e.Target, Request: e.Request, Number: e.Number, Term: e.Term})
 	case AnswerPermit:
 		w.answerPermit(e)
 	case ReturnPermit:
-		w.feed(e.Owner, PermitReturned{From: p.host, Target: e.Target, Request: e.Request})
+		w.feed(e.Owner, PermitReturned{From: p.host, Target: e.Target, Request: e.Request, Number: e.Number})
 	case Start:
 		w.deliverStart(p.host, e)
 	}
@@ -244,7 +244,7 @@
 func (w *world) answerPermit(e AnswerPermit) {
 	call := w.permitCalls[e.Call]
 	w.later(call.host, PermitSettled{
-		Owner: call.ask.Owner, Request: call.ask.Request, Target: call.ask.Target,
+		Owner: call.ask.Owner, Request: call.ask.Request, Number: call.ask.Number, Target: call.ask.Target,
 		Granted: e.Granted, RetryAfter: e.RetryAfter, Incarnation: e.Incarnation, Asked: call.asked,
 	})
 }
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -245,13 +245,13 @@
 // OnPermit asks the reducer whether a peer may use a cold target.
 func (p *peers) OnPermit(m describer.Permit) (describer.PermitReply, error) {
 	call, answer := p.around.expectAnswer()
-	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Term: m.Term})
+	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Number: m.Number, Term: m.Term})
 	select {
 	case a := <-answer:
 		return describer.PermitReply{Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation}, nil
 	case <-p.around.clock.After(permitTimeout):
 		p.around.forgetAnswer(call)
-		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 		return describer.PermitReply{}, newError("permit", KindRun, errNoAnswer)
 	}
 }
@@ -274,7 +274,7 @@
 
 // OnRelease takes back a permit.
 func (p *peers) OnRelease(m describer.ReleasePermit) (describer.ReleasePermitReply, error) {
-	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 	return describer.ReleasePermitReply{Released: true}, nil
 }
 
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -119,12 +119,12 @@
 func (s *surroundings) AskPermit(e reducer.AskPermit) {
 	asked := s.clock.Now()
 	go func() {
-		settled := reducer.PermitSettled{Owner: e.Owner, Request: e.Request, Target: e.Target, Asked: asked}
+		settled := reducer.PermitSettled{Owner: e.Owner, Request: e.Request, Number: e.Number, Target: e.Target, Asked: asked}
 		reply, err := s.peers.Permit(context.Background(), e.Owner, describer.Permit{
-			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Term: e.Term,
+			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Number: e.Number, Term: e.Term,
 		})
 		if err != nil {
-			s.ReturnPermit(reducer.ReturnPermit{Owner: e.Owner, Request: e.Request, Target: e.Target})
+			s.ReturnPermit(reducer.ReturnPermit{Owner: e.Owner, Request: e.Request, Number: e.Number, Target: e.Target})
 			settled.RetryAfter = permitRetryAfterError
 		} else {
 			settled.Granted, settled.RetryAfter, settled.Incarnation = reply.Granted, reply.RetryAfter, reply.Incarnation
@@ -140,7 +140,7 @@
 func (s *surroundings) ReturnPermit(e reducer.ReturnPermit) {
 	go func() {
 		_, err := s.peers.Release(context.Background(), e.Owner, describer.ReleasePermit{
-			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request,
+			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Number: e.Number,
 		})
 		if err != nil {
 			s.cfg.Logger.Debug("a permit was not returned; it ends by its term", "target", string(e.Target), "error", err)
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -131,6 +131,8 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number counts the request's questions for slots.
+	Number int
 	// Term is how long the slot is wanted at most; the owner counts it from the
 	// permit's arrival, the asker from before its sending.
 	Term time.Duration
@@ -152,6 +154,8 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number is that of the question by which the slot was got.
+	Number int
 }
 
 // ReleasePermitReply answers ReleasePermit.
