Ignore repeated grants, old ownerships and repeated claims

Cause: A grant that came twice returned the permit in use, a claim that came twice was released while its request ran, an ownership under an older fence replaced the newer one, and a drained daemon still gave permits for targets that it was giving up. Change: Each question for a permit is answered once, fences never fall, a held claim is not settled again, and a drained daemon owns nothing. Conclusion: the daemon's own goroutines deliver each of these events once today; the reducer no longer depends on it.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -252,6 +252,9 @@
 
 func (s *State) onClaimSettled(ev ClaimSettled) {
 	r := s.requests[ev.Request]
+	if r != nil && r.claimed {
+		return
+	}
 	if r == nil || r.phase != phaseClaiming {
 		if ev.Outcome == ClaimWon {
 			s.emit(ReleaseClaim{Request: ev.Request, Team: ev.Team, IdempotencyKey: ev.IdempotencyKey})
--- a/internal/decision/reducer/ownership_test.go
+++ b/internal/decision/reducer/ownership_test.go
@@ -252,3 +252,62 @@
 	_, shared = one[ShareLoad](d.seen(3, true))
 	assert.Assert(t, shared, "what this daemon saw itself is news to its peers")
 }
+
+func TestRepeatedGrantDoesNotReturnThePermit(t *testing.T) {
+	d := newSingle(false, nil)
+	d.seen(1, true)
+	ask, ok := one[AskPermit](d.feed(RequestArrived{Request: "r1", KeyHash: "k1", Service: "orders", Timeout: 20 * time.Second, Work: Call{Method: "GET", Path: "/look"}}))
+	assert.Assert(t, ok)
+	granted := PermitSettled{Owner: d.peer, Request: "r1", Target: coldTarget, Number: ask.Number, Granted: true, Incarnation: 1, Asked: d.now}
+	_, ok = one[Start](d.feed(granted))
+	assert.Assert(t, ok)
+	_, returned := one[ReturnPermit](d.feed(granted))
+	assert.Assert(t, !returned)
+}
+
+func TestNoPermitOnceDrained(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	_, drained := one[Drained](d.feed(DrainStarted{}))
+	assert.Assert(t, drained)
+	assert.Assert(t, !d.ask("p1", 1), "the daemon gives the target up without a wait for its successor")
+}
+
+func TestDrainWaitsForPermits(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	assert.Assert(t, d.ask("p1", 1))
+	_, drained := one[Drained](d.feed(DrainStarted{}))
+	assert.Assert(t, !drained)
+	_, drained = one[Drained](d.feed(PermitReturned{From: d.peer, Target: coldTarget, Request: "p1", Number: 1}))
+	assert.Assert(t, drained)
+	_, drained = one[Drained](d.pass(time.Second))
+	assert.Assert(t, !drained)
+}
+
+func TestOldOwnershipDoesNotReplaceANewerOne(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(5, false)
+	d.hold(3, false)
+	d.hold(5, true)
+	assert.Assert(t, d.ask("p1", 1), "the wait of a take-over begins once for each fence")
+}
+
+func TestRepeatedClaimIsNotReleased(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	claim, ok := one[Claim](d.feed(RequestArrived{
+		Request: "r1", KeyHash: "k1", Service: "orders", IdempotencyKey: "key", Timeout: 20 * time.Second,
+		Work: Call{Method: "POST", Path: "/print/1", Fingerprint: "f"},
+	}))
+	assert.Assert(t, ok)
+	won := ClaimSettled{Request: "r1", Team: claim.Team, IdempotencyKey: "key", Outcome: ClaimWon}
+	_, ok = one[Start](d.feed(won))
+	assert.Assert(t, ok)
+	_, released := one[ReleaseClaim](d.feed(won))
+	assert.Assert(t, !released, "the request runs under the claim")
+}
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -18,6 +18,8 @@
 	// hostNames are the live daemons of each data centre as text, for rendezvous hashing.
 	hostNames map[identifier.DataCentre][]string
 	owned     map[identifier.Target]*ownership
+	// asked holds the questions for permits that have no answer yet.
+	asked map[permitKey]bool
 	// wanted and read are the targets that the last effects named.
 	wanted []identifier.Target
 	read   []TargetAddress
@@ -55,6 +57,7 @@
 		live:  []identifier.Host{self},
 		hosts: []identifier.Host{self},
 		owned: map[identifier.Target]*ownership{},
+		asked: map[permitKey]bool{},
 	}
 }
 
@@ -163,6 +166,9 @@
 		own = &ownership{permits: map[permitKey]permit{}}
 		s.owned[ev.Target] = own
 	}
+	if ev.Fence < own.fence {
+		return
+	}
 	if own.fence != ev.Fence && ev.TakenOver {
 		own.usable = s.now.Add(maxColdUse + permitMargin)
 	}
@@ -175,7 +181,7 @@
 // owner finds no record and does not wait.
 func (s *State) owns(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && s.now.Before(own.until) && slices.Contains(s.wanted, t.name)
+	return own != nil && s.now.Before(own.until) && slices.Contains(s.wanted, t.name) && !s.drained
 }
 
 // coldRoom reports whether this daemon, as the owner, may put one more request
@@ -256,6 +262,7 @@
 	}
 	t.asking = true
 	r.asks++
+	s.asked[permitKey{s.cfg.Host, r.id, r.asks}] = true
 	r.phase = phasePermit
 	term := min(r.deadline.Sub(s.now), maxColdUse)
 	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Number: r.asks, Target: t.name, Term: term})
@@ -284,6 +291,11 @@
 // onPermitSettled starts the request if its owner gave leave, and puts it back
 // into the queue otherwise.
 func (s *State) onPermitSettled(ev PermitSettled) {
+	question := permitKey{s.cfg.Host, ev.Request, ev.Number}
+	if !s.asked[question] {
+		return
+	}
+	delete(s.asked, question)
 	t := s.targets[ev.Target]
 	if t != nil {
 		t.asking = false
