--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -42,6 +42,7 @@
 	keyer   *hasher.Keyer
 
 	permitCalls []permitCall
+	linkCalls   []linkCall
 	requests    map[identifier.Request]*requestModel
 	keyRuns     map[string]int
 }
@@ -419,11 +420,39 @@
 		}
 	case Start:
 		w.deliverStart(host, e)
+	case AskLink, AnswerLink, ReturnLink:
+		w.carryOutLink(host, effect)
 	default:
 		w.carryOutPermit(host, effect)
 	}
 }
 
+// linkCall remembers who asked for a time on a link.
+type linkCall struct {
+	host identifier.Host
+	life int
+	ask  AskLink
+}
+
+func (w *world) carryOutLink(host identifier.Host, effect Effect) {
+	switch e := effect.(type) {
+	case AskLink:
+		if !w.reach(w.centre(host), w.centre(e.Owner)) || w.oneIn(8, "link ask") {
+			w.later(host, LinkSettled{Request: e.Request, Store: e.Store, Export: e.Export, Failed: true})
+			return
+		}
+		w.linkCalls = append(w.linkCalls, linkCall{host: host, life: w.processes[host].life, ask: e})
+		w.later(e.Owner, LinkAsked{Call: uint64(len(w.linkCalls) - 1), Store: e.Store, Bytes: e.Bytes, Share: e.Share, Export: e.Export})
+	case AnswerLink:
+		call := w.linkCalls[e.Call]
+		w.laterIf(w.processes[call.host].life == call.life, call.host, LinkSettled{
+			Request: call.ask.Request, Store: call.ask.Store, Export: call.ask.Export, Granted: e.Granted, Wait: e.Wait,
+		})
+	case ReturnLink:
+		w.later(e.Owner, LinkReturned{Store: e.Store, Bytes: e.Bytes, Share: e.Share})
+	}
+}
+
 func (w *world) carryOutPermit(host identifier.Host, effect Effect) {
 	switch e := effect.(type) {
 	case AskPermit:
@@ -525,6 +554,7 @@
 		if from, ok := w.stores[e.Store][block.Key]; ok && !done.Failed {
 			engine.cache[block.Key] = from
 			done.Blocks++
+			done.Bytes += w.fleet.Models[e.Model].BlockBytes
 		}
 	}
 	w.later(host, done)
@@ -537,7 +567,7 @@
 			w.stores[e.Store][key] = block
 		}
 	}
-	w.later(host, ExportDone{Target: e.Target, Store: e.Store, Blocks: len(e.Keys)})
+	w.later(host, ExportDone{Target: e.Target, Store: e.Store, Asked: len(e.Keys), Blocks: len(e.Keys)})
 }
 
 // deliverStart lets a request reach its target, or not.
