Draw long deadlines and foreign blocks in the model of daemons

Cause: No request of the model outlived the longest use of a cold target, and stores never named a block that was not asked for. Change: Half of the requests wait three times that long; a store's answer may go on with blocks of others. Conclusion: the bounds on cold use and the match of blocks are now under test.

--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -542,6 +543,11 @@
 		}
 		done.Blocks = append(done.Blocks, StoredBlock{Key: key, Generation: 1})
 	}
+	if w.oneIn(6, "foreign block") {
+		for _, key := range slices.SortedFunc(maps.Keys(w.stores[e.Store]), func(a, b identifier.BlockKey) int { return bytes.Compare(a[:], b[:]) }) {
+			done.Blocks = append(done.Blocks, StoredBlock{Key: key, Generation: 1})
+		}
+	}
 	w.later(host, done)
 }
 
@@ -763,11 +769,19 @@
 	p.open[id] = true
 	p.admitted++
 	w.feed(host, RequestArrived{
-		Request: id, KeyHash: "k" + string(team[1:]), Service: serviceOf(work), IdempotencyKey: key, Timeout: 20 * time.Second, Work: work,
+		Request: id, KeyHash: "k" + string(team[1:]), Service: serviceOf(work), IdempotencyKey: key, Timeout: w.timeout(), Work: work,
 	})
 	return id
 }
 
+// timeout draws a deadline below or above the longest use of a cold target.
+func (w *world) timeout() time.Duration {
+	if w.oneIn(2, "patient") {
+		return 3 * maxColdUse
+	}
+	return 20 * time.Second
+}
+
 func serviceOf(work Work) identifier.Service {
 	if _, ok := work.(Call); ok {
 		return "orders"
