--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -119,6 +119,9 @@
 	t := r.target
 	s.blame(t, ev)
 	s.unlead(r)
+	if !ev.Proven {
+		s.keepPlace(r)
+	}
 	s.release(r)
 	r.phase = phaseQueued
 	r.index = -1
@@ -251,6 +254,9 @@
 
 func (s *State) onClaimSettled(ev ClaimSettled) {
 	r := s.requests[ev.Request]
+	if r != nil && r.claimed {
+		return
+	}
 	if r == nil || r.phase != phaseClaiming {
 		if ev.Outcome == ClaimWon {
 			s.emit(ReleaseClaim{Request: ev.Request, Team: ev.Team, IdempotencyKey: ev.IdempotencyKey})
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -187,6 +187,7 @@
 	var held []*request
 	for len(q.waiting) > 0 && len(held) < dispatchDepth {
 		r := heap.Pop(&q.waiting).(*request)
+		s.allowTried(r)
 		if !s.place(r) {
 			held = append(held, r)
 			continue
@@ -197,3 +198,16 @@
 		heap.Push(&q.waiting, r)
 	}
 }
+
+// allowTried lets r go to the targets that it failed at when no other one takes work.
+func (s *State) allowTried(r *request) {
+	if len(r.tried) == 0 {
+		return
+	}
+	for _, t := range s.byService[r.service] {
+		if !r.tried[t.name] && s.takesWork(t) && !t.open(s.now) && t.incarnation != 0 {
+			return
+		}
+	}
+	clear(r.tried)
+}
--- a/internal/decision/reducer/suspicion_test.go
+++ b/internal/decision/reducer/suspicion_test.go
@@ -62,10 +62,10 @@
 	t.Helper()
 	question, ok := effectOf[AskPermit](effects)
 	assert.Assert(t, ok, "effects: %v", effects)
-	answer, ok := effectOf[AnswerPermit](p.owner.Reduce(PermitAsked{From: p.other.cfg.Host, Target: question.Target, Request: question.Request, Term: question.Term}, p.now))
+	answer, ok := effectOf[AnswerPermit](p.owner.Reduce(PermitAsked{From: p.other.cfg.Host, Target: question.Target, Request: question.Request, Number: question.Number, Term: question.Term}, p.now))
 	assert.Assert(t, ok)
 	return p.other.Reduce(PermitSettled{
-		Owner: question.Owner, Request: question.Request, Target: question.Target, Granted: answer.Granted,
+		Owner: question.Owner, Request: question.Request, Number: question.Number, Target: question.Target, Granted: answer.Granted,
 		RetryAfter: answer.RetryAfter, Incarnation: answer.Incarnation, Warm: answer.Warm, Age: answer.Age, Asked: p.now,
 	}, p.now)
 }
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -265,7 +265,7 @@
 // OnPermit asks the reducer whether a peer may use a cold target.
 func (p *peers) OnPermit(m describer.Permit) (describer.PermitReply, error) {
 	call, answer := p.around.permits.expect()
-	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Term: m.Term})
+	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Number: m.Number, Term: m.Term})
 	select {
 	case a := <-answer:
 		return describer.PermitReply{
@@ -273,14 +273,14 @@
 		}, nil
 	case <-p.around.clock.After(answerTimeout):
 		p.around.permits.forget(call)
-		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 		return describer.PermitReply{}, newError("permit", KindRun, errNoAnswer)
 	}
 }
 
 // OnRelease takes back a permit.
 func (p *peers) OnRelease(m describer.ReleasePermit) (describer.ReleasePermitReply, error) {
-	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 	return describer.ReleasePermitReply{Released: true}, nil
 }
 
