Draw gaps of return in prompts, so that they fit any rate

Cause: gaps in seconds were shorter than the rate could serve, so that families returned in turn and every policy missed all caches: recomputed share 0.95 to 1 at 30 requests a second.

Change: each family's mean gap is counted in prompts; all rates of return sum up to one visit for each prompt.

Conclusion: popularity now shows in the gaps.

--- a/internal/bench/generator/generator.go
+++ b/internal/bench/generator/generator.go
@@ -60,10 +60,11 @@
 	rng  *rand.Rand
 	due  schedule
 	// teams holds the team of each family, teamShares the load of each team
-	// summed up to it, and ranks the popularity of each family.
+	// summed up to it, and gaps the mean gap of each family in prompts.
 	teams      []int
 	teamShares []float64
-	ranks      []int
+	gaps       []float64
+	prompts    int
 	payments   int
 }
 
@@ -81,7 +82,7 @@
 	}
 	g := &Generator{load: cfg.Load, seed: cfg.Seed, rng: rand.New(rand.NewPCG(cfg.Seed, streamArrivals))}
 	g.teamShares = zipf(cfg.Load.Teams.Count, cfg.Load.Teams.Skew)
-	g.ranks = g.rng.Perm(cfg.Load.Families.Count)
+	g.gaps = meanGaps(cfg.Load.Families, g.rng.Perm(cfg.Load.Families.Count))
 	g.teams = make([]int, cfg.Load.Families.Count)
 	for i := range g.teams {
 		g.teams[i] = pick(g.teamShares, g.rng.Float64())
@@ -114,20 +115,30 @@
 	return min(i, len(sums)-1)
 }
 
+// meanGaps returns the mean gap of each family in prompts. The families' rates
+// of return sum up to one visit for each prompt.
+func meanGaps(f planner.Families, ranks []int) []float64 {
+	gaps := make([]float64, len(ranks))
+	rate := 0.0
+	for family, rank := range ranks {
+		gaps[family] = math.Pow(float64(rank+1), f.Skew)
+		rate += 1 / gaps[family]
+	}
+	for family := range gaps {
+		gaps[family] *= rate
+	}
+	return gaps
+}
+
 // firstVisit draws the time of a family's first visit, as if it had returned for long.
-func (g *Generator) firstVisit(family int) time.Duration {
-	gap := g.gap(family)
-	return -g.load.WarmUp.Duration + time.Duration(g.rng.Float64()*float64(gap))
+func (g *Generator) firstVisit(family int) float64 {
+	return g.rng.Float64() * g.gap(family)
 }
 
-// gap draws the time after which a family returns. The gap of a family of
-// middle popularity has the mean of the scenario.
-func (g *Generator) gap(family int) time.Duration {
-	f := g.load.Families
-	middle := float64(f.Count+1) / 2
-	factor := math.Pow(float64(g.ranks[family]+1)/middle, f.Skew)
-	rest := max(0, float64(f.Gap.Duration)*factor-float64(f.MinGap.Duration))
-	return f.MinGap.Duration + time.Duration(g.rng.ExpFloat64()*rest)
+// gap draws the number of prompts after which a family returns.
+func (g *Generator) gap(family int) float64 {
+	regular := g.load.Families.Regularity
+	return g.gaps[family] * (regular + (1-regular)*g.rng.ExpFloat64())
 }
 
 // Arrivals draws all requests in the order of their times.
@@ -188,7 +199,8 @@
 	}
 	next := &g.due[0]
 	a.Family = next.family
-	next.at = max(next.at, at) + g.gap(next.family)
+	g.prompts++
+	next.at = max(next.at, float64(g.prompts)) + g.gap(next.family)
 	heap.Fix(&g.due, 0)
 	a.Team = g.teams[a.Family]
 	g.question(&a)
--- a/internal/bench/generator/schedule.go
+++ b/internal/bench/generator/schedule.go
@@ -1,14 +1,11 @@
 package generator
 
-import (
-	"container/heap"
-	"time"
-)
+import "container/heap"
 
-// visit is the next return of a family.
+// visit is the next return of a family. Its time is counted in prompts.
 type visit struct {
 	family int
-	at     time.Duration
+	at     float64
 }
 
 // schedule is a heap of visits, the earliest first.
--- a/internal/bench/planner/scenario.go
+++ b/internal/bench/planner/scenario.go
@@ -128,20 +128,19 @@
 	QuestionTokens int `json:"question-tokens"`
 	// OutputTokens is the mean length of an answer; lengths are uniform from half of it to one and a half.
 	OutputTokens int `json:"output-tokens"`
-	// Skew lets popular families return sooner: the gap of the family of rank r grows as r to the power of Skew.
+	// Skew lets popular families return sooner: the mean gap between two visits of
+	// the family of rank r grows as r to the power of Skew. The mean gap over all
+	// families follows from Count and the rate of prompts.
 	Skew float64 `json:"skew"`
-	// Gap is the mean time after which a family of middle popularity returns.
-	Gap specifier.Duration `json:"gap"`
-	// MinGap is the shortest time after which a family returns.
-	MinGap specifier.Duration `json:"min-gap"`
+	// Regularity is the shortest gap of a family as a share of its mean gap, from
+	// 0 to 1; what is above it is drawn from an exponential distribution.
+	Regularity float64 `json:"regularity"`
 }
 
 // SetDefaults replaces f by catalogues of eight blocks.
 func (f *Families) SetDefaults() {
 	*f = Families{
-		Count: 300, SharedBlocks: 8, QuestionTokens: 300, OutputTokens: 32, Skew: 0.6,
-		Gap:    specifier.Duration{Duration: 6 * time.Second},
-		MinGap: specifier.Duration{Duration: 500 * time.Millisecond},
+		Count: 300, SharedBlocks: 8, QuestionTokens: 300, OutputTokens: 32, Skew: 0.8, Regularity: 0.3,
 	}
 }
 
--- a/internal/bench/planner/validator.go
+++ b/internal/bench/planner/validator.go
@@ -90,8 +90,7 @@
 	decoder.Within(r, "load.families.question-tokens", f.QuestionTokens, 1, maxTokens)
 	decoder.Within(r, "load.families.output-tokens", f.OutputTokens, 2, maxTokens)
 	decoder.Within(r, "load.families.skew", f.Skew, 0, 10)
-	duration(r, "load.families.gap", f.Gap, time.Millisecond)
-	duration(r, "load.families.min-gap", f.MinGap, 0)
+	decoder.Within(r, "load.families.regularity", f.Regularity, 0, 1)
 }
 
 func (l Load) checkArrivals(r *decoder.Reporter) {
