--- a/internal/bench/planner/scenario.go
+++ b/internal/bench/planner/scenario.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,6 +86,18 @@
 	Retries int `json:"retries"`
 }
 
+// Scale multiplies all rates of arrivals by a factor.
+func (l *Load) Scale(factor float64) {
+	l.Arrivals = slices.Clone(l.Arrivals)
+	for i := range l.Arrivals {
+		l.Arrivals[i].RequestsPerSecond *= factor
+	}
+	l.Surges = slices.Clone(l.Surges)
+	for i := range l.Surges {
+		l.Surges[i].RequestsPerSecond *= factor
+	}
+}
+
 // Rate is a rate of arrivals from a time on.
 type Rate struct {
 	At                specifier.Duration `json:"at"`
--- a/internal/standin/commander/bench.go
+++ b/internal/standin/commander/bench.go
@@ -33,6 +33,12 @@
 // progressInterval is the time between two lines of progress.
 const progressInterval = time.Second
 
+// Bounds of the load factor.
+const (
+	minLoadFactor = 0.01
+	maxLoadFactor = 100
+)
+
 // bench is what the flags of the command give.
 type bench struct {
 	cfg      Config
@@ -43,6 +49,7 @@
 	out      string
 	level    string
 	strict   bool
+	factor   float64
 }
 
 // newBench returns the command that measures scenarios.
@@ -62,6 +69,7 @@
 	flags.UintSliceVar(&b.seeds, "seed", []uint{1}, "seeds of the arrivals")
 	flags.StringVar(&b.output, "output", string(outputTable), "form of the result: json or table")
 	flags.StringVar(&b.out, "out", "", "file for the result in JSON, besides what is printed")
+	flags.Float64Var(&b.factor, "load-factor", 1, "what the scenario's rates are multiplied by")
 	flags.StringVar(&b.level, "log-level", "error", "least level of the daemons' logs")
 	flags.BoolVar(&b.strict, "strict", false, "fail when a measure that must be zero is not")
 	if err := c.MarkFlagRequired("scenario"); err != nil {
@@ -79,6 +87,7 @@
 	if err := b.check(); err != nil {
 		return err
 	}
+	scenario.Load.Scale(b.factor)
 	policies := b.policies
 	if len(policies) == 0 {
 		policies = []string{string(scenario.Profile.Policy)}
@@ -105,6 +114,7 @@
 	for _, policy := range b.policies {
 		decoder.OneOf(&r, "policy", specifier.Policy(policy), specifier.Policy("").Allowed())
 	}
+	decoder.Within(&r, "load-factor", b.factor, minLoadFactor, maxLoadFactor)
 	decoder.OneOf(&r, "output", output(b.output), []output{outputJSON, outputTable})
 	if len(r.Problems) > 0 {
 		return newError("check flags", KindInvalid, r.Problems)
