Explain requests that were not completed; give surges fresh prompts

Change: a surge may give each prompt a beginning of its own, and each run's result carries what daemons say of some requests that failed.

--- a/internal/bench/evaluator/record.go
+++ b/internal/bench/evaluator/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/operator/describer"
 	"cardamomscale.example/cardamomscale/internal/standin/assembler"
 )
 
@@ -82,4 +83,19 @@
 	PeakHeapBytes  uint64
 	// SendLag is the longest time by which a request was sent late.
 	SendLag time.Duration
+	// Samples explain some requests that were not completed.
+	Samples []Sample
+}
+
+// Sample is one request that was not completed, with what a daemon says of it.
+type Sample struct {
+	ID     identifier.Request `json:"request"`
+	AtMs   int64              `json:"at-ms"`
+	Ending Ending             `json:"ending"`
+	// Failure is the kind of an error that is no truthful refusal.
+	Failure string           `json:"failure,omitempty"`
+	Class   identifier.Class `json:"class"`
+	Plain   bool             `json:"plain"`
+	Host    identifier.Host  `json:"host"`
+	Steps   []describer.Step `json:"steps"`
 }
--- a/internal/bench/evaluator/result.go
+++ b/internal/bench/evaluator/result.go
@@ -56,6 +56,7 @@
 	// Teams holds the share of each team's requests that were completed.
 	Teams    map[identifier.Team]float64 `json:"completed-share-by-team"`
 	Timeline []Second                    `json:"timeline"`
+	Samples  []Sample                    `json:"samples"`
 }
 
 // Calls holds rates of calls by kind.
@@ -136,7 +137,7 @@
 	result.times(r)
 	result.work(r)
 	result.traffic(r)
-	result.Timeline = timeline(r)
+	result.Timeline, result.Samples = timeline(r), r.Samples
 	return result
 }
 
--- a/internal/bench/generator/generator.go
+++ b/internal/bench/generator/generator.go
@@ -66,6 +66,8 @@
 	gaps       []float64
 	prompts    int
 	payments   int
+	// families counts the beginnings that were given out, with fresh ones.
+	families int
 }
 
 // The streams of random numbers that one seed gives.
@@ -83,6 +85,7 @@
 	g := &Generator{load: cfg.Load, seed: cfg.Seed, rng: rand.New(rand.NewPCG(cfg.Seed, streamArrivals))}
 	g.teamShares = zipf(cfg.Load.Teams.Count, cfg.Load.Teams.Skew)
 	g.gaps = meanGaps(cfg.Load.Families, g.rng.Perm(cfg.Load.Families.Count))
+	g.families = cfg.Load.Families.Count
 	g.teams = make([]int, cfg.Load.Families.Count)
 	for i := range g.teams {
 		g.teams[i] = pick(g.teamShares, g.rng.Float64())
@@ -229,7 +232,8 @@
 	return identifier.ClassStandard
 }
 
-// surge draws the requests of one surge, whose prompts belong to families of its team.
+// surge draws the requests of one surge, whose prompts belong to families of its
+// team or have fresh beginnings.
 func (g *Generator) surge(s planner.Surge) []Arrival {
 	var own []int
 	for family, team := range g.teams {
@@ -238,17 +242,25 @@
 		}
 	}
 	var list []Arrival
-	if len(own) == 0 {
+	if len(own) == 0 && !s.Fresh {
 		return nil
 	}
 	for at := s.At.Duration + g.wait(s.RequestsPerSecond); at < s.Until.Duration; at += g.wait(s.RequestsPerSecond) {
-		a := Arrival{At: at, Class: s.Class, Team: s.Team - 1, Family: own[g.rng.IntN(len(own))]}
+		a := Arrival{At: at, Class: s.Class, Team: s.Team - 1, Family: g.families}
+		if s.Fresh {
+			g.families++
+		} else {
+			a.Family = own[g.rng.IntN(len(own))]
+		}
 		g.question(&a)
 		list = append(list, a)
 	}
 	return list
 }
 
+// Families returns the number of beginnings, with the fresh ones of all arrivals drawn.
+func (g *Generator) Families() int { return g.families }
+
 // Team returns the team of a family.
 func (g *Generator) Team(family int) int { return g.teams[family] }
 
--- a/internal/bench/planner/scenario.go
+++ b/internal/bench/planner/scenario.go
@@ -112,6 +112,8 @@
 	Until             specifier.Duration `json:"until"`
 	RequestsPerSecond float64            `json:"requests-per-second"`
 	Class             identifier.Class   `json:"class"`
+	// Fresh gives each prompt a beginning of its own, which no cache can hold.
+	Fresh bool `json:"fresh"`
 }
 
 // SetDefaults replaces s by a surge of class batch.
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -51,6 +51,9 @@
 	Logger hclog.Logger
 	// Progress is called with the number of requests that have ended and of all.
 	Progress func(done, all int)
+	// Samples is the number of requests that were not completed whose decisions
+	// are asked from the daemons at the end.
+	Samples int
 }
 
 // Runner runs one scenario once.
@@ -86,7 +89,7 @@
 		return nil, newError("new runner", KindInvalid, err)
 	}
 	r := &Runner{cfg: cfg, generator: g, arrivals: g.Arrivals()}
-	r.texts = make([]string, cfg.Scenario.Load.Families.Count)
+	r.texts = make([]string, g.Families())
 	for i := range r.texts {
 		r.texts[i] = g.Beginning(i)
 	}
@@ -164,6 +167,7 @@
 	line.finish()
 	r.record.After = r.snapshot()
 	r.record.DuplicateRuns = r.duplicatePayments()
+	r.explain(ctx)
 	cancel()
 	r.record.PeakHeapBytes = <-heap
 	if stopped {
--- a/internal/standin/commander/bench.go
+++ b/internal/standin/commander/bench.go
@@ -33,6 +33,8 @@
 // progressInterval is the time between two lines of progress.
 const progressInterval = time.Second
 
+const defaultSamples = 5
+
 // Bounds of the load factor.
 const (
 	minLoadFactor = 0.01
@@ -50,6 +52,7 @@
 	level    string
 	strict   bool
 	factor   float64
+	samples  int
 }
 
 // newBench returns the command that measures scenarios.
@@ -70,6 +73,7 @@
 	flags.StringVar(&b.output, "output", string(outputTable), "form of the result: json or table")
 	flags.StringVar(&b.out, "out", "", "file for the result in JSON, besides what is printed")
 	flags.Float64Var(&b.factor, "load-factor", 1, "what the scenario's rates are multiplied by")
+	flags.IntVar(&b.samples, "samples", defaultSamples, "requests that were not completed to explain in the JSON result of each run")
 	flags.StringVar(&b.level, "log-level", "error", "least level of the daemons' logs")
 	flags.BoolVar(&b.strict, "strict", false, "fail when a measure that must be zero is not")
 	if err := c.MarkFlagRequired("scenario"); err != nil {
@@ -128,7 +132,7 @@
 		progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(), progressbar.OptionThrottle(progressInterval),
 		progressbar.OptionSetDescription(fmt.Sprintf("%s %s seed %d", scenario.Name, policy, seed)))
 	r, err := runner.New(runner.Config{
-		Scenario: scenario, Policy: policy, Seed: seed, Clock: b.cfg.Clock,
+		Scenario: scenario, Policy: policy, Seed: seed, Clock: b.cfg.Clock, Samples: b.samples,
 		Logger: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(b.level), Output: os.Stderr}),
 		Progress: func(done, all int) {
 			bar.ChangeMax(all)
