--- a/internal/bench/evaluator/comparison.go
+++ b/internal/bench/evaluator/comparison.go
@@ -63,6 +63,7 @@
 
 func workMeasures() []measure {
 	return []measure{
+		{name: "recovery-seconds", value: func(r Result) float64 { return r.Recovery }},
 		{name: "plain-p95-ms", value: func(r Result) float64 { return r.PlainTime.P95 }},
 		{name: "inter-token-p95-ms", value: func(r Result) float64 { return r.InterTokenP95 }},
 		{name: "inter-token-share-under-59ms", value: func(r Result) float64 { return r.InterTokenInTarget }},
--- a/internal/bench/evaluator/evaluator_test.go
+++ b/internal/bench/evaluator/evaluator_test.go
@@ -107,6 +107,16 @@
 	near(t, "control bytes, mean", r.ControlBytesMean, 1050)
 }
 
+func TestEvaluateTellsWhenServiceRecovered(t *testing.T) {
+	record := madeUp()
+	assert.Equal(t, evaluator.Evaluate(record).Recovery, -1.0)
+	record.Requests = record.Requests[:2]
+	record.Duration, record.LastChange = 4*time.Second, 500*time.Millisecond
+	late := prompt(1500*time.Millisecond, 1, identifier.ClassBatch, evaluator.EndingCompleted, 2*time.Second)
+	record.Requests = append(record.Requests, late)
+	near(t, "recovery", evaluator.Evaluate(record).Recovery, 1.5)
+}
+
 func TestViolationsListWhatMustBeZero(t *testing.T) {
 	r := evaluator.Evaluate(madeUp())
 	assert.DeepEqual(t, r.Violations(), []string{"cut-answers is 1", "cold-limit-exceeded is 1"})
--- a/internal/bench/evaluator/record.go
+++ b/internal/bench/evaluator/record.go
@@ -69,7 +69,9 @@
 	Seed     uint64
 	// Duration is the measured time, without the time in which the last requests end.
 	Duration time.Duration
-	Requests []Request
+	// LastChange is the time of the last change of load or fault.
+	LastChange time.Duration
+	Requests   []Request
 	// Before was taken at the beginning of the measured time, After when all requests had ended.
 	Before Snapshot
 	After  Snapshot
--- a/internal/bench/evaluator/result.go
+++ b/internal/bench/evaluator/result.go
@@ -53,6 +53,10 @@
 	ProcessHeapPeak     uint64    `json:"process-heap-bytes-peak"`
 	ObjectCallsPerSec   Calls     `json:"object-calls-per-second"`
 	SendLagMilliseconds float64   `json:"send-lag-ms"`
+	// Recovery is the time in seconds from the last change of load or fault until
+	// each later second is good: all its requests completed, with the first token
+	// in time. It is -1 when the last second is not good.
+	Recovery float64 `json:"recovery-seconds"`
 	// Teams holds the share of each team's requests that were completed.
 	Teams    map[identifier.Team]float64 `json:"completed-share-by-team"`
 	Timeline []Second                    `json:"timeline"`
@@ -89,7 +93,11 @@
 // interTokenTarget is the time between two tokens that 95 in 100 should stay under.
 const interTokenTarget = 59 * time.Millisecond
 
-// weights are the values of a completed request by class.
+// firstTokenTarget is the time in milliseconds within which 95 in 100 first
+// tokens should come.
+const firstTokenTarget = 1900
+
+// weight is the value of a completed request.
 func weight(class identifier.Class) float64 {
 	switch class {
 	case identifier.ClassInteractive:
@@ -138,6 +146,7 @@
 	result.work(r)
 	result.traffic(r)
 	result.Timeline, result.Samples = timeline(r), r.Samples
+	result.Recovery = recovery(result.Timeline, r.LastChange)
 	return result
 }
 
@@ -327,3 +336,21 @@
 	}
 	return seconds
 }
+
+// recovery returns the time in seconds from the last change until each later
+// second of the timeline is good, or -1.
+func recovery(timeline []Second, last time.Duration) float64 {
+	good := len(timeline)
+	for good > 0 && timeline[good-1].good() {
+		good--
+	}
+	if good == len(timeline) {
+		return -1
+	}
+	return max(0, float64(good)-last.Seconds())
+}
+
+// good reports whether all requests were completed with the first token in time.
+func (s Second) good() bool {
+	return s.Completed == s.Offered && s.FirstTokenP95 <= firstTokenTarget
+}
--- a/internal/bench/planner/scenario.go
+++ b/internal/bench/planner/scenario.go
@@ -198,6 +198,21 @@
 	s.WarmLimit = s.Engine.RunningLimit
 }
 
+// LastChange returns the time of the last change of load or fault.
+func (s Scenario) LastChange() time.Duration {
+	last := time.Duration(0)
+	for _, rate := range s.Load.Arrivals {
+		last = max(last, rate.At.Duration)
+	}
+	for _, surge := range s.Load.Surges {
+		last = max(last, surge.Until.Duration)
+	}
+	for _, fault := range s.Faults {
+		last = max(last, fault.At.Duration)
+	}
+	return last
+}
+
 // maxScenarioBytes bounds the size of a scenario's file.
 const maxScenarioBytes = 1 << 20
 
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -101,7 +101,8 @@
 	r.record = evaluator.Record{
 		Scenario: r.cfg.Scenario.Name, Policy: string(r.cfg.Policy), Seed: r.cfg.Seed,
 		Duration: r.cfg.Scenario.Load.Duration.Duration, SeededFamilies: r.cfg.Scenario.Load.SeedFamilies,
-		Requests: make([]evaluator.Request, len(r.arrivals)),
+		LastChange: r.cfg.Scenario.LastChange(),
+		Requests:   make([]evaluator.Request, len(r.arrivals)),
 	}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
