--- a/internal/bench/planner/scenario.go
+++ b/internal/bench/planner/scenario.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,6 +86,18 @@
 	Retries int `json:"retries"`
 }
 
+// Scale multiplies all rates of arrivals by a factor.
+func (l *Load) Scale(factor float64) {
+	l.Arrivals = slices.Clone(l.Arrivals)
+	for i := range l.Arrivals {
+		l.Arrivals[i].RequestsPerSecond *= factor
+	}
+	l.Surges = slices.Clone(l.Surges)
+	for i := range l.Surges {
+		l.Surges[i].RequestsPerSecond *= factor
+	}
+}
+
 // Rate is a rate of arrivals from a time on.
 type Rate struct {
 	At                specifier.Duration `json:"at"`
@@ -99,6 +112,8 @@
 	Until             specifier.Duration `json:"until"`
 	RequestsPerSecond float64            `json:"requests-per-second"`
 	Class             identifier.Class   `json:"class"`
+	// Fresh gives each prompt a beginning of its own, which no cache can hold.
+	Fresh bool `json:"fresh"`
 }
 
 // SetDefaults replaces s by a surge of class batch.
@@ -128,20 +143,19 @@
 	QuestionTokens int `json:"question-tokens"`
 	// OutputTokens is the mean length of an answer; lengths are uniform from half of it to one and a half.
 	OutputTokens int `json:"output-tokens"`
-	// Skew lets popular families return sooner: the gap of the family of rank r grows as r to the power of Skew.
+	// Skew lets popular families return sooner: the mean gap between two visits of
+	// the family of rank r grows as r to the power of Skew. The mean gap over all
+	// families follows from Count and the rate of prompts.
 	Skew float64 `json:"skew"`
-	// Gap is the mean time after which a family of middle popularity returns.
-	Gap specifier.Duration `json:"gap"`
-	// MinGap is the shortest time after which a family returns.
-	MinGap specifier.Duration `json:"min-gap"`
+	// Regularity is the shortest gap of a family as a share of its mean gap, from
+	// 0 to 1; what is above it is drawn from an exponential distribution.
+	Regularity float64 `json:"regularity"`
 }
 
 // SetDefaults replaces f by catalogues of eight blocks.
 func (f *Families) SetDefaults() {
 	*f = Families{
-		Count: 300, SharedBlocks: 8, QuestionTokens: 300, OutputTokens: 32, Skew: 0.6,
-		Gap:    specifier.Duration{Duration: 6 * time.Second},
-		MinGap: specifier.Duration{Duration: 500 * time.Millisecond},
+		Count: 300, SharedBlocks: 8, QuestionTokens: 300, OutputTokens: 32, Skew: 0.8, Regularity: 0.3,
 	}
 }
 
@@ -184,6 +198,21 @@
 	s.WarmLimit = s.Engine.RunningLimit
 }
 
+// LastChange returns the time of the last change of load or fault.
+func (s Scenario) LastChange() time.Duration {
+	last := time.Duration(0)
+	for _, rate := range s.Load.Arrivals {
+		last = max(last, rate.At.Duration)
+	}
+	for _, surge := range s.Load.Surges {
+		last = max(last, surge.Until.Duration)
+	}
+	for _, fault := range s.Faults {
+		last = max(last, fault.At.Duration)
+	}
+	return last
+}
+
 // maxScenarioBytes bounds the size of a scenario's file.
 const maxScenarioBytes = 1 << 20
 
