Pass on the membership list's leaving targets between daemons

Cause: only a daemon's own reads of the membership list told it of leaving targets; one cut off from the platform kept sending them work. Change: heartbeats carry the leaving targets of the newest list known with the list's own time; a daemon believes a peer's list that is newer than its own.

--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -22,6 +22,8 @@
 	around *surroundings
 	// offer hands a configuration of a peer to the watcher.
 	offer func(version uint64, raw []byte)
+	// members takes in the membership lists of peers.
+	members *membership
 
 	mu       sync.Mutex
 	fleet    specifier.Fleet
@@ -110,6 +112,7 @@
 			Age: time.Duration(load.AgeMilliseconds) * time.Millisecond,
 		})
 	}
+	p.members.offer(c.Membership)
 	p.mu.Lock()
 	p.heard[c.From] = p.around.clock.Now()
 	p.versions[c.From] = c.ConfigVersion
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -24,7 +24,7 @@
 )
 
 // platformConstruction provides the parts that talk to the platform.
-var platformConstruction = fx.Options(fx.Provide(newContact, newWatcher, newOwnerships, newLeaser, newClaimer, newClaims, newLister, newRunners))
+var platformConstruction = fx.Options(fx.Provide(newContact, newWatcher, newOwnerships, newLeaser, newClaimer, newClaims, newMembership, newLister, newRunners))
 
 // Budgets of one daemon's calls to the platform, in calls per second.
 const (
@@ -121,7 +121,7 @@
 	return l, err
 }
 
-func newLister(cfg Config, exec *executor.Executor) (*lister.Lister, error) {
+func newLister(cfg Config, known *membership) (*lister.Lister, error) {
 	address := cfg.Settings.Platform.Members
 	if !address.IsValid() {
 		return nil, nil
@@ -129,21 +129,10 @@
 	return lister.New(lister.Config{
 		Clock: cfg.Clock, Transport: http.RoundTripper(newTransport(cfg)), URL: "http://" + address.String(),
 		Seed: cfg.Seed, Logger: cfg.Logger.Named("lister"),
-		OnChange: func(m messenger.Members) { exec.Post(membersOf(m)) },
+		OnRead: func(m messenger.Members) { known.adopt(membershipOf(m)) },
 	})
 }
 
-// membersOf picks the targets that are leaving.
-func membersOf(m messenger.Members) reducer.MembersChanged {
-	var ev reducer.MembersChanged
-	for _, member := range m.Members {
-		if member.Role == messenger.RoleTarget && member.State == messenger.MemberLeaving {
-			ev.Leaving = append(ev.Leaving, identifier.Target(member.Name))
-		}
-	}
-	return ev
-}
-
 // newRunners lists the parts that run until the daemon stops.
 func newRunners(exec *executor.Executor, x *exchanger.Exchanger, r *reader.Reader, w *watcher.Watcher, l *leaser.Leaser, owned *ownerships, held *claimer.Claimer, m *lister.Lister, c *callers, o *operators) []runner {
 	list := []runner{exec, x, r, w, l, owned, held, c, o}
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -36,14 +36,15 @@
 	claims  *claims
 	drained chan struct{}
 
-	mu       sync.Mutex
-	believed map[identifier.Target]identifier.Incarnation
-	loads    map[identifier.Target]exchanger.Load
-	answers  map[uint64]chan reducer.AnswerPermit
-	calls    uint64
-	wanted   []identifier.Target
-	version  uint64
-	leaving  bool
+	mu         sync.Mutex
+	believed   map[identifier.Target]identifier.Incarnation
+	loads      map[identifier.Target]exchanger.Load
+	answers    map[uint64]chan reducer.AnswerPermit
+	calls      uint64
+	wanted     []identifier.Target
+	version    uint64
+	membership describer.Membership
+	leaving    bool
 }
 
 // owners is the daemon's part in the ownership of targets.
@@ -226,7 +227,7 @@
 // publishLocked gives the peers the present state.
 func (s *surroundings) publishLocked() {
 	names := slices.Sorted(maps.Keys(s.loads))
-	state := exchanger.State{ConfigVersion: s.version, Leaving: s.leaving}
+	state := exchanger.State{ConfigVersion: s.version, Leaving: s.leaving, Membership: s.membership}
 	for _, name := range names {
 		state.Loads = append(state.Loads, s.loads[name])
 	}
@@ -240,6 +241,13 @@
 	s.publishLocked()
 }
 
+func (s *surroundings) setMembership(m describer.Membership) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership = m
+	s.publishLocked()
+}
+
 func (s *surroundings) announceLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -51,6 +51,8 @@
 	ConfigVersion uint64
 	// Leaving is true when the sender shuts down and takes no new work.
 	Leaving bool
+	// Membership is the newest that the sender knows of the membership list.
+	Membership Membership
 	// Loads, Summaries, Teams and Links hold the entries that changed since the
 	// receiver last acknowledged them.
 	Loads     []TargetLoad
@@ -122,6 +124,14 @@
 	Raw     []byte
 }
 
+// Membership is what the platform's membership list said of leaving targets.
+type Membership struct {
+	// AsOf is the list's own time; zero before the first list.
+	AsOf time.Time
+	// Leaving are the targets that were leaving, in order.
+	Leaving []identifier.Target
+}
+
 // Permit asks a target's owner for one slot of a cold target.
 type Permit struct {
 	From    identifier.Host
--- a/internal/peer/exchanger/ledger.go
+++ b/internal/peer/exchanger/ledger.go
@@ -76,6 +76,7 @@
 type State struct {
 	ConfigVersion uint64
 	Leaving       bool
+	Membership    describer.Membership
 	Loads         []Load
 	Summaries     []describer.Summary
 	Teams         []describer.TeamShare
@@ -87,6 +88,9 @@
 	if s.ConfigVersion != old.ConfigVersion || s.Leaving != old.Leaving {
 		return true
 	}
+	if !slices.Equal(s.Membership.Leaving, old.Membership.Leaving) {
+		return true
+	}
 	known := make(map[identifier.Target]Load, len(old.Loads))
 	for _, load := range old.Loads {
 		known[load.Target] = load
@@ -177,6 +181,7 @@
 		DataCentre:    cfg.DataCentre,
 		ConfigVersion: state.ConfigVersion,
 		Leaving:       state.Leaving,
+		Membership:    state.Membership,
 		Summaries:     l.summaries.delta(state.Summaries, cfg.MaxEntries),
 		Teams:         l.teams.delta(state.Teams, cfg.MaxEntries),
 		Links:         l.links.delta(state.Links, cfg.MaxEntries),
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -68,6 +68,8 @@
 	Seed uint64
 	// OnChange, if set, takes each list whose members differ from the list before.
 	OnChange func(members messenger.Members)
+	// OnRead, if set, takes each good list.
+	OnRead func(members messenger.Members)
 	Logger   hclog.Logger
 }
 
@@ -105,6 +107,9 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(messenger.Members) {}
 	}
+	if cfg.OnRead == nil {
+		cfg.OnRead = func(messenger.Members) {}
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
@@ -201,6 +206,7 @@
 	l.list = List{Members: members, ReadAt: readAt}
 	l.known = true
 	l.mu.Unlock()
+	l.cfg.OnRead(members)
 	if changed {
 		l.cfg.OnChange(members)
 	}
