--- a/internal/peer/exchanger/ledger.go
+++ b/internal/peer/exchanger/ledger.go
@@ -94,6 +94,7 @@
 type State struct {
 	ConfigVersion uint64
 	Leaving       bool
+	Membership    describer.Membership
 	Loads         []Load
 	Summaries     []describer.Summary
 	Teams         []describer.TeamShare
@@ -105,6 +106,9 @@
 	if s.ConfigVersion != old.ConfigVersion || s.Leaving != old.Leaving {
 		return true
 	}
+	if !slices.Equal(s.Membership.Leaving, old.Membership.Leaving) {
+		return true
+	}
 	known := make(map[identifier.Target]Load, len(old.Loads))
 	for _, load := range old.Loads {
 		known[load.Target] = load
@@ -197,6 +201,7 @@
 		Sequence:      sequence,
 		ConfigVersion: state.ConfigVersion,
 		Leaving:       state.Leaving,
+		Membership:    state.Membership,
 		Summaries:     l.summaries.delta(state.Summaries, limit, sequence),
 		Teams:         l.teams.delta(state.Teams, limit, sequence),
 		Links:         l.links.delta(state.Links, limit, sequence),
