Retry exports, check beliefs against the store, and pace transfers by their own time

The stand-in engine waited a block's time before each block on top of the transfer, so that times on the link overlapped. Change: refused exports ask again up to eight times; a belief starts at 2 s and learns from there; the home's share of hits is learnt from what imports did not need to copy; a new prefix counts 60% towards its home; the engine paces a transfer as a whole.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -75,7 +75,6 @@
 	r.started = true
 	s.onAnswerFrom(r.target, ev.Incarnation)
 	s.prefilled(r)
-	s.learnHomeHits(r, ev.CachedTokens)
 	s.learnLifetime(r, ev.CachedTokens)
 	s.correct(r, ev.CachedTokens)
 	s.remember(r, r.target)
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -145,19 +145,17 @@
 	homeHitsGain = 0.05
 )
 
-// learnHomeHits takes in how many blocks the home target held of a prompt that
-// was sent there without knowing, and that a store holds.
-func (s *State) learnHomeHits(r *request, cachedTokens int) {
-	if !r.guessed || len(r.keys) == 0 || r.imported > 0 {
-		return
+// learnHomeHits takes in which share of a prompt's stored blocks the home target
+// held, although the prompt was sent there without knowing.
+func (s *State) learnHomeHits(r *request, share float64) {
+	if r.guessed {
+		s.homeHits += homeHitsGain * (min(max(share, 0), 1) - s.homeHits)
 	}
-	share := float64(cachedTokens/hasher.BlockTokens) / float64(len(r.keys))
-	s.homeHits += homeHitsGain * (min(share, 1) - s.homeHits)
 }
 
 // Bounds of the time for which a target is believed to hold a block.
 const (
-	initialCacheLifetime = time.Minute
+	initialCacheLifetime = 2 * time.Second
 	minCacheLifetime     = 100 * time.Millisecond
 	maxCacheLifetime     = time.Hour
 	// lifetimeCut and lifetimeGain scale the time after a wrong and a right belief.
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
@@ -15,9 +17,25 @@
 type linking struct {
 	links map[identifier.Store]*link
 	// waitingExports are the exports for which a time on a link was asked.
-	waitingExports map[identifier.Request]Export
+	waitingExports map[identifier.Request]*waitingExport
 }
 
+// waitingExport is an export that waits for its time on a link.
+type waitingExport struct {
+	Export
+	ask AskLink
+	// refused counts the times that it was refused, and again is when to ask again.
+	refused int
+	again   time.Time
+}
+
+const (
+	// exportRetry is the time between two questions for one export.
+	exportRetry = 400 * time.Millisecond
+	// maxExportRefusals is the number of refusals after which an export is given up.
+	maxExportRefusals = 8
+)
+
 // link is what a daemon knows of one store's link.
 type link struct {
 	// freeAt is when the times that were handed out end; it is known to the
@@ -43,7 +61,7 @@
 func newLinking() linking {
 	return linking{
 		links:          map[identifier.Store]*link{},
-		waitingExports: map[identifier.Request]Export{},
+		waitingExports: map[identifier.Request]*waitingExport{},
 	}
 }
 
@@ -106,9 +124,10 @@
 		s.dropExport(e)
 		return
 	}
-	s.waitingExports[r.id] = e
 	bytes := int64(len(e.Keys)) * s.blockBytes(r)
-	s.askLink(AskLink{Request: r.id, Store: e.Store, Bytes: bytes, Share: r.profile.LinkShare, Export: true})
+	ask := AskLink{Request: r.id, Store: e.Store, Bytes: bytes, Share: r.profile.LinkShare, Export: true}
+	s.waitingExports[r.id] = &waitingExport{Export: e, ask: ask}
+	s.askLink(ask)
 }
 
 // dropExport forgets that the blocks of an export that was not made are kept.
@@ -236,18 +255,43 @@
 }
 
 func (s *State) settleExport(ev LinkSettled) {
-	e, ok := s.waitingExports[ev.Request]
+	w, ok := s.waitingExports[ev.Request]
 	if !ok {
 		return
 	}
-	delete(s.waitingExports, ev.Request)
 	if !ev.Granted {
-		s.dropExport(e)
+		s.postponeExport(ev.Request, w)
 		return
 	}
-	rate, _ := s.transferRate(ev, s.profileOf(s.fleet.Targets[e.Target].Service).LinkShare)
-	e.BytesPerSecond, e.After = rate, ev.Wait
-	s.emit(e)
+	delete(s.waitingExports, ev.Request)
+	rate, _ := s.transferRate(ev, w.ask.Share)
+	w.BytesPerSecond, w.After = rate, ev.Wait
+	s.emit(w.Export)
+}
+
+// postponeExport asks again later, or gives the export up.
+func (s *State) postponeExport(id identifier.Request, w *waitingExport) {
+	w.refused++
+	if w.refused >= maxExportRefusals {
+		delete(s.waitingExports, id)
+		s.dropExport(w.Export)
+		return
+	}
+	w.again = s.now.Add(exportRetry)
+}
+
+// retryExports asks again for the exports that were refused, in a fixed order.
+func (s *State) retryExports() {
+	if len(s.waitingExports) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.waitingExports)) {
+		w := s.waitingExports[id]
+		if w != nil && !w.again.IsZero() && !s.now.Before(w.again) {
+			w.again = time.Time{}
+			s.askLink(w.ask)
+		}
+	}
 }
 
 func (s *State) onImportDone(ev ImportDone) {
@@ -257,6 +301,9 @@
 	}
 	s.returnLink(ev.Store, r.importBytes-ev.Bytes, r.profile.LinkShare)
 	r.importing = false
+	if !ev.Failed && r.importBytes > 0 {
+		s.learnHomeHits(r, 1-float64(ev.Bytes)/float64(r.importBytes))
+	}
 	r.imported = ev.Blocks
 	s.noteImport(r, ev)
 	if ev.Failed {
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -164,6 +164,7 @@
 
 func (s *State) onTick() {
 	s.expireQueued()
+	s.retryExports()
 	s.expirePermits()
 	if s.lingering {
 		s.assignTargets()
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -230,7 +230,7 @@
 
 // newPrefixAdvantage is the share of a prompt's blocks that its home target is
 // expected to save later prompts, when nothing of it was stored yet.
-const newPrefixAdvantage = 0.3
+const newPrefixAdvantage = 0.6
 
 // homeAdvantage is what the home target is expected to save by blocks that this
 // daemon does not know it to hold, because other daemons sent them, or that later
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -67,6 +67,8 @@
 	engine      *Engine
 	incarnation identifier.Incarnation
 	keys        []identifier.BlockKey
+	// due is when the next block may cross the link.
+	due time.Time
 }
 
 func (e *Engine) hold() *hold {
@@ -115,7 +117,7 @@
 	if h.pin(ref.Key) {
 		return 0, nil
 	}
-	if !e.pace(ctx, req.BytesPerSecond) {
+	if !h.pace(ctx, req.BytesPerSecond) {
 		return 0, newError("import block", KindDeadline, ctx.Err())
 	}
 	path := fmt.Sprintf("%s%v?%s=%d", messenger.PathBlocks, ref.Key, storer.QueryGeneration, ref.Generation)
@@ -142,7 +144,7 @@
 	if !h.pin(key) {
 		return newError("export block", KindTransfer, errors.Newf("block %v is not cached", key))
 	}
-	if !e.pace(ctx, req.BytesPerSecond) {
+	if !h.pace(ctx, req.BytesPerSecond) {
 		return newError("export block", KindDeadline, ctx.Err())
 	}
 	payload := BlockPayload(key)
@@ -169,12 +171,19 @@
 }
 
 // pace waits for the time that one block takes at a rate; 0 means no limit.
-func (e *Engine) pace(ctx context.Context, bytesPerSecond int64) bool {
+func (h *hold) pace(ctx context.Context, bytesPerSecond int64) bool {
 	if bytesPerSecond <= 0 {
 		return ctx.Err() == nil
 	}
+	e := h.engine
+	now := e.cfg.Clock.Now()
+	begin := now
+	if h.due.After(now) {
+		begin = h.due
+	}
 	seconds := float64(e.cfg.BlockBytes) / float64(bytesPerSecond)
-	return sleep(ctx, e.cfg.Clock, time.Duration(seconds*float64(time.Second)))
+	h.due = begin.Add(time.Duration(seconds * float64(time.Second)))
+	return sleep(ctx, e.cfg.Clock, begin.Sub(now))
 }
 
 // call sends one request to a store host and returns its answer, which is 2xx.
