Ask for a link only the time that an import is expected to use

Change: an import to an uncertain home asks for the expected share, and what it used more or less is settled with the keeper afterwards.

--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -182,7 +182,7 @@
 // LinkReturned reports that a transfer used less of the link than was handed out.
 type LinkReturned struct {
 	Store identifier.Store
-	// Bytes is what was not used.
+	// Bytes is what was not used; negative when more was used.
 	Bytes int64
 	Share float64
 }
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -114,10 +114,23 @@
 	name, _, _ := s.storeFor(r)
 	r.phase = phaseImporting
 	r.importBytes = int64(c.plan.ImportBlocks) * s.blockBytes(r)
+	r.askedBytes = int64(float64(r.importBytes) * s.expectedCopies(r))
 	s.lead(r)
-	s.askLink(AskLink{Request: r.id, Store: name, Bytes: r.importBytes, Share: r.profile.LinkShare})
+	s.askLink(AskLink{Request: r.id, Store: name, Bytes: r.askedBytes, Share: r.profile.LinkShare})
 }
 
+// expectedCopies returns the share of r's import that is expected to cross the
+// link, since the engine copies only what its cache lacks.
+func (s *State) expectedCopies(r *request) float64 {
+	if r.guessed {
+		return max(minExpectedCopies, 1-s.homeHits)
+	}
+	return 1
+}
+
+// minExpectedCopies is the least share of an import for which time is asked.
+const minExpectedCopies = 0.1
+
 // startExport asks for a time on the link for an export after r.
 func (s *State) startExport(r *request, e Export) {
 	if len(s.waitingExports) >= maxWaitingExports {
@@ -175,18 +188,19 @@
 	s.emit(AnswerLink{Call: ev.Call, Granted: granted, Wait: wait})
 }
 
-// onLinkReturned shortens the times handed out by what a transfer did not use.
+// onLinkReturned shortens the times handed out by what a transfer did not use, or
+// prolongs them by what it used beyond its own.
 func (s *State) onLinkReturned(ev LinkReturned) {
 	store, ok := s.fleet.Stores[ev.Store]
-	if !ok || ev.Bytes <= 0 || ev.Share <= 0 {
+	if !ok || ev.Share <= 0 {
 		return
 	}
 	l := s.linkOf(ev.Store)
 	unused := time.Duration(float64(ev.Bytes) / (dynamicLinkShare * linkBudget(store, ev.Share)) * float64(time.Second))
-	l.freeAt = l.freeAt.Add(-unused)
 	if l.freeAt.Before(s.now) {
 		l.freeAt = s.now
 	}
+	l.freeAt = l.freeAt.Add(-unused)
 }
 
 // onLinkSettled starts the transfer that waits for its time on the link, or does
@@ -299,7 +313,7 @@
 	if r == nil || r.phase != phaseImporting {
 		return
 	}
-	s.returnLink(ev.Store, r.importBytes-ev.Bytes, r.profile.LinkShare)
+	s.returnLink(ev.Store, r.askedBytes-ev.Bytes, r.profile.LinkShare)
 	r.importing = false
 	if !ev.Failed && r.importBytes > 0 {
 		s.learnHomeHits(r, 1-float64(ev.Bytes)/float64(r.importBytes))
@@ -323,7 +337,7 @@
 func (s *State) returnLink(name identifier.Store, bytes int64, share float64) {
 	keeper := s.keeperOf(name)
 	switch {
-	case bytes <= 0 || keeper == "":
+	case bytes == 0 || keeper == "":
 	case keeper == s.cfg.Host:
 		s.onLinkReturned(LinkReturned{Store: name, Bytes: bytes, Share: share})
 	default:
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -49,8 +49,10 @@
 	// importBytes is the size of the import that is asked for, importing is true
 	// while it runs, and imported counts the blocks that it brought.
 	importBytes int64
-	importing   bool
-	imported    int
+	// askedBytes is for how much of it time on the link was asked.
+	askedBytes int64
+	importing  bool
+	imported   int
 	// guessed is true when the target was chosen as the prefix's home without
 	// knowing what its cache holds.
 	guessed bool
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -219,7 +219,7 @@
 	}
 	r.believed = s.cachedOn(best.target)
 	r.believedSince = best.target.cachedSince
-	r.guessed = best.target == home && s.cachedOn(home) == 0 && len(r.stored) > 0
+	r.guessed = best.target == home && r.believed == 0 && len(r.stored) > 0
 	return best, true
 }
 
