Serve peers, operators and callers over TLS from reloaded files

Cause: the settings named TLS files, but every listener used plain TCP, and a daemon could speak in the name of any other. Idle connections outlived the daemon that opened them.

Change: the certificates of tls.peers, tls.operators and tls.callers secure their listeners and are followed without a restart; a peer's connection serves messages of the host of its certificate only. Peers and operators in plain TCP on addresses that other hosts reach need allow-plain-text. The operators' listener has limits of size and time. All idle connections are closed when a daemon has ended.

--- a/internal/config/starter/sections.go
+++ b/internal/config/starter/sections.go
@@ -53,6 +53,8 @@
 	MaxHeaderBytes int `json:"max-header-bytes"`
 	// ReadTimeout is the longest time for reading a request; 1ms to 10m.
 	ReadTimeout specifier.Duration `json:"read-timeout"`
+	// WriteTimeout is how long a caller may take to receive one part of an answer; 1ms to 10m.
+	WriteTimeout specifier.Duration `json:"write-timeout"`
 	// MaxInFlight bounds the requests that a daemon handles at once; 1 to 1000000.
 	MaxInFlight int `json:"max-in-flight"`
 }
@@ -63,6 +65,7 @@
 		MaxBodyBytes:   8 << 20,
 		MaxHeaderBytes: 64 << 10,
 		ReadTimeout:    specifier.Duration{Duration: 30 * time.Second},
+		WriteTimeout:   specifier.Duration{Duration: 10 * time.Second},
 		MaxInFlight:    4096,
 	}
 }
@@ -95,4 +98,12 @@
 	Endpoint netip.AddrPort `json:"endpoint"`
 	// File is the file that spans are appended to, or "stderr".
 	File string `json:"file,omitempty"`
+	// Ratio is the share of requests that are traced when their callers don't say; 0 to 1.
+	Ratio float64 `json:"ratio"`
 }
+
+// DefaultTrace returns the tracing of a file that names none.
+func DefaultTrace() Trace { return Trace{Ratio: 1} }
+
+// SetDefaults replaces t by DefaultTrace.
+func (t *Trace) SetDefaults() { *t = DefaultTrace() }
--- a/internal/config/starter/starter.go
+++ b/internal/config/starter/starter.go
@@ -54,6 +54,8 @@
 	Platform Platform `json:"platform"`
 	// TLS holds the TLS files of each listener; a listener without files uses plain TCP.
 	TLS ListenerTLS `json:"tls"`
+	// AllowPlainText permits plain TCP for peers and operators on addresses that other hosts reach.
+	AllowPlainText bool `json:"allow-plain-text"`
 	// Secrets holds the keys that all daemons share.
 	Secrets Secrets `json:"secrets"`
 	// Limits bounds what callers may ask of the daemon.
@@ -97,6 +99,7 @@
 		HeartbeatInterval:  specifier.Duration{Duration: 500 * time.Millisecond},
 		LoadReportInterval: specifier.Duration{Duration: 250 * time.Millisecond},
 		ShutdownGrace:      specifier.Duration{Duration: 2 * time.Minute},
+		Trace:              DefaultTrace(),
 		LogLevel:           LogInfo,
 	}
 }
--- a/internal/config/starter/validator.go
+++ b/internal/config/starter/validator.go
@@ -17,6 +17,7 @@
 	minHeaderBytes    = 1 << 10
 	maxHeaderBytes    = 16 << 20
 	maxReadTimeout    = 10 * time.Minute
+	maxWriteTimeout   = 10 * time.Minute
 	maxInFlight       = 1_000_000
 	minTerm           = 100 * time.Millisecond
 	maxTerm           = 10 * time.Minute
@@ -39,6 +40,8 @@
 	v.tls("tls.callers", s.TLS.Callers)
 	v.mutualTLS("tls.peers", s.TLS.Peers)
 	v.mutualTLS("tls.operators", s.TLS.Operators)
+	v.secured("tls.peers", s.TLS.Peers, "peer-listen", s.PeerListen, s.AllowPlainText)
+	v.secured("tls.operators", s.TLS.Operators, "operator-listen", s.OperatorListen, s.AllowPlainText)
 	v.secrets(s.Secrets)
 	v.limits(s.Limits)
 	v.session(s.Session)
@@ -112,6 +115,14 @@
 	v.tls(key, files)
 }
 
+// secured refuses plain TCP on an address that other hosts reach, unless it is allowed.
+func (v *validator) secured(key string, files *TLSFiles, listener string, address netip.AddrPort, allowed bool) {
+	if files != nil || allowed || !address.IsValid() || address.Addr().IsLoopback() {
+		return
+	}
+	v.Reportf(key, "is missing and %s is %q, which other hosts reach; give its files, or permit plain TCP by allow-plain-text", listener, address)
+}
+
 func (v *validator) secrets(s Secrets) {
 	if (s.BlockKeyFile == "") == (s.BlockSecret == "") {
 		v.Reportf("secrets", "has both or neither of block-key-file and block-secret, want exactly one")
@@ -126,6 +137,7 @@
 	decoder.Within(&v.Reporter, "limits.max-header-bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	decoder.Within(&v.Reporter, "limits.max-in-flight", l.MaxInFlight, 1, maxInFlight)
 	v.duration("limits.read-timeout", l.ReadTimeout, shortestTimeLimit, maxReadTimeout)
+	v.duration("limits.write-timeout", l.WriteTimeout, shortestTimeLimit, maxWriteTimeout)
 }
 
 func (v *validator) session(s Session) {
@@ -136,6 +148,7 @@
 }
 
 func (v *validator) trace(t Trace) {
+	decoder.Within(&v.Reporter, "trace.ratio", t.Ratio, 0, 1)
 	if t.Endpoint == (netip.AddrPort{}) {
 		return
 	}
--- a/internal/entry/certifier/certifier.go
+++ b/internal/entry/certifier/certifier.go
@@ -18,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
 // Kind classifies failures of certificates.
@@ -64,10 +65,11 @@
 // DefaultInterval is the default time between looks at the files.
 const DefaultInterval = 10 * time.Second
 
-// Config configures a Certifier. All but Interval and Logger are required.
+// Config configures a Certifier. Clock, CertificateFile and KeyFile are required.
 type Config struct {
 	Clock clockwork.Clock
-	// CAFile, CertificateFile and KeyFile name PEM files.
+	// CAFile, CertificateFile and KeyFile name PEM files. Without CAFile no
+	// certificate of another side is trusted.
 	CAFile          string
 	CertificateFile string
 	KeyFile         string
@@ -101,8 +103,8 @@
 
 // New reads the files. It returns an Error of KindInvalid, KindFile or KindExpired.
 func New(cfg Config) (*Certifier, error) {
-	if cfg.Clock == nil || cfg.CAFile == "" || cfg.CertificateFile == "" || cfg.KeyFile == "" {
-		err := errors.New("clock, CA file, certificate file and key file are required")
+	if cfg.Clock == nil || cfg.CertificateFile == "" || cfg.KeyFile == "" {
+		err := errors.New("clock, certificate file and key file are required")
 		return nil, newError("new certifier", KindInvalid, err)
 	}
 	if cfg.Interval == 0 {
@@ -169,6 +171,9 @@
 
 func (c *Certifier) stat() (stamps [fileCount]stamp, err error) {
 	for i, name := range c.files() {
+		if name == "" {
+			continue
+		}
 		info, err := os.Stat(name)
 		if err != nil {
 			return stamps, err
@@ -183,6 +188,9 @@
 	var data [fileCount][]byte
 	hash := sha256.New()
 	for i, name := range c.files() {
+		if name == "" {
+			continue
+		}
 		content, err := os.ReadFile(name)
 		if err != nil {
 			return nil, err
@@ -191,7 +199,7 @@
 		hash.Write(content)
 	}
 	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(data[0]) {
+	if c.cfg.CAFile != "" && !roots.AppendCertsFromPEM(data[0]) {
 		return nil, errors.Newf("file %q has no certificate", c.cfg.CAFile)
 	}
 	certificate, err := tls.X509KeyPair(data[1], data[2])
@@ -218,8 +226,20 @@
 	return nil
 }
 
+// PublicConfig returns the TLS configuration of a server for clients of any
+// kind. With a CAFile they must have a certificate of its authorities, whatever
+// its roles; without one they need none.
+func (c *Certifier) PublicConfig() *tls.Config {
+	cfg := c.ServerConfig()
+	if c.cfg.CAFile != "" {
+		return cfg
+	}
+	cfg.ClientAuth, cfg.VerifyConnection = tls.NoClientCert, nil
+	return cfg
+}
+
 // ServerConfig returns the TLS configuration of a server whose clients must
-// have one of roles.
+// have one of roles, or any when there are none.
 func (c *Certifier) ServerConfig(roles ...Role) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -275,9 +295,21 @@
 	if err != nil {
 		return newError("verify", KindUntrusted, err)
 	}
+	if len(roles) == 0 {
+		return nil
+	}
 	return checkRole(leaf, roles)
 }
 
+// HostOf returns the host that the other side of a connection speaks for, which
+// its certificate names as the common name.
+func HostOf(state tls.ConnectionState) identifier.Host {
+	if len(state.PeerCertificates) == 0 {
+		return ""
+	}
+	return identifier.Host(state.PeerCertificates[0].Subject.CommonName)
+}
+
 // checkRole returns an Error of KindRole unless cert has one of roles.
 func checkRole(cert *x509.Certificate, roles []Role) error {
 	held := Roles(cert)
--- a/internal/entry/daemon/construction.go
+++ b/internal/entry/daemon/construction.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"net/netip"
 	"os"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/entry/certifier"
 	"cardamomscale.example/cardamomscale/internal/entry/executor"
 	"cardamomscale.example/cardamomscale/internal/entry/recorder"
 	"cardamomscale.example/cardamomscale/internal/entry/server"
@@ -34,6 +31,8 @@
 
 	Readiness    *Readiness
 	Surroundings *surroundings
+	Transports   *transports
+	Dialer       *dialer.Dialer
 	Callers      *callers
 	Runners      []runner
 }
@@ -42,6 +41,8 @@
 var construction = fx.Options(platformConstruction, fx.Provide(
 	newReadiness,
 	newSecrets,
+	newCertificates,
+	newTransports,
 	newRegistry,
 	newState,
 	newRecorder,
@@ -101,30 +102,8 @@
 	return recorder.New(recorder.Config{Clock: cfg.Clock})
 }
 
-// newTransport returns a transport to store hosts and to the cache side of engines.
-func newTransport(cfg Config) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			parsed, err := netip.ParseAddrPort(address)
-			if err != nil {
-				return nil, newError("dial", KindConfig, err)
-			}
-			return cfg.Dial(ctx, parsed)
-		},
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleConnectionTime,
-	}
-}
-
-const (
-	// maxIdleConnections bounds the idle connections to one address.
-	maxIdleConnections = 16
-	// idleConnectionTime is how long an idle connection is kept.
-	idleConnectionTime = 30 * time.Second
-)
-
-func newOrderer(cfg Config) (*orderer.Orderer, error) {
-	return orderer.New(orderer.Config{Transport: newTransport(cfg), Clock: cfg.Clock})
+func newOrderer(cfg Config, t *transports) (*orderer.Orderer, error) {
+	return orderer.New(orderer.Config{Transport: t.open(), Clock: cfg.Clock})
 }
 
 func newExecutor(cfg Config, state *reducer.State, around *surroundings) (*executor.Executor, error) {
@@ -157,16 +136,22 @@
 	return r, err
 }
 
-func newExchanger(cfg Config, around *surroundings, p *peers, _ *executor.Executor) (*exchanger.Exchanger, error) {
+func newExchanger(cfg Config, around *surroundings, p *peers, secured *certificates, _ *executor.Executor) (*exchanger.Exchanger, error) {
 	listener, err := cfg.Listen(cfg.Settings.PeerListen)
 	if err != nil {
 		return nil, newError("listen for peers", KindListen, err)
 	}
-	x, err := exchanger.New(exchanger.Config{
+	exchange := exchanger.Config{
 		Self: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Clock: cfg.Clock,
 		Listener: listener, Dial: cfg.Dial, Peers: p.wanted, Handler: p,
 		Logger: cfg.Logger.Named("peers"), Seed: cfg.Seed, Interval: cfg.Settings.HeartbeatInterval.Duration,
-	})
+	}
+	if secured.peers != nil {
+		exchange.ClientTLS = secured.peers.ClientConfig(certifier.RoleDaemon)
+		exchange.ServerTLS = secured.peers.ServerConfig(certifier.RoleDaemon)
+		exchange.HostOf = certifier.HostOf
+	}
+	x, err := exchanger.New(exchange)
 	around.peers = x
 	return x, err
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sync/errgroup"
@@ -51,6 +52,11 @@
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Listen opens the daemon's own addresses.
 	Listen func(address netip.AddrPort) (net.Listener, error)
+	// SpanExporter receives the spans; nil means what the settings say.
+	SpanExporter sdktrace.SpanExporter
+	// CertificateInterval is the time between looks at the TLS files; 0 means
+	// certifier.DefaultInterval.
+	CertificateInterval time.Duration
 	// Objects is the platform's object API; nil means an HTTP client to the
 	// addresses of the settings.
 	Objects client.ObjectStore
@@ -130,7 +136,10 @@
 			return nil
 		}
 	})
-	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+	err := group.Wait()
+	d.parts.Dialer.CloseAll()
+	d.parts.Transports.closeIdle()
+	if err != nil && !errors.Is(err, context.Canceled) {
 		return newError("run daemon", KindRun, err)
 	}
 	return nil
--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -31,7 +32,7 @@
 	platform  *contact
 }
 
-func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry) (*operators, error) {
+func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry, secured *certificates) (*operators, error) {
 	listener, err := cfg.Listen(cfg.Settings.OperatorListen)
 	if err != nil {
 		return nil, newError("listen for operators", KindListen, err)
@@ -42,13 +43,27 @@
 	router.HandleFunc(describer.PathExplain+"{request}", side.explain).Methods(http.MethodGet)
 	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	return &operators{listening{
-		listener: listener,
-		http:     &http.Server{Handler: router, ReadTimeout: operatorReadTimeout, ReadHeaderTimeout: operatorReadTimeout},
+		listener: secured.secureOperators(listener),
+		http: &http.Server{
+			Handler:           http.MaxBytesHandler(router, operatorBodyBytes),
+			ReadTimeout:       operatorReadTimeout,
+			ReadHeaderTimeout: operatorReadTimeout,
+			WriteTimeout:      operatorWriteTimeout,
+			IdleTimeout:       operatorIdleTime,
+			MaxHeaderBytes:    operatorHeaderBytes,
+			ErrorLog:          cfg.Logger.Named("operators").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		},
 	}}, nil
 }
 
-// operatorReadTimeout bounds the reading of an operator's request.
-const operatorReadTimeout = 10 * time.Second
+// Bounds of an operator's request and its answer.
+const (
+	operatorReadTimeout  = 10 * time.Second
+	operatorWriteTimeout = 30 * time.Second
+	operatorIdleTime     = time.Minute
+	operatorHeaderBytes  = 16 << 10
+	operatorBodyBytes    = 4 << 10
+)
 
 func (o *operatorSide) status(w http.ResponseWriter, r *http.Request) {
 	var state reducer.Status
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,7 +31,7 @@
 	platformWrites = 50
 )
 
-func newContact(cfg Config) (*contact, error) {
+func newContact(cfg Config, t *transports) (*contact, error) {
 	if cfg.Objects != nil {
 		return &contact{ObjectStore: cfg.Objects, clock: cfg.Clock}, nil
 	}
@@ -41,7 +40,7 @@
 		return nil, newError("connect to platform", KindConfig, errors.New("settings name no address of the object API"))
 	}
 	objects, err := client.NewHTTPClient(client.HTTPConfig{
-		Address: addresses[0], Clock: cfg.Clock, Transport: newTransport(cfg),
+		Address: addresses[0], Clock: cfg.Clock, Transport: t.open(),
 		ReadsPerSecond: platformReads, WritesPerSecond: platformWrites,
 	})
 	if err != nil {
@@ -110,13 +109,13 @@
 	return l, err
 }
 
-func newLister(cfg Config, exec *executor.Executor) (*lister.Lister, error) {
+func newLister(cfg Config, t *transports, exec *executor.Executor) (*lister.Lister, error) {
 	address := cfg.Settings.Platform.Members
 	if !address.IsValid() {
 		return nil, nil
 	}
 	return lister.New(lister.Config{
-		Clock: cfg.Clock, Transport: http.RoundTripper(newTransport(cfg)), URL: "http://" + address.String(),
+		Clock: cfg.Clock, Transport: t.open(), URL: "http://" + address.String(),
 		Seed: cfg.Seed, Logger: cfg.Logger.Named("lister"),
 		OnChange: func(m messenger.Members) { exec.Post(membersOf(m)) },
 	})
@@ -134,8 +133,8 @@
 }
 
 // newRunners lists the parts that run until the daemon stops.
-func newRunners(exec *executor.Executor, x *exchanger.Exchanger, r *reader.Reader, w *watcher.Watcher, l *leaser.Leaser, owned *ownerships, held *claimer.Claimer, m *lister.Lister, c *callers, o *operators) []runner {
-	list := []runner{exec, x, r, w, l, owned, held, c, o}
+func newRunners(exec *executor.Executor, x *exchanger.Exchanger, r *reader.Reader, w *watcher.Watcher, l *leaser.Leaser, owned *ownerships, held *claimer.Claimer, m *lister.Lister, c *callers, o *operators, secured *certificates) []runner {
+	list := []runner{exec, x, r, w, l, owned, held, c, o, secured}
 	if m != nil {
 		list = append(list, m)
 	}
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -76,6 +76,9 @@
 	// ClientTLS and ServerTLS encrypt the connections when they are set.
 	ClientTLS *tls.Config
 	ServerTLS *tls.Config
+	// HostOf returns the host that the other side of a connection speaks for. With
+	// it, a connection serves this host's messages only; it needs ClientTLS and ServerTLS.
+	HostOf func(tls.ConnectionState) identifier.Host
 	// Peers returns the other daemons to exchange heartbeats with. It is asked each interval.
 	Peers   func() []Peer
 	Handler Handler
@@ -114,6 +117,10 @@
 		err := errors.New("client and server TLS must be set together")
 		return cfg, newError("new exchanger", KindInvalid, err)
 	}
+	if cfg.HostOf != nil && cfg.ServerTLS == nil {
+		err := errors.New("hosts are bound to certificates without TLS")
+		return cfg, newError("new exchanger", KindInvalid, err)
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
--- a/internal/peer/exchanger/link.go
+++ b/internal/peer/exchanger/link.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 )
 
@@ -27,6 +28,8 @@
 	clock    clockwork.Clock
 	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	tls      *tls.Config
+	host     identifier.Host
+	hostOf   func(tls.ConnectionState) identifier.Host
 	limit    uint64
 	counters *counters
 
@@ -203,6 +206,17 @@
 	return client, nil
 }
 
+// checkHost refuses a connection that another host than the wanted one answers.
+func (l *link) checkHost(state tls.ConnectionState) error {
+	if l.hostOf == nil {
+		return nil
+	}
+	if host := l.hostOf(state); host != l.host {
+		return errors.Newf("the certificate is of host %q, want %q", host, l.host)
+	}
+	return nil
+}
+
 // establish makes a connection with its encryption.
 func (l *link) establish(ctx context.Context) (*client, error) {
 	l.mu.Lock()
@@ -218,6 +232,9 @@
 		if err := secured.HandshakeContext(ctx); err != nil {
 			return nil, errors.CombineErrors(err, conn.Close())
 		}
+		if err := l.checkHost(secured.ConnectionState()); err != nil {
+			return nil, errors.CombineErrors(err, conn.Close())
+		}
 		conn = &securedConn{Conn: secured, raw: conn}
 	}
 	c := &client{addr: addr}
--- a/internal/peer/exchanger/manager.go
+++ b/internal/peer/exchanger/manager.go
@@ -93,6 +93,8 @@
 			clock:    x.cfg.Clock,
 			dial:     x.cfg.Dial,
 			tls:      x.cfg.ClientTLS,
+			host:     host,
+			hostOf:   x.cfg.HostOf,
 			limit:    x.cfg.MaxMessage,
 			counters: x.counters,
 			closed:   x.closed,
--- a/internal/peer/exchanger/server.go
+++ b/internal/peer/exchanger/server.go
@@ -13,12 +13,38 @@
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 )
 
-// service holds the methods that peers call.
-type service struct{ x *Exchanger }
+// service holds the methods that peers call over one connection.
+type service struct {
+	x *Exchanger
+	// host is the one that the connection speaks for; empty means any.
+	host identifier.Host
+}
+
+// checkFrom refuses a message in the name of a host that the connection does
+// not speak for.
+func (s *service) checkFrom(from identifier.Host) error {
+	if s.host == "" || s.host == from {
+		return nil
+	}
+	return errors.Newf("a message of host %q came over a connection of host %q", from, s.host)
+}
+
+// bind binds the connection to the host of its certificate, and reports whether
+// there is one.
+func (s *service) bind(state tls.ConnectionState) bool {
+	if s.x.cfg.HostOf == nil {
+		return true
+	}
+	s.host = s.x.cfg.HostOf(state)
+	return s.host != ""
+}
 
 // Heartbeat takes a peer's content and replies with the own one.
 func (s *service) Heartbeat(msg *describer.Heartbeat, reply *describer.HeartbeatReply) error {
 	x := s.x
+	if err := s.checkFrom(msg.From); err != nil {
+		return err
+	}
 	p, err := x.admit(msg.From)
 	if err != nil {
 		return err
@@ -46,12 +72,18 @@
 
 // Permit grants or refuses a slot of a cold target.
 func (s *service) Permit(msg *describer.Permit, reply *describer.PermitReply) (err error) {
+	if err := s.checkFrom(msg.From); err != nil {
+		return err
+	}
 	*reply, err = s.x.cfg.Handler.OnPermit(*msg)
 	return err
 }
 
 // Release takes a slot back.
 func (s *service) Release(msg *describer.ReleasePermit, reply *describer.ReleasePermitReply) (err error) {
+	if err := s.checkFrom(msg.From); err != nil {
+		return err
+	}
 	*reply, err = s.x.cfg.Handler.OnRelease(*msg)
 	return err
 }
@@ -89,10 +121,6 @@
 
 // serve answers inbound connections until ctx ends or the listener fails.
 func (x *Exchanger) serve(ctx context.Context) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(describer.Service, &service{x}); err != nil {
-		return newError("register methods", KindInvalid, err)
-	}
 	var conns sync.WaitGroup
 	defer conns.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -120,7 +148,7 @@
 		}
 		conns.Go(func() {
 			defer func() { <-slots }()
-			x.serveConn(ctx, server, conn)
+			x.serveConn(ctx, conn)
 		})
 	}
 }
@@ -135,7 +163,8 @@
 }
 
 // serveConn answers one connection until it ends, is idle or ctx ends.
-func (x *Exchanger) serveConn(ctx context.Context, server *rpc.Server, conn net.Conn) {
+func (x *Exchanger) serveConn(ctx context.Context, conn net.Conn) {
+	methods := &service{x: x}
 	raw := &countingConn{Conn: conn, count: &x.counters.wire}
 	conn = raw
 	shut := func() { _ = raw.Close() }
@@ -151,8 +180,19 @@
 			shut()
 			return
 		}
+		if !methods.bind(secured.ConnectionState()) {
+			x.cfg.Logger.Warn("the certificate of a connection names no host", "from", raw.RemoteAddr())
+			shut()
+			return
+		}
 		conn = &securedConn{Conn: secured, raw: raw}
 	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(describer.Service, methods); err != nil {
+		x.cfg.Logger.Error("methods are not registered", "error", err)
+		shut()
+		return
+	}
 	onMessage := func() { idle.Reset(idleIntervals * x.cfg.Interval) }
 	server.ServeCodec(&serverCodec{newCodec(conn, x.cfg.MaxMessage, x.counters, onMessage)})
 }
--- a/internal/standin/assembler/assembler.go
+++ b/internal/standin/assembler/assembler.go
@@ -15,8 +15,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/config/starter"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/entry/daemon"
@@ -50,6 +52,13 @@
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Seed   uint64
+	// Adjust changes the settings of each daemon before its start; nil leaves them.
+	Adjust func(*starter.Settings)
+	// SpanExporter receives the daemons' spans; nil means what the settings say.
+	SpanExporter sdktrace.SpanExporter
+	// CertificateInterval is the time between the daemons' looks at their TLS
+	// files; 0 means their default.
+	CertificateInterval time.Duration
 }
 
 // Assembly is a set of stand-ins with the daemons before them.
--- a/internal/standin/assembler/host.go
+++ b/internal/standin/assembler/host.go
@@ -23,6 +23,9 @@
 	setDuration(&s.HeartbeatInterval, a.cfg.Plan.Heartbeat)
 	setDuration(&s.LoadReportInterval, a.cfg.Plan.LoadInterval)
 	setDuration(&s.Session.Term, a.cfg.Plan.SessionTerm)
+	if a.cfg.Adjust != nil {
+		a.cfg.Adjust(&s)
+	}
 	return s
 }
 
@@ -38,6 +41,7 @@
 	d, err := daemon.New(daemon.Config{
 		Settings: a.settings(h), Clock: a.cfg.Clock,
 		Logger: a.cfg.Logger.Named(string(name)), Seed: a.cfg.Seed,
+		SpanExporter: a.cfg.SpanExporter, CertificateInterval: a.cfg.CertificateInterval,
 	})
 	if err != nil {
 		return newError("start daemon", KindStart, err)
