Count, trace, explain and log requests, and bound slow callers

Cause: the registry was empty, spans were injected by a global propagator that nobody set, explanations were known to one daemon only and lacked reasons, and a caller that stopped reading held its target for ever. A target's own words about a refusal, which may repeat the prompt, went into explanations.

Change: internal/entry/meter counts requests under labels of few values and gauges read the daemon's parts when collected. internal/entry/tracer records a span for each hop under the caller's W3C trace context and exports over OTLP or to a file, by a sampling ratio; targets, stores and engines get the span's name. The operators' endpoint asks peers about requests it doesn't know. Each part of an answer must reach its caller within limits.write-timeout. Refusals and failures are logged by request ID and kind. Of a target's refusal only status and kind are told.

Conclusion: what a daemon does can be seen from outside without any secret.

--- a/internal/decision/reducer/admission.go
+++ b/internal/decision/reducer/admission.go
@@ -64,12 +64,15 @@
 func (s *State) onRequestArrived(ev RequestArrived) {
 	r, no := s.admit(ev)
 	if no != nil {
-		s.note(ev.Request, StepRefused, "", no.message)
+		s.note(ev.Request, StepRefused, "", string(no.kind)+": "+no.message)
 		s.emit(Refuse{Request: ev.Request, Kind: no.kind, Message: no.message, Run: RunNot, RetryAfter: no.retryAfter})
 		return
 	}
 	s.requests[r.id] = r
-	s.note(r.id, StepAdmitted, "", fmt.Sprintf("team %s, class %s", r.team, r.class))
+	s.emit(Note{
+		Request: r.id, Step: StepAdmitted, Service: r.service, Class: r.class,
+		Detail: fmt.Sprintf("team %s, service %s, class %s", r.team, r.service, r.class),
+	})
 	s.earnRetry(r.profile)
 	if s.lookupNeeded(r) {
 		s.startLookup(r)
--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -39,7 +39,7 @@
 	r.number++
 	r.started = false
 	s.lead(r)
-	s.note(r.id, StepAttempt, r.target.name, "")
+	s.note(r.id, StepAttempt, r.target.name, r.describeAttempt())
 	rank, _ := r.class.Rank()
 	s.emit(Start{
 		Attempt: r.attempt(), Team: r.team, Target: r.target.name, Address: r.target.spec.Address,
@@ -104,7 +104,7 @@
 	if r.claimed {
 		s.emit(RecordAnswer{Request: r.id})
 	}
-	s.note(r.id, StepFinished, t.name, "")
+	s.note(r.id, StepFinished, t.name, fmt.Sprintf("after %d attempts, %d answer tokens", r.number, ev.Tokens))
 	s.emit(Finish{Request: r.id})
 	s.forget(r)
 }
@@ -172,7 +172,10 @@
 	if r.delivered > 0 {
 		step = StepResumed
 	}
-	s.note(r.id, step, t.name, string(ev.Reason))
+	s.emit(Note{
+		Request: r.id, Step: step, Target: t.name, Reason: ev.Reason,
+		Detail: fmt.Sprintf("attempt %d failed: %s, %s", r.number, ev.Reason, r.describeProgress(ev)),
+	})
 	s.requeue(r)
 }
 
@@ -216,7 +219,7 @@
 func (s *State) refuse(r *request, kind RefusalKind, message string, retryAfter time.Duration) {
 	run := r.runState()
 	s.giveBackClaim(r)
-	s.note(r.id, StepRefused, "", message)
+	s.note(r.id, StepRefused, "", string(kind)+": "+message)
 	s.emit(Refuse{Request: r.id, Kind: kind, Message: message, Run: run, RetryAfter: retryAfter})
 	s.forget(r)
 }
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -240,7 +240,7 @@
 	if r == nil || r.phase != phaseImporting {
 		return
 	}
-	s.note(r.id, StepImported, ev.Target, "")
+	s.noteImport(ev)
 	if ev.Failed {
 		r.stored = nil
 	}
@@ -301,6 +301,7 @@
 		r.phase = phaseFollowing
 		r.leader = leader
 		leader.followers = append(leader.followers, r)
+		s.noteFollow(r, leader)
 		return true
 	}
 	return false
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -194,8 +194,30 @@
 	Step    Step
 	Target  identifier.Target
 	Detail  string
+	// Service and Class are set for StepAdmitted.
+	Service identifier.Service
+	Class   identifier.Class
+	// Decision is set for StepDecided.
+	Decision Decision
+	// Reason is set for StepRetried and StepResumed.
+	Reason FailureReason
 }
 
+// Decision names how a request gets its prompt's cache.
+type Decision string
+
+// The kinds of decision.
+const (
+	// DecisionImport means that all full blocks come from the target's cache or a store.
+	DecisionImport Decision = "import"
+	// DecisionSplit means that some full blocks are imported and others computed.
+	DecisionSplit Decision = "split"
+	// DecisionRecompute means that nothing is imported.
+	DecisionRecompute Decision = "recompute"
+	// DecisionFollow means that the request waits for another that computes the same prefix.
+	DecisionFollow Decision = "follow"
+)
+
 // Step names one step of a request.
 type Step string
 
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"fmt"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/cache/hasher"
@@ -29,6 +28,12 @@
 type choice struct {
 	target *target
 	plan   scorer.Plan
+	// cached is the number of leading blocks that the target is believed to hold.
+	cached int
+	// second is the next best target, if there was one, and behind is how much
+	// later its first token was expected.
+	second *target
+	behind time.Duration
 }
 
 // place moves a queued request on: to its target, to its claim, or behind
@@ -49,7 +54,7 @@
 	if !ok {
 		return s.askForPermit(r)
 	}
-	s.note(r.id, StepDecided, c.target.name, fmt.Sprintf("first token in %s, import %d blocks, compute %d tokens", c.plan.FirstToken, c.plan.ImportBlocks, c.plan.ComputedTokens))
+	s.noteDecision(r, c)
 	s.reserve(r, c)
 	if c.plan.ImportBlocks > 0 {
 		s.startImport(r, c)
@@ -209,8 +214,13 @@
 		if t == home {
 			score -= s.homeAdvantage(r, t, cached[t.name])
 		}
-		if best.target == nil || score < bestScore {
-			best, bestScore = choice{target: t, plan: plan}, score
+		switch {
+		case best.target == nil:
+			best, bestScore = choice{target: t, plan: plan, cached: cached[t.name]}, score
+		case score < bestScore:
+			best, bestScore = choice{target: t, plan: plan, cached: cached[t.name], second: best.target, behind: bestScore - score}, score
+		case best.second == nil || score-bestScore < best.behind:
+			best.second, best.behind = t, score-bestScore
 		}
 	}
 	return best, best.target != nil
--- a/internal/decision/reducer/status.go
+++ b/internal/decision/reducer/status.go
@@ -14,8 +14,12 @@
 	// InFlight counts the requests in the daemon, Queued those that wait for a target.
 	InFlight int
 	Queued   int
-	Targets  []TargetStatus
-	Hosts    []identifier.Host
+	// QueuedBy counts the waiting requests of each service.
+	QueuedBy map[identifier.Service]int
+	// RetryBudget is the number of retries that may be made now.
+	RetryBudget float64
+	Targets     []TargetStatus
+	Hosts       []identifier.Host
 }
 
 // TargetStatus is what the daemon knows of one target.
@@ -40,9 +44,14 @@
 	status := Status{
 		ConfigVersion: s.version, Draining: s.draining.draining,
 		InFlight: len(s.requests), Hosts: s.hosts,
+		QueuedBy: make(map[identifier.Service]int, len(s.services)), RetryBudget: s.retries,
 	}
-	for _, q := range s.queues {
+	for _, service := range s.services {
+		status.QueuedBy[service] = 0
+	}
+	for service, q := range s.queues {
 		status.Queued += len(q.waiting)
+		status.QueuedBy[service] = len(q.waiting)
 	}
 	for _, t := range s.sortedTargets() {
 		status.Targets = append(status.Targets, s.targetStatus(t, now))
--- a/internal/entry/daemon/bench_test.go
+++ b/internal/entry/daemon/bench_test.go
@@ -31,6 +31,8 @@
 	testKey     = "team-key-marked-secret"
 	testModel   = "shop-assistant"
 	testVersion = "2026-11"
+	// testBlock is the number of characters of one cache block.
+	testBlock = 4096
 
 	// testWait bounds what a test waits for.
 	testWait = 30 * time.Second
--- /dev/null
+++ b/internal/entry/daemon/callers_test.go
@@ -0,0 +1,75 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/config/starter"
+	"cardamomscale.example/cardamomscale/internal/standin/assembler"
+)
+
+// raw sends bytes to the first host and returns all that comes back until the
+// connection ends.
+func (b *bench) raw(text string) string {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", b.host(0).Callers.String())
+	assert.NilError(b.t, err)
+	defer conn.Close()
+	assert.NilError(b.t, conn.SetDeadline(time.Now().Add(testWait)))
+	_, err = io.WriteString(conn, text)
+	assert.NilError(b.t, err)
+	answer, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(answer)
+}
+
+func TestLimitsOfCallers(t *testing.T) {
+	b := newBench(t, assembler.Config{Adjust: func(s *starter.Settings) {
+		s.Limits.MaxBodyBytes, s.Limits.MaxHeaderBytes = 1024, 4096
+		s.Limits.ReadTimeout = specifier.Duration{Duration: 200 * time.Millisecond}
+	}})
+	head := "POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+	cases := []struct{ name, text, want string }{
+		{"long body", head + fmt.Sprintf("Content-Length: 2000\r\n\r\n%2000d", 1), "HTTP/1.1 413 "},
+		{"long chunked body", head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n7d0\r\n%2000d\r\n0\r\n\r\n", 1), "HTTP/1.1 413 "},
+		{"long header", head + "X-Long: " + strings.Repeat("x", 20000) + "\r\n\r\n", "HTTP/1.1 431 "},
+		{"slow body", head + "Content-Length: 10\r\n\r\n{", "HTTP/1.1 400 "},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400 "},
+		{"odd encoding", head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 501 "},
+		{"space in a name", head + "Content-Length : 3\r\n\r\nabc", "HTTP/1.1 400 "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answer := b.raw(c.text)
+			assert.Assert(t, strings.HasPrefix(answer, c.want), "%.300s", answer)
+		})
+	}
+	answer := b.complete(0, "still here", false, caller())
+	assert.Equal(t, answer.status, http.StatusOK, answer.body)
+}
+
+// TestHeadersToTargetsAreChosen sends headers of all kinds and expects the
+// target to see only those that the daemon chose.
+func TestHeadersToTargetsAreChosen(t *testing.T) {
+	b := newBench(t, assembler.Config{})
+	target := newEchoTarget(t)
+	b.addTarget("echo", target.address)
+	answer := b.raw("POST /services/echo/x HTTP/1.1\r\nHost: h\r\nConnection: close, X-Own\r\nAuthorization: Bearer " + testKey + "\r\n" +
+		"Cookie: a=b\r\nX-Own: 1\r\nX-Forwarded-For: 1.2.3.4\r\nTransfer-Encoding: chunked\r\nCardamom-Incarnation: 9\r\n" +
+		"Baggage: k=v\r\nIdempotency-Key: marked-key\r\nContent-Type: text/plain\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(answer, "HTTP/1.1 200 "), answer)
+	names := slices.Sorted(maps.Keys(target.last()))
+	assert.DeepEqual(t, names, []string{"Cardamom-Request", "Content-Length", "Content-Type", "Idempotency-Key", "User-Agent"})
+	assert.Assert(t, !strings.Contains(fmt.Sprint(target.last()), "marked-key"))
+	assert.Assert(t, !strings.Contains(fmt.Sprint(target.last()), testKey))
+}
--- a/internal/entry/daemon/construction.go
+++ b/internal/entry/daemon/construction.go
@@ -10,8 +10,10 @@
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/entry/certifier"
 	"cardamomscale.example/cardamomscale/internal/entry/executor"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
 	"cardamomscale.example/cardamomscale/internal/entry/recorder"
 	"cardamomscale.example/cardamomscale/internal/entry/server"
+	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
 	"cardamomscale.example/cardamomscale/internal/target/caller"
 	"cardamomscale.example/cardamomscale/internal/target/dialer"
@@ -33,6 +35,8 @@
 	Surroundings *surroundings
 	Transports   *transports
 	Dialer       *dialer.Dialer
+	Spans        *tracer.Provider
+	Registry     *prometheus.Registry
 	Callers      *callers
 	Runners      []runner
 }
@@ -44,6 +48,10 @@
 	newCertificates,
 	newTransports,
 	newRegistry,
+	newMeter,
+	newSpans,
+	newTracer,
+	newExplainer,
 	newState,
 	newRecorder,
 	newOrderer,
@@ -57,7 +65,7 @@
 	newServer,
 	newCallers,
 	newOperators,
-))
+), fx.Invoke(registerGauges))
 
 // secrets are the keys that all daemons share.
 type secrets struct {
@@ -86,9 +94,20 @@
 	return &secrets{block: block, claim: claim}, nil
 }
 
-func newRegistry() *prometheus.Registry {
-	registry := prometheus.NewRegistry()
-	return registry
+func newMeter(cfg Config, registry *prometheus.Registry) (*meter.Meter, error) {
+	return meter.New(meter.Config{Clock: cfg.Clock, Registerer: labelled(cfg, registry)})
+}
+
+func newSpans(cfg Config) (*tracer.Provider, error) {
+	settings := cfg.Settings.Trace
+	return tracer.NewProvider(tracer.ProviderConfig{
+		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Exporter: cfg.SpanExporter,
+		Endpoint: settings.Endpoint, File: settings.File, Ratio: settings.Ratio,
+	})
+}
+
+func newTracer(cfg Config, spans *tracer.Provider) (*tracer.Tracer, error) {
+	return tracer.New(tracer.Config{Clock: cfg.Clock, Provider: spans.Spans()})
 }
 
 func newState(cfg Config, keys *secrets) *reducer.State {
@@ -103,7 +122,7 @@
 }
 
 func newOrderer(cfg Config, t *transports) (*orderer.Orderer, error) {
-	return orderer.New(orderer.Config{Transport: t.open(), Clock: cfg.Clock})
+	return orderer.New(orderer.Config{Transport: t.open(), Clock: cfg.Clock, Propagator: tracer.Propagator()})
 }
 
 func newExecutor(cfg Config, state *reducer.State, around *surroundings) (*executor.Executor, error) {
@@ -157,13 +176,14 @@
 }
 
 func newCaller(cfg Config, d *dialer.Dialer) (*caller.Caller, error) {
-	return caller.New(caller.Config{Transports: d, Clock: cfg.Clock})
+	return caller.New(caller.Config{Transports: d, Clock: cfg.Clock, Propagator: tracer.Propagator()})
 }
 
-func newServer(cfg Config, exec *executor.Executor, targets *caller.Caller, caches *orderer.Orderer, held *claims, ready *Readiness) (*server.Server, error) {
+func newServer(cfg Config, exec *executor.Executor, targets *caller.Caller, caches *orderer.Orderer, held *claims, ready *Readiness, count *meter.Meter, spans *tracer.Tracer) (*server.Server, error) {
 	return server.New(server.Config{
 		Reducer: exec, Targets: targets, Caches: caches, Claims: held, Clock: cfg.Clock,
 		Logger: cfg.Logger.Named("server"), NewRequestID: newRequestID, Ready: ready.Ready,
-		MaxBodyBytes: cfg.Settings.Limits.MaxBodyBytes,
+		MaxBodyBytes: cfg.Settings.Limits.MaxBodyBytes, WriteTimeout: cfg.Settings.Limits.WriteTimeout.Duration,
+		Meter: count, Tracer: spans,
 	})
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -139,6 +139,9 @@
 	err := group.Wait()
 	d.parts.Dialer.CloseAll()
 	d.parts.Transports.closeIdle()
+	if lost := d.parts.Spans.Close(); lost != nil {
+		d.cfg.Logger.Warn("the last spans are lost", "error", lost)
+	}
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return newError("run daemon", KindRun, err)
 	}
--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -30,17 +30,18 @@
 	around    *surroundings
 	readiness *Readiness
 	platform  *contact
+	explainer *explainer
 }
 
-func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry, secured *certificates) (*operators, error) {
+func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry, secured *certificates, asked *explainer) (*operators, error) {
 	listener, err := cfg.Listen(cfg.Settings.OperatorListen)
 	if err != nil {
 		return nil, newError("listen for operators", KindListen, err)
 	}
-	side := &operatorSide{cfg: cfg, exec: exec, peers: p, around: around, readiness: ready, platform: platform}
+	side := &operatorSide{cfg: cfg, exec: exec, peers: p, around: around, readiness: ready, platform: platform, explainer: asked}
 	router := mux.NewRouter()
 	router.HandleFunc(describer.PathStatus, side.status).Methods(http.MethodGet)
-	router.HandleFunc(describer.PathExplain+"{request}", side.explain).Methods(http.MethodGet)
+	router.HandleFunc(describer.PathExplain+"{request}", side.explainer.serve).Methods(http.MethodGet)
 	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	return &operators{listening{
 		listener: secured.secureOperators(listener),
@@ -126,32 +127,6 @@
 	return list
 }
 
-func (o *operatorSide) explain(w http.ResponseWriter, r *http.Request) {
-	explanation, found := explain(o.around, identifier.Request(mux.Vars(r)["request"]))
-	if !found {
-		http.Error(w, "the request is not known here", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, explanation)
-}
-
-// explain describes the steps of a request that this daemon remembers.
-func explain(around *surroundings, id identifier.Request) (describer.Explanation, bool) {
-	entries := around.recorder.Explain(id)
-	if len(entries) == 0 {
-		return describer.Explanation{}, false
-	}
-	explanation := describer.Explanation{RequestID: id, Host: around.cfg.Settings.Host}
-	for _, e := range entries {
-		detail := e.Detail
-		if e.Target != "" {
-			detail = "target " + string(e.Target) + ": " + detail
-		}
-		explanation.Steps = append(explanation.Steps, describer.Step{At: e.At, Kind: string(e.Step), Detail: detail})
-	}
-	return explanation, true
-}
-
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -12,7 +12,9 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/entry/executor"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
 	"cardamomscale.example/cardamomscale/internal/entry/recorder"
+	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
 	"cardamomscale.example/cardamomscale/internal/target/dialer"
@@ -26,6 +28,8 @@
 	cfg      Config
 	recorder *recorder.Recorder
 	orderer  *orderer.Orderer
+	meter    *meter.Meter
+	tracer   *tracer.Tracer
 	clock    clockwork.Clock
 
 	post    func(reducer.Event)
@@ -55,9 +59,9 @@
 
 var _ executor.Surroundings = (*surroundings)(nil)
 
-func newSurroundings(cfg Config, rec *recorder.Recorder, ord *orderer.Orderer) *surroundings {
+func newSurroundings(cfg Config, rec *recorder.Recorder, ord *orderer.Orderer, count *meter.Meter, spans *tracer.Tracer) *surroundings {
 	return &surroundings{
-		cfg: cfg, recorder: rec, orderer: ord, clock: cfg.Clock,
+		cfg: cfg, recorder: rec, orderer: ord, meter: count, tracer: spans, clock: cfg.Clock,
 		drained:  make(chan struct{}),
 		believed: map[identifier.Target]identifier.Incarnation{},
 		loads:    map[identifier.Target]exchanger.Load{},
@@ -67,7 +71,11 @@
 
 // Export orders an export in the background.
 func (s *surroundings) Export(e reducer.Export) {
-	go func() { s.post(s.orderer.Export(context.Background(), e)) }()
+	go func() {
+		done := s.orderer.Export(context.Background(), e)
+		s.meter.Moved(e.Store, meter.DirectionExport, done.Bytes)
+		s.post(done)
+	}()
 }
 
 // ReleaseClaim gives back a claim in the background.
@@ -176,8 +184,12 @@
 	s.publishLocked()
 }
 
-// Note keeps a step of a request.
-func (s *surroundings) Note(n reducer.Note) { s.recorder.Note(n) }
+// Note keeps, counts and traces a step of a request.
+func (s *surroundings) Note(n reducer.Note) {
+	s.recorder.Note(n)
+	s.meter.Note(n)
+	s.tracer.Note(n)
+}
 
 // Drained reports that no request is left.
 func (s *surroundings) Drained() { close(s.drained) }
--- a/internal/entry/server/completions.go
+++ b/internal/entry/server/completions.go
@@ -14,6 +14,7 @@
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
 
@@ -51,15 +52,16 @@
 const defaultMaxTokens = 64
 
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
-	id := s.cfg.NewRequestID()
+	x := s.begin(w, r)
+	defer x.end()
 	body, err := s.readCompletion(w, r)
 	if err != nil {
-		refuseMalformed(w, id, err)
+		x.refuseMalformed(err)
 		return
 	}
-	ev, err := s.arrival(r, id)
+	ev, err := s.arrival(r, x.id)
 	if err != nil {
-		refuseMalformed(w, id, err)
+		x.refuseMalformed(err)
 		return
 	}
 	ev.Service = body.Service
@@ -67,7 +69,6 @@
 		Model: body.Model, Adapter: body.Adapter, MaxTokens: body.MaxTokens,
 		Tokens: hasher.Tokens(len(body.Prompt)), Digests: hasher.Digests(body.Prompt),
 	}
-	x := &exchange{server: s, id: id, w: w, ctx: r.Context()}
 	x.runner = &completion{exchange: x, body: body}
 	x.serve(ev)
 }
@@ -120,6 +121,8 @@
 	tokens       []string
 	cachedTokens int
 	headersSent  bool
+	// counted is true once the prompt's tokens were counted.
+	counted bool
 }
 
 func (c *completion) run(ctx context.Context, start reducer.Start) reducer.Event {
@@ -138,12 +141,17 @@
 	if ev.Attempt.Number == 1 {
 		c.cachedTokens = ev.CachedTokens
 	}
+	if !c.counted {
+		c.counted = true
+		c.count.Prompt(meter.Prompt{Tokens: hasher.Tokens(len(c.body.Prompt)), Cached: ev.CachedTokens, ImportedBlocks: c.imported})
+	}
 	c.server.cfg.Reducer.Post(ev)
 }
 
 // Token takes in the token at offset and passes it on when the caller streams.
 func (c *completion) Token(offset int, token string) error {
 	c.tokens = append(c.tokens, token)
+	c.count.Token()
 	if !c.body.Stream {
 		return nil
 	}
@@ -170,7 +178,7 @@
 	if _, err := fmt.Fprintf(c.w, "data: %s\n\n", raw); err != nil {
 		return err
 	}
-	return http.NewResponseController(c.w).Flush()
+	return c.w.Flush()
 }
 
 func (c *completion) finish() {
--- a/internal/entry/server/exchange.go
+++ b/internal/entry/server/exchange.go
@@ -12,6 +12,8 @@
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
+	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/target/caller"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -20,10 +22,16 @@
 type exchange struct {
 	server *Server
 	id     identifier.Request
-	w      http.ResponseWriter
-	// ctx ends when the caller leaves.
+	w      *writer
+	// ctx ends when the caller leaves. It carries the request's span.
 	ctx   context.Context
-	claim reducer.Claim
+	count *meter.Request
+	trace *tracer.Request
+	// ending says how the request ended.
+	ending ending
+	// imported is the number of blocks imported for the request.
+	imported int
+	claim    reducer.Claim
 	// answer is the answer of a plain service, to be recorded or replayed.
 	answer caller.Answer
 	runner runner
@@ -76,16 +84,6 @@
 	return &Error{failer.Detail[Kind]{Op: "read request", Kind: KindInvalid, Err: errors.Newf(format, args...)}}
 }
 
-// refuseMalformed answers a request that never reached the reducer.
-func refuseMalformed(w http.ResponseWriter, id identifier.Request, err error) {
-	status, kind := http.StatusBadRequest, KindInvalid
-	var own *Error
-	if errors.As(err, &own) && own.Kind == KindTooLarge {
-		status, kind = http.StatusRequestEntityTooLarge, KindTooLarge
-	}
-	writeError(w, status, id, ErrorBody{Kind: string(kind), Message: err.Error(), Run: string(reducer.RunNot)}, 0)
-}
-
 // serve hands the request to the reducer and carries out its effects until the
 // request has ended.
 func (x *exchange) serve(ev reducer.RequestArrived) {
@@ -108,7 +106,7 @@
 				return
 			}
 		case <-reducerSide.Ended():
-			x.runner.refuse(reducer.Refuse{Request: x.id, Kind: reducer.RefusalNotReady, Message: "the daemon has stopped", Run: reducer.RunUnknown})
+			x.refuse(reducer.Refuse{Request: x.id, Kind: reducer.RefusalNotReady, Message: "the daemon has stopped", Run: reducer.RunUnknown})
 			return
 		}
 	}
@@ -120,26 +118,27 @@
 
 // perform carries out one effect and reports whether the request has ended.
 func (x *exchange) perform(effect reducer.Effect) bool {
-	cfg := x.server.cfg
 	switch effect := effect.(type) {
 	case reducer.Lookup:
-		cfg.Reducer.Post(cfg.Caches.Lookup(x.ctx, effect))
+		x.lookup(effect)
 	case reducer.Import:
-		cfg.Reducer.Post(cfg.Caches.Import(x.ctx, effect))
+		x.fetch(effect)
 	case reducer.Claim:
 		x.settle(effect)
 	case reducer.Start:
-		cfg.Reducer.Post(x.runner.run(x.attemptContext(), effect))
+		x.attempt(effect)
 	case reducer.RecordAnswer:
 		x.record()
 	case reducer.Replay:
+		x.ending = ending{outcome: meter.OutcomeReplayed}
 		x.runner.finish()
 		return true
 	case reducer.Finish:
+		x.ending = ending{outcome: meter.OutcomeOK}
 		x.runner.finish()
 		return true
 	case reducer.Refuse:
-		x.runner.refuse(effect)
+		x.refuse(effect)
 		return true
 	}
 	return false
@@ -156,7 +155,9 @@
 
 func (x *exchange) settle(e reducer.Claim) {
 	x.claim = e
-	outcome, answer := x.server.cfg.Claims.Claim(context.WithoutCancel(x.ctx), e)
+	ctx, span := x.trace.StartClaim(context.WithoutCancel(x.ctx))
+	outcome, answer := x.server.cfg.Claims.Claim(ctx, e)
+	span.End("", tracer.KeyOutcome.String(string(outcome)))
 	x.answer = answer
 	x.server.cfg.Reducer.Post(reducer.ClaimSettled{Request: e.Request, Team: e.Team, IdempotencyKey: e.IdempotencyKey, Outcome: outcome})
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -15,6 +15,8 @@
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
+	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/target/caller"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -76,11 +78,18 @@
 	Ready func() bool
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// WriteTimeout bounds the time for which a caller may hold up one part of its answer.
+	WriteTimeout time.Duration
+	// Meter counts the requests and Tracer records their spans.
+	Meter  *meter.Meter
+	Tracer *tracer.Tracer
 }
 
 const (
 	// DefaultMaxBodyBytes bounds a request's body.
 	DefaultMaxBodyBytes = 4 << 20
+	// DefaultWriteTimeout bounds the time for which a caller may hold up one part of its answer.
+	DefaultWriteTimeout = 10 * time.Second
 	// recordTimeout bounds the recording of an answer.
 	recordTimeout = 5 * time.Second
 )
@@ -95,12 +104,15 @@
 
 // New returns a Server.
 func New(cfg Config) (*Server, error) {
-	if cfg.Reducer == nil || cfg.Targets == nil || cfg.Caches == nil || cfg.Claims == nil || cfg.Clock == nil || cfg.NewRequestID == nil {
-		return nil, &Error{failer.Detail[Kind]{Op: "new server", Kind: KindConfig, Err: errors.New("reducer, targets, caches, claims, clock and request IDs are needed")}}
+	if cfg.Reducer == nil || cfg.Targets == nil || cfg.Caches == nil || cfg.Claims == nil || cfg.Clock == nil || cfg.NewRequestID == nil || cfg.Meter == nil || cfg.Tracer == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new server", Kind: KindConfig, Err: errors.New("reducer, targets, caches, claims, clock, request IDs, meter and tracer are needed")}}
 	}
 	if cfg.MaxBodyBytes == 0 {
 		cfg.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = DefaultWriteTimeout
+	}
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
@@ -118,7 +130,9 @@
 }
 
 // ServeHTTP answers one caller.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.router.ServeHTTP(newWriter(w, s.cfg.Clock, s.cfg.WriteTimeout), r)
+}
 
 func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, health{Status: "ok"})
--- a/internal/entry/server/services.go
+++ b/internal/entry/server/services.go
@@ -16,15 +16,16 @@
 )
 
 func (s *Server) services(w http.ResponseWriter, r *http.Request) {
-	id := s.cfg.NewRequestID()
+	x := s.begin(w, r)
+	defer x.end()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
 	if err != nil {
-		refuseMalformed(w, id, bodyError(err))
+		x.refuseMalformed(bodyError(err))
 		return
 	}
-	ev, err := s.arrival(r, id)
+	ev, err := s.arrival(r, x.id)
 	if err != nil {
-		refuseMalformed(w, id, err)
+		x.refuseMalformed(err)
 		return
 	}
 	service := mux.Vars(r)["service"]
@@ -37,7 +38,6 @@
 	if r.URL.RawQuery != "" {
 		pathQuery += "?" + r.URL.RawQuery
 	}
-	x := &exchange{server: s, id: id, w: w, ctx: r.Context()}
 	x.runner = &plainCall{exchange: x, call: caller.Call{
 		Method: r.Method, PathQuery: pathQuery, ContentType: r.Header.Get("Content-Type"),
 		Body: body, IdempotencyKey: ev.IdempotencyKey,
--- a/internal/target/caller/caller.go
+++ b/internal/target/caller/caller.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
@@ -42,6 +41,8 @@
 type Config struct {
 	Transports Transports
 	Clock      clockwork.Clock
+	// Propagator names the present span to targets; nil means that they aren't told.
+	Propagator propagation.TextMapPropagator
 }
 
 // Caller runs attempts on targets. It is safe for concurrent use.
@@ -54,6 +55,9 @@
 	if cfg.Transports == nil || cfg.Clock == nil {
 		return nil, &Error{failer.Detail[Kind]{Op: "new caller", Kind: KindConfig, Err: errors.New("transports and clock are needed")}}
 	}
+	if cfg.Propagator == nil {
+		cfg.Propagator = propagation.NewCompositeTextMapPropagator()
+	}
 	return &Caller{cfg: cfg}, nil
 }
 
@@ -98,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	c.cfg.Propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return transport.RoundTrip(req.WithContext(dialer.WithTracker(ctx, x.sent)))
 }
 
--- a/internal/target/caller/generate.go
+++ b/internal/target/caller/generate.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/checker"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
@@ -70,7 +72,7 @@
 	}
 	failed := reducer.AttemptFailed{
 		Attempt: x.start.Attempt, Reason: reducer.FailureRefused, Delivered: delivered,
-		Detail: refusal.Message, Incarnation: incarnationOf(x.response.Header),
+		Detail: x.describeRefusal(refusal), Incarnation: incarnationOf(x.response.Header),
 		Proven: err == nil && refusal.Run == messenger.RunNot,
 	}
 	if refusal.Kind == kindWrongVersion {
@@ -79,6 +81,16 @@
 	return failed
 }
 
+// describeRefusal names a refusal without the target's own words, which may
+// repeat a part of the prompt.
+func (x *exchange) describeRefusal(refusal messenger.Refusal) string {
+	status := fmt.Sprintf("status %d", x.response.StatusCode)
+	if specifier.ValidName(refusal.Kind) {
+		return status + ", " + refusal.Kind
+	}
+	return status
+}
+
 // kindWrongVersion is the kind of an engine's refusal of an unknown weight version.
 const kindWrongVersion = "wrong-version"
 
--- a/internal/target/orderer/orderer.go
+++ b/internal/target/orderer/orderer.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/propagation"
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
@@ -38,6 +39,9 @@
 type Config struct {
 	Transport http.RoundTripper
 	Clock     clockwork.Clock
+	// Propagator names the present span to stores and engines; nil means that
+	// they aren't told.
+	Propagator propagation.TextMapPropagator
 }
 
 // Orderer talks to store hosts and to the cache side of engines.
@@ -50,6 +54,9 @@
 	if cfg.Transport == nil || cfg.Clock == nil {
 		return nil, &Error{failer.Detail[Kind]{Op: "new orderer", Kind: KindInvalid, Err: errors.New("transport and clock are needed")}}
 	}
+	if cfg.Propagator == nil {
+		cfg.Propagator = propagation.NewCompositeTextMapPropagator()
+	}
 	return &Orderer{cfg: cfg}, nil
 }
 
@@ -111,6 +118,7 @@
 		return &Error{failer.Detail[Kind]{Op: op, Kind: KindInvalid, Err: err}}
 	}
 	req.Header.Set("Content-Type", "application/json")
+	o.cfg.Propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	response, err := o.cfg.Transport.RoundTrip(req)
 	if err != nil {
 		return &Error{failer.Detail[Kind]{Op: op, Kind: KindUnreachable, Err: err}}
