Describe operation by tasks, and run every shown command in tests

Cause: only the command line had a page, and a host that operators had taken out went on being ready.

Shell blocks run against the operators' fakes, blocks marked for a daemon against a running one, shown settings are decoded, and metrics that pages name must exist. A host that is out makes its daemon unready.

--- a/internal/entry/daemon/metrics_test.go
+++ b/internal/entry/daemon/metrics_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -63,3 +64,24 @@
 	slices.Sort(list)
 	return list
 }
+
+// TestPagesNameOnlyRegisteredMetrics looks for metrics that the pages invent.
+func TestPagesNameOnlyRegisteredMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations/metrics.md")
+	assert.NilError(t, err)
+	known := map[string]bool{}
+	for line := range strings.SplitSeq(string(page), "\n") {
+		if m := row.FindStringSubmatch(line); m != nil {
+			known[m[1]] = true
+		}
+	}
+	pages, err := filepath.Glob("../../../docs/operations/*.md")
+	assert.NilError(t, err)
+	for _, path := range pages {
+		text, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for _, name := range regexp.MustCompile(`cardamomscale_[a-z_]+`).FindAllString(string(text), -1) {
+			assert.Assert(t, known[strings.TrimSuffix(name, "_bucket")], "%s names %s", path, name)
+		}
+	}
+}
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -75,6 +75,7 @@
 		p.adopt(version, raw, doc.Fleet)
 		exec.Post(reducer.ConfigAdopted{Version: version, Fleet: doc.Fleet})
 		around.setVersion(version)
+		ready.out.Store(doc.Fleet.Hosts[cfg.Settings.Host].State == specifier.StateOut)
 		ready.configured.Store(true)
 		if p.rank() < pushers {
 			p.push(version, raw)
--- a/internal/entry/daemon/readiness.go
+++ b/internal/entry/daemon/readiness.go
@@ -6,11 +6,16 @@
 type Readiness struct {
 	configured atomic.Bool
 	leaving    atomic.Bool
+	// out is true while operators have taken the host out of service.
+	out atomic.Bool
 }
 
 func newReadiness() *Readiness { return &Readiness{} }
 
-// Ready reports whether the daemon has a configuration and is not leaving.
-func (r *Readiness) Ready() bool { return r.configured.Load() && !r.leaving.Load() }
+// Ready reports whether the daemon has a configuration, is not leaving, and its
+// host is in service.
+func (r *Readiness) Ready() bool {
+	return r.configured.Load() && !r.leaving.Load() && !r.out.Load()
+}
 
 func (r *Readiness) leave() { r.leaving.Store(true) }
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -1,13 +1,14 @@
 package commander
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -31,6 +32,8 @@
 	daemons *memoryDaemons
 	clock   steppingClock
 	random  *rand.ChaCha8
+	// env holds the environment variables of the command lines.
+	env map[string]string
 }
 
 func newBench(t testing.TB) *bench {
@@ -41,15 +44,15 @@
 		daemons: &memoryDaemons{store: store},
 		clock:   steppingClock{clockwork.NewFakeClockAt(startTime)},
 		random:  rand.NewChaCha8([32]byte{7}),
+		env:     map[string]string{envPlatform: "127.0.0.1:21001", envDaemons: "127.0.0.1:21301,127.0.0.1:21302"},
 	}
 }
 
 // run runs one command line and returns its exit code and both outputs.
 func (b *bench) run(author, line, input string) (ExitCode, string) {
 	var out, errOut bytes.Buffer
-	env := map[string]string{
-		envAuthor: author, envPlatform: "127.0.0.1:21001", envDaemons: "127.0.0.1:21301,127.0.0.1:21302",
-	}
+	env := maps.Clone(b.env)
+	env[envAuthor] = author
 	c, err := New(Config{
 		OpenStore:  func(Connection) (client.ObjectStore, error) { return b.store, nil },
 		Transport:  b.daemons,
@@ -162,37 +165,75 @@
 	}
 }
 
-// TestManualCommandsRun runs every command line of the operators' page.
-func TestManualCommandsRun(t *testing.T) {
-	t.Chdir(root)
-	page, err := os.Open("docs/operations/cardamomctl.md")
+// fencedLines returns the lines of a page's blocks of shell commands.
+func fencedLines(t *testing.T, path string) []string {
+	t.Helper()
+	page, err := os.ReadFile(path)
 	assert.NilError(t, err)
-	defer page.Close()
-	b := newBench(t)
-	b.must("ana", "cardamomctl config apply examples/tierra-alta/fleet.json")
-	scanner := bufio.NewScanner(page)
-	ran, fenced := 0, false
-	for scanner.Scan() {
-		line := scanner.Text()
-		if strings.HasPrefix(line, "```") {
-			fenced = !fenced && strings.HasSuffix(line, "sh")
+	var lines []string
+	fence := ""
+	for line := range strings.SplitSeq(string(page), "\n") {
+		if tag, ok := strings.CutPrefix(line, "```"); ok {
+			assert.Assert(t, fence == "" || tag == "", "%s: a block begins within another: %s", path, line)
+			assert.Assert(t, tag == "" || slices.Contains(fences, tag), "%s: blocks of %q are tested nowhere", path, tag)
+			fence = tag
 			continue
 		}
-		if !fenced || line == "" {
-			continue
+		if fence == "sh" && line != "" {
+			lines = append(lines, line)
 		}
-		command, comment, _ := strings.Cut(line, " # exit ")
-		want, _ := strconv.Atoi(comment)
-		input := ""
-		if before, after, ok := strings.Cut(command, " | "); ok {
-			input, command = strings.TrimPrefix(before, "printf "), after
+	}
+	return lines
+}
+
+// fences are the kinds of blocks: "sh" is run here, and "sh daemon", "json
+// settings" and "promql" are tested with the daemon.
+var fences = []string{"sh", "sh daemon", "json settings", "promql"}
+
+// runLine runs one line of a page.
+func (b *bench) runLine(line string) {
+	b.t.Helper()
+	if assignment, ok := strings.CutPrefix(line, "export "); ok {
+		name, value, ok := strings.Cut(assignment, "=")
+		assert.Assert(b.t, ok, line)
+		b.env[name] = value
+		return
+	}
+	command, comment, _ := strings.Cut(line, " # exit ")
+	want, _ := strconv.Atoi(comment)
+	input := ""
+	if before, after, ok := strings.Cut(command, " | "); ok {
+		input, command = strings.TrimPrefix(before, "printf "), after
+	}
+	code, output := b.run("ana", command, input)
+	assert.Equal(b.t, code, ExitCode(want), "%s\n%s", line, output)
+}
+
+// TestManualCommandsRun runs every command line of the operators' pages, each
+// page on a fleet of its own.
+func TestManualCommandsRun(t *testing.T) {
+	t.Chdir(root)
+	pages, err := filepath.Glob("docs/operations/*.md")
+	assert.NilError(t, err)
+	readmes, err := filepath.Glob("README.md")
+	assert.NilError(t, err)
+	assert.Assert(t, len(pages) >= 12, "only %d pages found", len(pages))
+	ran := map[string]int{}
+	for _, path := range append(pages, readmes...) {
+		b := newBench(t)
+		b.must("ana", "cardamomctl config apply examples/tierra-alta/fleet.json")
+		for _, line := range fencedLines(t, path) {
+			if path == "README.md" && !strings.HasPrefix(line, "cardamomctl ") {
+				continue
+			}
+			b.runLine(line)
+			ran[filepath.Base(path)]++
 		}
-		code, output := b.run("ana", command, input)
-		assert.Equal(t, code, ExitCode(want), "%s\n%s", line, output)
-		ran++
 	}
-	assert.NilError(t, scanner.Err())
-	assert.Assert(t, ran >= 30, "only %d commands found", ran)
+	assert.Assert(t, ran["cardamomctl.md"] >= 30, "only %d commands found", ran["cardamomctl.md"])
+	for _, page := range []string{"install.md", "profiles.md", "data-centre.md", "hosts.md", "targets.md", "weights.md", "platform-outage.md", "keys.md", "troubleshooting.md"} {
+		assert.Assert(t, ran[page] > 0, "%s has no commands", page)
+	}
 }
 
 // TestCompletionKnowsNames completes names of entries and values of flags.
--- a/internal/operator/commander/fake_test.go
+++ b/internal/operator/commander/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -151,17 +152,27 @@
 	return doc.Fleet
 }
 
-// memoryDaemons answers for the operator endpoints of two daemons. One of them
-// adopts each version only after lag polls.
+// memoryDaemons answers for the operator endpoints of the example's daemons. One
+// of them adopts each version only after lag polls.
 type memoryDaemons struct {
 	mu    sync.Mutex
 	store *memoryStore
 	lag   int
 }
 
+// hostAt returns the example's host whose operators' address is given, or "".
+func hostAt(address string) identifier.Host {
+	for n := 1; n <= 8; n++ {
+		if address == fmt.Sprintf("127.0.0.1:2130%d", n) {
+			return identifier.Host(fmt.Sprintf("entry-%02d", n))
+		}
+	}
+	return ""
+}
+
 func (m *memoryDaemons) RoundTrip(r *http.Request) (*http.Response, error) {
 	w := httptest.NewRecorder()
-	host := map[string]identifier.Host{"127.0.0.1:21301": "entry-01", "127.0.0.1:21302": "entry-02"}[r.URL.Host]
+	host := hostAt(r.URL.Host)
 	switch {
 	case host == "":
 		return nil, context.DeadlineExceeded
