--- a/internal/decision/reducer/noting.go
+++ b/internal/decision/reducer/noting.go
@@ -17,6 +17,9 @@
 	if c.second != nil {
 		n.Detail += fmt.Sprintf("; next best %s, later by %s", c.second.name, c.behind.Round(time.Microsecond))
 	}
+	if r.permitFrom != "" {
+		n.Detail += fmt.Sprintf("; the target is cold, by leave of its owner %s", r.permitFrom)
+	}
 	s.emit(n)
 }
 
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -296,8 +296,10 @@
 }
 
 func (s *State) startPermitted(r *request, t *target, ev PermitSettled) {
-	s.reserve(r, choice{target: t, plan: s.plainPlan(r, t)})
+	c := choice{target: t, plan: s.plainPlan(r, t)}
+	s.reserve(r, c)
 	r.permitFrom = ev.Owner
+	s.noteDecision(r, c)
 	r.cutoff = earlier(r.deadline, ev.Asked.Add(maxColdUse))
 	r.sendBy = r.cutoff
 	s.start(r)
--- a/internal/entry/certifier/certifier_test.go
+++ b/internal/entry/certifier/certifier_test.go
@@ -106,3 +106,51 @@
 		assert.NilError(t, os.Chtimes(filepath.Join(dir, name), at, at))
 	}
 }
+
+// TestPublicConfig connects clients without certificate and with any role to a
+// listener for callers, with and without authority.
+func TestPublicConfig(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	authority := newAuthority(t, clock)
+	withCA := holder(t, clock, authority, t.TempDir(), "daemon", time.Hour)
+	open, err := New(Config{Clock: clock, CertificateFile: withCA.cfg.CertificateFile, KeyFile: withCA.cfg.KeyFile})
+	assert.NilError(t, err)
+	anyRole := holder(t, clock, authority, t.TempDir(), "caterer", time.Hour)
+	stranger := holder(t, clock, newAuthority(t, clock), t.TempDir(), "caterer", time.Hour)
+	cases := []struct {
+		name   string
+		server *tls.Config
+		client *Certifier
+		want   bool
+	}{
+		{"open, none", open.PublicConfig(), nil, true},
+		{"open, stranger", open.PublicConfig(), stranger, true},
+		{"authority, none", withCA.PublicConfig(), nil, false},
+		{"authority, any role", withCA.PublicConfig(), anyRole, true},
+		{"authority, stranger", withCA.PublicConfig(), stranger, false},
+		{"roles without authority", open.ServerConfig(RoleDaemon), withCA, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := &tls.Config{InsecureSkipVerify: true}
+			if c.client != nil {
+				client.GetClientCertificate = c.client.ClientConfig().GetClientCertificate
+			}
+			near, far := net.Pipe()
+			defer far.Close()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				defer near.Close()
+				conn := tls.Client(near, client)
+				if conn.Handshake() == nil {
+					conn.Read(make([]byte, 1))
+				}
+			}()
+			err := tls.Server(far, c.server).Handshake()
+			far.Close()
+			<-done
+			assert.Equal(t, err == nil, c.want, "%v", err)
+		})
+	}
+}
--- a/internal/entry/daemon/callers_test.go
+++ b/internal/entry/daemon/callers_test.go
@@ -46,6 +46,8 @@
 		{"slow body", head + "Content-Length: 10\r\n\r\n{", "HTTP/1.1 400 "},
 		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400 "},
 		{"odd encoding", head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 501 "},
+		{"escaped service", "GET /services/%6frders/stock HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "HTTP/1.1 400 "},
+		{"escaped slash", "GET /services/orders%2fx/payments HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "HTTP/1.1 400 "},
 		{"space in a name", head + "Content-Length : 3\r\n\r\nabc", "HTTP/1.1 400 "},
 	}
 	for _, c := range cases {
--- a/internal/entry/daemon/certificates_test.go
+++ b/internal/entry/daemon/certificates_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -143,6 +144,11 @@
 			assert.Equal(t, code, c.want, output)
 		})
 	}
+	b.client.Transport.(*http.Transport).TLSClientConfig = b.clientTLS(read)
+	got := b.metrics()
+	for _, listener := range []string{"callers", "peers", "operators"} {
+		assert.Assert(t, regexp.MustCompile(`cardamomscale_certificate_expiry_seconds\{data_centre="antigua",listener="`+listener+`"\} 3[0-9]{3}`).MatchString(got), got)
+	}
 	answer := b.complete(0, "how do I dry cardamom", false, caller())
 	assert.Equal(t, answer.status, http.StatusOK, answer.body)
 }
--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -42,7 +42,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(describer.PathStatus, side.status).Methods(http.MethodGet)
 	router.HandleFunc(describer.PathExplain+"{request}", side.explainer.serve).Methods(http.MethodGet)
-	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})).Methods(http.MethodGet)
 	return &operators{listening{
 		listener: secured.secureOperators(listener),
 		http: &http.Server{
@@ -64,6 +64,8 @@
 	operatorIdleTime     = time.Minute
 	operatorHeaderBytes  = 16 << 10
 	operatorBodyBytes    = 4 << 10
+	// maxScrapes bounds the collections of metrics at once.
+	maxScrapes = 4
 )
 
 func (o *operatorSide) status(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/daemon/secrets_test.go
+++ b/internal/entry/daemon/secrets_test.go
@@ -121,6 +121,9 @@
 	path := "/operator/v1/explain/" + answer.id()
 	own := b.must(http.MethodGet, b.host(0).Operators, path, "", nil)
 	assert.Equal(t, own.status, http.StatusOK)
+	for _, step := range []string{"admitted", "decided", "attempt", "started", "finished"} {
+		assert.Assert(t, strings.Contains(own.body, `"kind":"`+step+`"`), "step %s is missing in %s", step, own.body)
+	}
 	b.eventually("the peer's answer", func() bool {
 		asked := b.must(http.MethodGet, b.host(1).Operators, path, "", nil)
 		return asked.body == own.body
--- a/internal/entry/server/services.go
+++ b/internal/entry/server/services.go
@@ -32,9 +32,13 @@
 	// The policy goes by the decoded path, so that no spelling of it hides a
 	// call that must not be repeated.
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+service)
+	pathQuery, ok := strings.CutPrefix(r.URL.EscapedPath(), "/services/"+service)
+	if !ok || !strings.HasPrefix(pathQuery, "/") {
+		x.refuseMalformed(invalid("the name of service %q is escaped in the path", service))
+		return
+	}
 	ev.Service = identifier.Service(service)
 	ev.Work = reducer.Call{Method: r.Method, Path: path, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, path, r.URL.RawQuery, body)}
-	pathQuery := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
 	if r.URL.RawQuery != "" {
 		pathQuery += "?" + r.URL.RawQuery
 	}
