--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -239,10 +238,6 @@
 	}
 }
 
-func (s *State) noteImport(r *request, ev ImportDone) {
-	s.note(r.id, StepImported, ev.Target, fmt.Sprintf("%d blocks, %d bytes from %s in %s", ev.Blocks, ev.Bytes, ev.Store, ev.Took))
-}
-
 // stillUsable reports whether r's reserved target can still take it. A place on
 // a warm target says nothing once the target has turned cold.
 func (s *State) stillUsable(r *request) bool {
@@ -292,6 +287,7 @@
 		r.phase = phaseFollowing
 		r.leader = leader
 		leader.followers = append(leader.followers, r)
+		s.noteFollow(r, leader)
 		return true
 	}
 	return false
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -319,7 +319,7 @@
 		s.learnHomeHits(r, 1-float64(ev.Bytes)/float64(r.importBytes))
 	}
 	r.imported = ev.Blocks
-	s.noteImport(r, ev)
+	s.noteImport(ev)
 	if ev.Failed {
 		s.skipImport(r)
 		return
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"fmt"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/cache/hasher"
@@ -29,6 +28,14 @@
 type choice struct {
 	target *target
 	plan   scorer.Plan
+	// cached is the number of leading blocks that the target is believed to hold.
+	cached int
+	// score is the expected cost; lower is better.
+	score time.Duration
+	// second is the next best target, if there was one, and behind is by how much
+	// its score is higher.
+	second *target
+	behind time.Duration
 }
 
 // place moves a queued request on: to its target, to its claim, or behind
@@ -49,7 +56,7 @@
 	if !ok {
 		return s.askForPermit(r)
 	}
-	s.note(r.id, StepDecided, c.target.name, fmt.Sprintf("first token in %s, import %d blocks, compute %d tokens", c.plan.FirstToken, c.plan.ImportBlocks, c.plan.ComputedTokens))
+	s.noteDecision(r, c)
 	s.reserve(r, c)
 	if c.plan.ImportBlocks > 0 {
 		s.startImport(r, c)
@@ -200,19 +207,17 @@
 	link := s.linkFor(r)
 	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored), ComputeWeight: s.computeWeight(r)}
 	var best choice
-	var bestScore time.Duration
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		plan := scorer.Best(prompt, s.scored(t, s.cachedOn(t)), link)
+		cached := s.cachedOn(t)
+		plan := scorer.Best(prompt, s.scored(t, cached), link)
 		score := plan.Score
 		if t == home {
-			score -= s.homeAdvantage(r, t, s.cachedOn(t))
-		}
-		if best.target == nil || score < bestScore {
-			best, bestScore = choice{target: t, plan: plan}, score
+			score -= s.homeAdvantage(r, t, cached)
 		}
+		best.offer(choice{target: t, plan: plan, cached: cached, score: score})
 	}
 	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
 		return choice{}, false
@@ -223,6 +228,19 @@
 	return best, true
 }
 
+// offer takes other in place of c if its score is lower, and keeps the next best.
+func (c *choice) offer(other choice) {
+	switch {
+	case c.target == nil:
+		*c = other
+	case other.score < c.score:
+		other.second, other.behind = c.target, c.score-other.score
+		*c = other
+	case c.second == nil || other.score-c.score < c.behind:
+		c.second, c.behind = other.target, other.score-c.score
+	}
+}
+
 // maxTargetWait is the longest queue of prompts that is built up at a target.
 // Beyond it a request waits in the daemon, where it can still go elsewhere, and
 // where its place depends on its team and class.
--- a/internal/entry/daemon/construction.go
+++ b/internal/entry/daemon/construction.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"net/netip"
 	"os"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
+	"cardamomscale.example/cardamomscale/internal/entry/certifier"
 	"cardamomscale.example/cardamomscale/internal/entry/executor"
+	"cardamomscale.example/cardamomscale/internal/entry/meter"
 	"cardamomscale.example/cardamomscale/internal/entry/recorder"
 	"cardamomscale.example/cardamomscale/internal/entry/server"
+	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
 	"cardamomscale.example/cardamomscale/internal/target/caller"
 	"cardamomscale.example/cardamomscale/internal/target/dialer"
@@ -34,6 +33,10 @@
 
 	Readiness    *Readiness
 	Surroundings *surroundings
+	Transports   *transports
+	Dialer       *dialer.Dialer
+	Spans        *tracer.Provider
+	Registry     *prometheus.Registry
 	Callers      *callers
 	Runners      []runner
 }
@@ -42,7 +45,13 @@
 var construction = fx.Options(platformConstruction, fx.Provide(
 	newReadiness,
 	newSecrets,
+	newCertificates,
+	newTransports,
 	newRegistry,
+	newMeter,
+	newSpans,
+	newTracer,
+	newExplainer,
 	newState,
 	newRecorder,
 	newOrderer,
@@ -56,7 +65,7 @@
 	newServer,
 	newCallers,
 	newOperators,
-))
+), fx.Invoke(registerGauges))
 
 // secrets are the keys that all daemons share.
 type secrets struct {
@@ -85,9 +94,20 @@
 	return &secrets{block: block, claim: claim}, nil
 }
 
-func newRegistry() *prometheus.Registry {
-	registry := prometheus.NewRegistry()
-	return registry
+func newMeter(cfg Config, registry *prometheus.Registry) (*meter.Meter, error) {
+	return meter.New(meter.Config{Clock: cfg.Clock, Registerer: labelled(cfg, registry)})
+}
+
+func newSpans(cfg Config) (*tracer.Provider, error) {
+	settings := cfg.Settings.Trace
+	return tracer.NewProvider(tracer.ProviderConfig{
+		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Exporter: cfg.SpanExporter,
+		Endpoint: settings.Endpoint, File: settings.File, Ratio: settings.Ratio,
+	})
+}
+
+func newTracer(cfg Config, spans *tracer.Provider) (*tracer.Tracer, error) {
+	return tracer.New(tracer.Config{Clock: cfg.Clock, Provider: spans.Spans()})
 }
 
 func newState(cfg Config, keys *secrets) *reducer.State {
@@ -101,30 +121,8 @@
 	return recorder.New(recorder.Config{Clock: cfg.Clock})
 }
 
-// newTransport returns a transport to store hosts and to the cache side of engines.
-func newTransport(cfg Config) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			parsed, err := netip.ParseAddrPort(address)
-			if err != nil {
-				return nil, newError("dial", KindConfig, err)
-			}
-			return cfg.Dial(ctx, parsed)
-		},
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleConnectionTime,
-	}
-}
-
-const (
-	// maxIdleConnections bounds the idle connections to one address.
-	maxIdleConnections = 16
-	// idleConnectionTime is how long an idle connection is kept.
-	idleConnectionTime = 30 * time.Second
-)
-
-func newOrderer(cfg Config) (*orderer.Orderer, error) {
-	return orderer.New(orderer.Config{Transport: newTransport(cfg), Clock: cfg.Clock})
+func newOrderer(cfg Config, t *transports) (*orderer.Orderer, error) {
+	return orderer.New(orderer.Config{Transport: t.open(), Clock: cfg.Clock, Propagator: tracer.Propagator()})
 }
 
 func newExecutor(cfg Config, state *reducer.State, around *surroundings) (*executor.Executor, error) {
@@ -157,28 +155,35 @@
 	return r, err
 }
 
-func newExchanger(cfg Config, around *surroundings, p *peers, _ *executor.Executor) (*exchanger.Exchanger, error) {
+func newExchanger(cfg Config, around *surroundings, p *peers, secured *certificates, _ *executor.Executor) (*exchanger.Exchanger, error) {
 	listener, err := cfg.Listen(cfg.Settings.PeerListen)
 	if err != nil {
 		return nil, newError("listen for peers", KindListen, err)
 	}
-	x, err := exchanger.New(exchanger.Config{
+	exchange := exchanger.Config{
 		Self: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Clock: cfg.Clock,
 		Listener: listener, Dial: cfg.Dial, Peers: p.wanted, Handler: p,
 		Logger: cfg.Logger.Named("peers"), Seed: cfg.Seed, Interval: cfg.Settings.HeartbeatInterval.Duration,
-	})
+	}
+	if secured.peers != nil {
+		exchange.ClientTLS = secured.peers.ClientConfig(certifier.RoleDaemon)
+		exchange.ServerTLS = secured.peers.ServerConfig(certifier.RoleDaemon)
+		exchange.HostOf = certifier.HostOf
+	}
+	x, err := exchanger.New(exchange)
 	around.peers = x
 	return x, err
 }
 
 func newCaller(cfg Config, d *dialer.Dialer) (*caller.Caller, error) {
-	return caller.New(caller.Config{Transports: d, Clock: cfg.Clock})
+	return caller.New(caller.Config{Transports: d, Clock: cfg.Clock, Propagator: tracer.Propagator()})
 }
 
-func newServer(cfg Config, exec *executor.Executor, targets *caller.Caller, caches *orderer.Orderer, held *claims, ready *Readiness) (*server.Server, error) {
+func newServer(cfg Config, exec *executor.Executor, targets *caller.Caller, caches *orderer.Orderer, held *claims, ready *Readiness, count *meter.Meter, spans *tracer.Tracer) (*server.Server, error) {
 	return server.New(server.Config{
 		Reducer: exec, Targets: targets, Caches: caches, Claims: held, Clock: cfg.Clock,
 		Logger: cfg.Logger.Named("server"), NewRequestID: newRequestID, Ready: ready.Ready,
-		MaxBodyBytes: cfg.Settings.Limits.MaxBodyBytes,
+		MaxBodyBytes: cfg.Settings.Limits.MaxBodyBytes, WriteTimeout: cfg.Settings.Limits.WriteTimeout.Duration,
+		Meter: count, Tracer: spans,
 	})
 }
--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -29,26 +30,43 @@
 	around    *surroundings
 	readiness *Readiness
 	platform  *contact
+	explainer *explainer
 }
 
-func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry) (*operators, error) {
+func newOperators(cfg Config, exec *executor.Executor, p *peers, around *surroundings, ready *Readiness, platform *contact, registry *prometheus.Registry, secured *certificates, asked *explainer) (*operators, error) {
 	listener, err := cfg.Listen(cfg.Settings.OperatorListen)
 	if err != nil {
 		return nil, newError("listen for operators", KindListen, err)
 	}
-	side := &operatorSide{cfg: cfg, exec: exec, peers: p, around: around, readiness: ready, platform: platform}
+	side := &operatorSide{cfg: cfg, exec: exec, peers: p, around: around, readiness: ready, platform: platform, explainer: asked}
 	router := mux.NewRouter()
 	router.HandleFunc(describer.PathStatus, side.status).Methods(http.MethodGet)
-	router.HandleFunc(describer.PathExplain+"{request}", side.explain).Methods(http.MethodGet)
-	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.HandleFunc(describer.PathExplain+"{request}", side.explainer.serve).Methods(http.MethodGet)
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})).Methods(http.MethodGet)
 	return &operators{listening{
-		listener: listener,
-		http:     &http.Server{Handler: router, ReadTimeout: operatorReadTimeout, ReadHeaderTimeout: operatorReadTimeout},
+		listener: secured.secureOperators(listener),
+		http: &http.Server{
+			Handler:           http.MaxBytesHandler(router, operatorBodyBytes),
+			ReadTimeout:       operatorReadTimeout,
+			ReadHeaderTimeout: operatorReadTimeout,
+			WriteTimeout:      operatorWriteTimeout,
+			IdleTimeout:       operatorIdleTime,
+			MaxHeaderBytes:    operatorHeaderBytes,
+			ErrorLog:          cfg.Logger.Named("operators").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		},
 	}}, nil
 }
 
-// operatorReadTimeout bounds the reading of an operator's request.
-const operatorReadTimeout = 10 * time.Second
+// Bounds of an operator's request and its answer.
+const (
+	operatorReadTimeout  = 10 * time.Second
+	operatorWriteTimeout = 30 * time.Second
+	operatorIdleTime     = time.Minute
+	operatorHeaderBytes  = 16 << 10
+	operatorBodyBytes    = 4 << 10
+	// maxScrapes bounds the collections of metrics at once.
+	maxScrapes = 4
+)
 
 func (o *operatorSide) status(w http.ResponseWriter, r *http.Request) {
 	var state reducer.Status
@@ -111,32 +129,6 @@
 	return list
 }
 
-func (o *operatorSide) explain(w http.ResponseWriter, r *http.Request) {
-	explanation, found := explain(o.around, identifier.Request(mux.Vars(r)["request"]))
-	if !found {
-		http.Error(w, "the request is not known here", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, explanation)
-}
-
-// explain describes the steps of a request that this daemon remembers.
-func explain(around *surroundings, id identifier.Request) (describer.Explanation, bool) {
-	entries := around.recorder.Explain(id)
-	if len(entries) == 0 {
-		return describer.Explanation{}, false
-	}
-	explanation := describer.Explanation{RequestID: id, Host: around.cfg.Settings.Host}
-	for _, e := range entries {
-		detail := e.Detail
-		if e.Target != "" {
-			detail = "target " + string(e.Target) + ": " + detail
-		}
-		explanation.Steps = append(explanation.Steps, describer.Step{At: e.At, Kind: string(e.Step), Detail: detail})
-	}
-	return explanation, true
-}
-
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +38,7 @@
 	watchSilence = 500 * time.Millisecond
 )
 
-func newContact(cfg Config) (*contact, error) {
+func newContact(cfg Config, t *transports) (*contact, error) {
 	if cfg.Objects != nil {
 		return &contact{ObjectStore: cfg.Objects, clock: cfg.Clock}, nil
 	}
@@ -47,10 +46,10 @@
 	if len(addresses) == 0 {
 		return nil, newError("connect to platform", KindConfig, errors.New("settings name no address of the object API"))
 	}
-	watches := newTransport(cfg)
+	watches := t.open()
 	watches.DisableKeepAlives = true
 	objects, err := client.NewHTTPClient(client.HTTPConfig{
-		Address: addresses[0], Clock: cfg.Clock, Transport: newTransport(cfg),
+		Address: addresses[0], Clock: cfg.Clock, Transport: t.open(),
 		WatchTransport: watches, WatchWait: watchWait, WatchSilence: watchSilence,
 		ReadsPerSecond: platformReads, WritesPerSecond: platformWrites,
 	})
@@ -121,21 +120,21 @@
 	return l, err
 }
 
-func newLister(cfg Config, known *membership) (*lister.Lister, error) {
+func newLister(cfg Config, t *transports, known *membership) (*lister.Lister, error) {
 	address := cfg.Settings.Platform.Members
 	if !address.IsValid() {
 		return nil, nil
 	}
 	return lister.New(lister.Config{
-		Clock: cfg.Clock, Transport: http.RoundTripper(newTransport(cfg)), URL: "http://" + address.String(),
+		Clock: cfg.Clock, Transport: t.open(), URL: "http://" + address.String(),
 		Seed: cfg.Seed, Logger: cfg.Logger.Named("lister"),
 		OnRead: func(m messenger.Members) { known.adopt(membershipOf(m)) },
 	})
 }
 
 // newRunners lists the parts that run until the daemon stops.
-func newRunners(exec *executor.Executor, x *exchanger.Exchanger, r *reader.Reader, w *watcher.Watcher, l *leaser.Leaser, owned *ownerships, held *claimer.Claimer, m *lister.Lister, c *callers, o *operators) []runner {
-	list := []runner{exec, x, r, w, l, owned, held, c, o}
+func newRunners(exec *executor.Executor, x *exchanger.Exchanger, r *reader.Reader, w *watcher.Watcher, l *leaser.Leaser, owned *ownerships, held *claimer.Claimer, m *lister.Lister, c *callers, o *operators, secured *certificates) []runner {
+	list := []runner{exec, x, r, w, l, owned, held, c, o, secured}
 	if m != nil {
 		list = append(list, m)
 	}
--- a/internal/entry/daemon/readiness.go
+++ b/internal/entry/daemon/readiness.go
@@ -6,14 +6,14 @@
 type Readiness struct {
 	configured atomic.Bool
 	leaving    atomic.Bool
-	// out is true while operators have taken the host out.
+	// out is true while operators have taken the host out of service.
 	out atomic.Bool
 }
 
 func newReadiness() *Readiness { return &Readiness{} }
 
-// Ready reports whether the daemon has a configuration, is not leaving and its
-// host has not been taken out.
+// Ready reports whether the daemon has a configuration, is not leaving, and its
+// host is in service.
 func (r *Readiness) Ready() bool {
 	return r.configured.Load() && !r.leaving.Load() && !r.out.Load()
 }
--- a/internal/entry/server/services.go
+++ b/internal/entry/server/services.go
@@ -16,28 +16,32 @@
 )
 
 func (s *Server) services(w http.ResponseWriter, r *http.Request) {
-	id := s.cfg.NewRequestID()
+	x := s.begin(w, r)
+	defer x.end()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
 	if err != nil {
-		refuseMalformed(w, id, bodyError(err))
+		x.refuseMalformed(bodyError(err))
 		return
 	}
-	ev, err := s.arrival(r, id)
+	ev, err := s.arrival(r, x.id)
 	if err != nil {
-		refuseMalformed(w, id, err)
+		x.refuseMalformed(err)
 		return
 	}
 	service := mux.Vars(r)["service"]
 	// The policy goes by the decoded path, so that no spelling of it hides a
 	// call that must not be repeated.
 	path := strings.TrimPrefix(r.URL.Path, "/services/"+service)
+	pathQuery, ok := strings.CutPrefix(r.URL.EscapedPath(), "/services/"+service)
+	if !ok || !strings.HasPrefix(pathQuery, "/") {
+		x.refuseMalformed(invalid("the name of service %q is escaped in the path", service))
+		return
+	}
 	ev.Service = identifier.Service(service)
 	ev.Work = reducer.Call{Method: r.Method, Path: path, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, path, r.URL.RawQuery, body)}
-	pathQuery := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
 	if r.URL.RawQuery != "" {
 		pathQuery += "?" + r.URL.RawQuery
 	}
-	x := &exchange{server: s, id: id, w: w, ctx: r.Context()}
 	x.runner = &plainCall{exchange: x, call: caller.Call{
 		Method: r.Method, PathQuery: pathQuery, ContentType: r.Header.Get("Content-Type"),
 		Body: body, IdempotencyKey: ev.IdempotencyKey,
