--- a/internal/bench/runner/caller.go
+++ b/internal/bench/runner/caller.go
@@ -48,7 +48,7 @@
 	defer r.mu.Unlock()
 	r.record.Requests[i] = seen
 	r.done++
-	r.cfg.Progress(r.done, len(r.arrivals))
+	r.cfg.Progress(r.done)
 }
 
 // comesBack waits for a refusal's Retry-After and reports whether the caller asks again.
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -49,8 +49,8 @@
 	Seed   uint64
 	Clock  clockwork.Clock
 	Logger hclog.Logger
-	// Progress is called with the number of requests that have ended and of all.
-	Progress func(done, all int)
+	// Progress is called with the number of requests that have ended.
+	Progress func(done int)
 	// Samples is the number of requests that were not completed whose decisions
 	// are asked from the daemons at the end.
 	Samples int
@@ -79,7 +79,7 @@
 		cfg.Logger = hclog.NewNullLogger()
 	}
 	if cfg.Progress == nil {
-		cfg.Progress = func(int, int) {}
+		cfg.Progress = func(int) {}
 	}
 	if cfg.Policy == "" {
 		cfg.Policy = cfg.Scenario.Profile.Policy
@@ -96,6 +96,9 @@
 	return r, nil
 }
 
+// Requests returns the number of requests that Run sends.
+func (r *Runner) Requests() int { return len(r.arrivals) }
+
 // Run runs the scenario and returns what was seen.
 func (r *Runner) Run(ctx context.Context) (evaluator.Record, error) {
 	r.record = evaluator.Record{
--- a/internal/bench/runner/runner_test.go
+++ b/internal/bench/runner/runner_test.go
@@ -34,14 +34,15 @@
 	ended := 0
 	r, err := runner.New(runner.Config{
 		Scenario: scenario, Seed: 5, Clock: clockwork.NewRealClock(),
-		Progress: func(done, _ int) { ended = done },
+		Progress: func(done int) { ended = done },
 	})
 	assert.NilError(t, err)
 	record, err := r.Run(t.Context())
 	assert.NilError(t, err)
 	result := evaluator.Evaluate(record)
 	assert.Equal(t, len(result.Violations()), 0, "%v", result.Violations())
-	assert.Equal(t, ended, len(record.Requests))
+	assert.Equal(t, ended, r.Requests())
+	assert.Equal(t, len(record.Requests), r.Requests())
 	assert.Assert(t, result.Offered > 20)
 	assert.Equal(t, result.Failed, 0, "%v", result.Failures)
 	assert.Equal(t, result.Completed+result.RefusedNotRun, result.Offered)
--- a/internal/standin/commander/bench.go
+++ b/internal/standin/commander/bench.go
@@ -128,20 +128,18 @@
 
 // measure runs one policy with one seed.
 func (b *bench) measure(ctx context.Context, scenario planner.Scenario, policy specifier.Policy, seed uint64) (evaluator.Result, error) {
-	bar := progressbar.NewOptions(-1,
-		progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(), progressbar.OptionThrottle(progressInterval),
-		progressbar.OptionSetDescription(fmt.Sprintf("%s %s seed %d", scenario.Name, policy, seed)))
+	var bar *progressbar.ProgressBar
 	r, err := runner.New(runner.Config{
 		Scenario: scenario, Policy: policy, Seed: seed, Clock: b.cfg.Clock, Samples: b.samples,
-		Logger: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(b.level), Output: os.Stderr}),
-		Progress: func(done, all int) {
-			bar.ChangeMax(all)
-			_ = bar.Set(done)
-		},
+		Logger:   hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(b.level), Output: os.Stderr}),
+		Progress: func(done int) { _ = bar.Set(done) },
 	})
 	if err != nil {
 		return evaluator.Result{}, err
 	}
+	bar = progressbar.NewOptions(r.Requests(),
+		progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(), progressbar.OptionThrottle(progressInterval),
+		progressbar.OptionSetDescription(fmt.Sprintf("%s %s seed %d", scenario.Name, policy, seed)))
 	record, err := r.Run(ctx)
 	_ = bar.Finish()
 	_, _ = fmt.Fprintln(os.Stderr)
