Count attempts that were cancelled before they ran

Cause: retries of requests that wait in engines' queues never showed, since only runs were counted; payments could outwait the platform's outage.

Change: engines count the attempts they take in, and attempt-ratio is worked out from them.

--- a/internal/bench/evaluator/comparison.go
+++ b/internal/bench/evaluator/comparison.go
@@ -76,6 +76,7 @@
 		{name: "link-use-peak", value: func(r Result) float64 { return r.LinkUsePeak }},
 		{name: "link-wait-max-ms", value: func(r Result) float64 { return r.LinkWaitMax }},
 		{name: "retry-ratio", value: func(r Result) float64 { return r.RetryRatio }},
+		{name: "attempt-ratio", value: func(r Result) float64 { return r.AttemptRatio }},
 		{name: "control-bytes-per-second-max", value: func(r Result) float64 { return r.ControlBytesMax }},
 		{name: "process-cores", value: func(r Result) float64 { return r.ProcessCores }},
 		{name: "process-heap-bytes-peak", value: func(r Result) float64 { return float64(r.ProcessHeapPeak) }},
--- a/internal/bench/evaluator/evaluator_test.go
+++ b/internal/bench/evaluator/evaluator_test.go
@@ -47,7 +47,7 @@
 			At: began.Add(4 * time.Second), CPU: 2 * time.Second, PeerBytes: map[identifier.Host]uint64{"a": 9000, "b": 400},
 			Counts: assembler.Counts{
 				PrefilledTokens: 4000, CachedTokens: 1050, Runs: 25, RunRequests: 20, LinkBytes: 2100, LinkLimit: 1000,
-				PeakLinkShare: 0.5, ColdLimitExceeded: 1,
+				Attempts: 30, AttemptRequests: 24, PeakLinkShare: 0.5, ColdLimitExceeded: 1,
 			},
 			ObjectCalls: map[string]int{"put": 30, "get": 4},
 		},
@@ -94,6 +94,7 @@
 	near(t, "unavoidable share", r.UnavoidableShare, (4*100.0+1024)/(4*1124))
 	near(t, "ratio", r.RecomputedRatio, 0.75/((4*100.0+1024)/(4*1124)))
 	near(t, "retry ratio", r.RetryRatio, 0.5)
+	near(t, "attempt ratio", r.AttemptRatio, 0.25)
 }
 
 func TestEvaluateWorksOutRates(t *testing.T) {
--- a/internal/bench/evaluator/result.go
+++ b/internal/bench/evaluator/result.go
@@ -42,6 +42,7 @@
 	WeightedService     float64   `json:"weighted-service"`
 	Goodput             float64   `json:"goodput-per-second"`
 	RetryRatio          float64   `json:"retry-ratio"`
+	AttemptRatio        float64   `json:"attempt-ratio"`
 	CallerRetries       int       `json:"caller-retries"`
 	DuplicateRuns       int       `json:"duplicate-runs"`
 	ColdLimitExceeded   int       `json:"cold-limit-exceeded"`
@@ -251,6 +252,8 @@
 	v.FallOvers = after.FallOvers - before.FallOvers
 	runs, requests := after.Runs-before.Runs, after.RunRequests-before.RunRequests
 	v.RetryRatio = share(float64(runs-requests), float64(requests))
+	attempts, attempted := after.Attempts-before.Attempts, after.AttemptRequests-before.AttemptRequests
+	v.AttemptRatio = share(float64(attempts-attempted), float64(attempted))
 }
 
 // unavoidable counts the prompt tokens of the measured requests that ran, and
--- a/internal/standin/assembler/counts.go
+++ b/internal/standin/assembler/counts.go
@@ -30,12 +30,16 @@
 	// Runs counts the runs at targets, and RunRequests the requests that they belong to.
 	Runs        int
 	RunRequests int
+	// Attempts counts the attempts that targets took in, with those that never
+	// ran, and AttemptRequests the requests that they belong to.
+	Attempts        int
+	AttemptRequests int
 }
 
 // Counts sums up what the stand-ins have seen so far.
 func (a *Assembly) Counts() Counts {
 	var c Counts
-	runs := map[string]int{}
+	runs, attempts := map[string]int{}, map[string]int{}
 	for _, e := range a.Engines {
 		s := e.Stats()
 		c.PrefilledTokens += s.PrefilledTokens
@@ -47,6 +51,9 @@
 		for id, n := range s.Runs {
 			runs[string(id)] += n
 		}
+		for id, n := range s.Admissions {
+			attempts[string(id)] += n
+		}
 	}
 	for _, r := range a.Responders {
 		s := r.Stats()
@@ -55,16 +62,23 @@
 		c.ColdLimitExceeded += s.ColdLimitExceeded
 		for key, n := range s.Executions {
 			runs[key] += n
+			attempts[key] += n
 		}
 	}
-	c.RunRequests = len(runs)
-	for _, n := range runs {
-		c.Runs += n
-	}
+	c.RunRequests, c.Runs = len(runs), sum(runs)
+	c.AttemptRequests, c.Attempts = len(attempts), sum(attempts)
 	a.countLinks(&c)
 	return c
 }
 
+func sum(counts map[string]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 func (a *Assembly) countLinks(c *Counts) {
 	for name, s := range a.Stores {
 		limit := a.Fleet.Stores[name].LinkBytesPerSecond
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -48,7 +49,9 @@
 	ForeignPayloads  int `json:"foreign-payloads"`
 	// Runs counts the runs that started, by request.
 	Runs map[identifier.Request]int `json:"runs"`
-	// Started counts all of them, and StartedSinceMark those since the last mark.
+	// Admissions counts the attempts that were put into the queue, by request.
+	Admissions map[identifier.Request]int `json:"admissions"`
+	// Started counts all runs, and StartedSinceMark those since the last mark.
 	Started          int `json:"started"`
 	StartedSinceMark int `json:"started-since-mark"`
 	// Completed counts the whole answers.
@@ -112,6 +115,7 @@
 	e.events.rng = rand.New(rand.NewPCG(cfg.Seed, eventStream))
 	e.cache = newCache(cfg.CacheBlocks, e.cacheChanged)
 	e.stats.Runs = make(map[identifier.Request]int)
+	e.stats.Admissions = make(map[identifier.Request]int)
 	e.loader = e.newLoader()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.reports.Lag = cfg.LoadLag.Duration
@@ -163,10 +167,8 @@
 	stats.Running = e.running()
 	stats.Queued = e.queue.len()
 	stats.CachedBlocks = e.cache.len()
-	stats.Runs = make(map[identifier.Request]int, len(e.stats.Runs))
-	for id, n := range e.stats.Runs {
-		stats.Runs[id] = n
-	}
+	stats.Runs = maps.Clone(e.stats.Runs)
+	stats.Admissions = maps.Clone(e.stats.Admissions)
 	return stats
 }
 
@@ -266,6 +268,7 @@
 		wake:        make(chan struct{}, 1),
 	}
 	e.arrivals++
+	e.stats.Admissions[req.RequestID]++
 	e.runs[r.attempt()] = r
 	e.queue.push(r)
 	if req.DeadlineMilliseconds > 0 {
