Test the network that fails on demand

Cause: partitions and silent connections of the load tool had no test of their own.

Change: tests against echo servers.

Conclusion: none.

--- /dev/null
+++ b/internal/standin/assembler/network_test.go
@@ -0,0 +1,97 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// shortWait is how long a test waits for bytes that must not come.
+const shortWait = 30 * time.Millisecond
+
+// echo returns the address of a server that sends back what it receives.
+func echo(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return addressOf(ln)
+}
+
+func dial(t *testing.T, n *Network, address netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := n.dialer("north")(t.Context(), address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// answers reports whether conn carries a byte there and back.
+func answers(t *testing.T, conn net.Conn, wait time.Duration) error {
+	t.Helper()
+	_, err := conn.Write([]byte{7})
+	if err != nil {
+		return err
+	}
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+func TestPartitionSilencesConnectionsAndSwallowsNewOnes(t *testing.T) {
+	n, near, far, platform := newNetwork(), echo(t), echo(t), echo(t)
+	n.place(near, "north")
+	n.place(far, "south")
+	local, remote, outside := dial(t, n, near), dial(t, n, far), dial(t, n, platform)
+	assert.NilError(t, answers(t, remote, time.Minute))
+
+	n.Split("south", false)
+	assert.NilError(t, answers(t, local, time.Minute))
+	assert.NilError(t, answers(t, outside, time.Minute))
+	assert.Assert(t, errors.Is(answers(t, remote, shortWait), os.ErrDeadlineExceeded))
+	ctx, cancel := context.WithTimeout(t.Context(), shortWait)
+	defer cancel()
+	_, err := n.dialer("north")(ctx, far)
+	assert.ErrorContains(t, err, "deadline exceeded")
+
+	n.Heal()
+	assert.Assert(t, answers(t, remote, time.Minute) != nil)
+	assert.NilError(t, answers(t, dial(t, n, far), time.Minute))
+}
+
+func TestPartitionFromThePlatform(t *testing.T) {
+	n, near, platform := newNetwork(), echo(t), echo(t)
+	n.place(near, "north")
+	local, outside := dial(t, n, near), dial(t, n, platform)
+	n.Split("north", true)
+	assert.NilError(t, answers(t, local, time.Minute))
+	assert.Assert(t, errors.Is(answers(t, outside, shortWait), os.ErrDeadlineExceeded))
+}
+
+func TestSilenceSparesNewConnections(t *testing.T) {
+	n, near := newNetwork(), echo(t)
+	n.place(near, "north")
+	old := dial(t, n, near)
+	n.Silence()
+	assert.Assert(t, errors.Is(answers(t, old, shortWait), os.ErrDeadlineExceeded))
+	assert.NilError(t, answers(t, dial(t, n, near), time.Minute))
+}
