--- a/internal/standin/assembler/network_test.go
+++ b/internal/standin/assembler/network_test.go
@@ -48,12 +48,13 @@
 // answers reports whether conn carries a byte there and back.
 func answers(t *testing.T, conn net.Conn, wait time.Duration) error {
 	t.Helper()
-	_, err := conn.Write([]byte{7})
-	if err != nil {
+	if _, err := conn.Write([]byte{7}); err != nil {
 		return err
 	}
-	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(wait)))
-	_, err = conn.Read(make([]byte, 1))
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 1))
 	return err
 }
 
