--- a/internal/decision/reducer/guarantee_test.go
+++ b/internal/decision/reducer/guarantee_test.go
@@ -26,6 +26,8 @@
 	restart, warm, crash, drain            int
 	out, centre, leaving, swap, load       int
 	split, platform, membership, staleConf int
+	// coldLimit is the cold limit of each target.
+	coldLimit int
 }
 
 // everything is the attack on all guarantees at once.
@@ -34,6 +36,7 @@
 		deliver: 60, advance: 12, prompt: 12, pay: 10, look: 10, gone: 3,
 		grant: 14, renew: 8, report: 10, restart: 3, warm: 2, crash: 1, drain: 1,
 		out: 2, centre: 1, leaving: 2, swap: 1, load: 2, split: 1, platform: 1, membership: 2, staleConf: 1,
+		coldLimit: worldColdLimit,
 	}
 }
 
@@ -46,8 +49,10 @@
 
 func TestGuaranteeColdLimits(t *testing.T) {
 	a := everything()
-	a.grant, a.renew, a.look, a.advance, a.pay, a.warm = 30, 12, 30, 20, 0, 0
-	a.restart, a.crash, a.platform, a.membership = 4, 2, 2, 4
+	a.grant, a.renew, a.look, a.advance, a.pay, a.warm, a.prompt = 40, 6, 30, 24, 0, 0, 0
+	a.restart, a.crash, a.platform, a.membership, a.gone = 2, 1, 1, 12, 6
+	a.out, a.centre, a.leaving, a.swap, a.drain, a.staleConf = 0, 0, 0, 0, 2, 0
+	a.coldLimit = 1
 	histories(t, a)
 }
 
@@ -93,7 +98,7 @@
 func histories(t *testing.T, a attack) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newWorld(t, a.coldLimit)
 		actions := w.actions(a)
 		for range worldSteps {
 			rapid.SampledFrom(actions).Draw(t, "action")()
@@ -114,7 +119,9 @@
 	add(a.deliver, w.deliverOne)
 	add(a.advance, func() { w.advance(time.Duration(rapid.IntRange(1, 4000).Draw(w.t, "ms")) * time.Millisecond) })
 	add(a.prompt, func() { w.arrive(w.host(), promptOf(w.text()), "", w.team()) })
-	add(a.pay, func() { w.arrive(w.host(), Call{Method: "POST", Path: "/print/1", Fingerprint: "f"}, w.key(), w.team()) })
+	add(a.pay, func() {
+		w.arrive(w.host(), Call{Method: "POST", Path: "/print/1", Fingerprint: "f"}, w.key(), w.team())
+	})
 	add(a.look, func() { w.arrive(w.host(), Call{Method: "GET", Path: "/look"}, "", w.team()) })
 	add(a.gone, w.leave)
 	add(a.grant, func() { w.grantLease(w.target(), w.host()) })
@@ -298,6 +305,10 @@
 	p := w.pending[i]
 	w.pending = slices.Delete(w.pending, i, i+1)
 	if end, own := p.event.(runEnd); own {
+		if !w.healed && !w.oneIn(3, "run ends") {
+			w.pending = append(w.pending, p) // Runs last longer than messages.
+			return
+		}
 		w.finishRun(p.host, end)
 		return
 	}
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -140,7 +140,7 @@
 	farCentre   = identifier.DataCentre("dc-far")
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t *rapid.T, coldLimit int) *world {
 	w := &world{
 		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), version: 1, weights: 1,
 		hosts:     []identifier.Host{"host-a", "host-b", "host-c"},
@@ -154,7 +154,9 @@
 		keyRuns:   map[string]int{},
 	}
 	w.fleet = twoCentres(worldFleet(w.hosts))
-	for name := range w.fleet.Targets {
+	for name, spec := range w.fleet.Targets {
+		spec.ColdLimit = coldLimit
+		w.fleet.Targets[name] = spec
 		w.targets[name] = &engineModel{
 			incarnation: 1, cold: true, running: map[identifier.Attempt]time.Time{},
 			versions: map[identifier.WeightVersion]bool{"v1": true}, cache: map[identifier.BlockKey]blockModel{},
@@ -613,8 +615,8 @@
 			w.t.Fatalf("key %s ran %d times", r.claim, w.keyRuns[r.claim])
 		}
 	}
-	if engine.cold && len(engine.running) > worldColdLimit {
-		w.t.Fatalf("%s is cold and runs %d requests, its limit is %d", e.Target, len(engine.running), worldColdLimit)
+	if limit := w.fleet.Targets[e.Target].ColdLimit; engine.cold && len(engine.running) > limit {
+		w.t.Fatalf("%s is cold and runs %d requests, its limit is %d", e.Target, len(engine.running), limit)
 	}
 	own := blockModel{team: e.Team, version: e.Version}
 	for _, key := range e.Keys {
