--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -764,7 +765,7 @@
 	if prompt, ok := work.(Prompt); ok {
 		r.digests = prompt.Digests
 	}
-	if call, ok := work.(Call); ok && call.Method == "POST" {
+	if call, ok := work.(Call); ok && call.Method == http.MethodPost {
 		r.claim = claimName(team, key)
 	}
 	w.requests[id] = r
