Count an import that was given up as a use of its cold target

Cause: A request that ended while its import ran freed its place at once, and an import on a cold target could last to the request's deadline, longer than a successor of the owner waits. Figures: the new test fails on the code before and passes now; the reducer's tests pass. Conclusion: every use of a cold target, imports included, ends before a taker's wait does.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -212,6 +212,9 @@
 // abandonPreparation undoes what r holds before it was sent.
 func (s *State) abandonPreparation(r *request) {
 	s.unlead(r)
+	if r.importing {
+		s.keepPlace(r)
+	}
 	s.release(r)
 	r.index = -1
 }
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -216,7 +216,7 @@
 		Request: r.id, Target: r.target.name, TargetAddress: r.target.spec.Address,
 		Store: ev.Store, StoreAddress: store.Address,
 		Model: r.prompt.Model, Version: r.version,
-		Blocks: r.stored, BytesPerSecond: rate, After: ev.Wait, Timeout: r.deadline.Sub(s.now),
+		Blocks: r.stored, BytesPerSecond: rate, After: ev.Wait, Timeout: earlier(r.deadline, r.cutoff).Sub(s.now),
 	})
 }
 
--- a/internal/decision/reducer/ownership_test.go
+++ b/internal/decision/reducer/ownership_test.go
@@ -311,3 +311,34 @@
 	_, released := one[ReleaseClaim](d.feed(won))
 	assert.Assert(t, !released, "the request runs under the claim")
 }
+
+func TestAbandonedImportKeepsItsPlaceOnAColdTarget(t *testing.T) {
+	const engine identifier.Target = "target-0"
+	d := newSingle(true, func(f *specifier.Fleet) {
+		f.Stores = map[identifier.Store]specifier.Store{"store-0": {DataCentre: nearCentre, State: specifier.StateIn, LinkBytesPerSecond: 1 << 30}}
+		delete(f.Targets, "target-1")
+	})
+	d.feed(PeersChanged{Hosts: []identifier.Host{d.host}})
+	d.feed(OwnershipChanged{Target: engine, Held: true, Fence: 1, Until: d.now.Add(2 * time.Minute)})
+	d.feed(IncarnationSeen{Target: engine, Incarnation: 1, Cold: true})
+	for i := range worldColdLimit {
+		id := identifier.Request(fmt.Sprintf("r%d", i))
+		text := strings.Repeat(string(rune('a'+i)), 8*hasher.BlockBytes)
+		lookup, ok := one[Lookup](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf(text)}))
+		assert.Assert(t, ok)
+		var blocks []StoredBlock
+		for _, key := range lookup.Keys {
+			blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
+		}
+		order, ok := one[Import](d.feed(LookupDone{Request: id, Store: "store-0", Blocks: blocks}))
+		assert.Assert(t, ok)
+		assert.Assert(t, order.Timeout <= maxColdUse)
+		d.feed(CallerGone{Request: id})
+	}
+	_, asked := one[Lookup](d.feed(RequestArrived{Request: "last", KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf("x")}))
+	assert.Assert(t, !asked)
+	_, started := one[Start](d.pass(maxColdUse / 2))
+	assert.Assert(t, !started, "the target still imports for the requests that were given up")
+	_, started = one[Start](d.pass(maxColdUse))
+	assert.Assert(t, started)
+}
