Test imports and ramps of targets that turn cold

Cause: Taking out the incarnation or the warmth of an import's place, or the coldness of a new incarnation, went unseen. Change: Imports meet a restart and a report of coldness without one; an import into a process that is gone is planned anew; a target that comes back warm starts a new ramp; no request may wait in the random histories while a target could take it. Conclusion: each of the three checks now has a test of its own.

--- a/internal/decision/reducer/ownership_test.go
+++ b/internal/decision/reducer/ownership_test.go
@@ -191,47 +191,68 @@
 	}
 }
 
-func TestRestartDuringImport(t *testing.T) {
+// engineName is the only engine of newImporter's fleet.
+const engineName identifier.Target = "target-0"
+
+// newImporter returns the only daemon of a fleet with one engine, which it owns,
+// and one store.
+func newImporter(cold bool) *single {
 	d := newSingle(true, func(f *specifier.Fleet) {
-		f.Stores = map[identifier.Store]specifier.Store{"store-0": {DataCentre: "dc", State: specifier.StateIn, LinkBytesPerSecond: 1 << 30}}
-		profile := f.Profiles["lunch"]
-		profile.RampStepTime = specifier.Duration{}
-		f.Profiles["lunch"] = profile
-		for name := range f.Targets {
-			if name == "target-1" {
-				delete(f.Targets, name)
-			}
-		}
+		f.Stores = map[identifier.Store]specifier.Store{"store-0": {DataCentre: nearCentre, State: specifier.StateIn, LinkBytesPerSecond: 1 << 30}}
+		delete(f.Targets, "target-1")
 	})
-	const engine identifier.Target = "target-0"
 	d.feed(PeersChanged{Hosts: []identifier.Host{d.host}})
-	d.feed(OwnershipChanged{Target: engine, Held: true, Fence: 1, Until: d.now.Add(time.Minute)})
-	d.feed(IncarnationSeen{Target: engine, Incarnation: 1})
-	var importing []identifier.Request
-	for i := range worldColdLimit + 2 {
-		id := identifier.Request(fmt.Sprintf("r%d", i))
-		text := strings.Repeat(string(rune('a'+i)), 8*hasher.BlockBytes)
-		lookup, ok := one[Lookup](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 20 * time.Second, Work: promptOf(text)}))
-		assert.Assert(t, ok)
-		var blocks []StoredBlock
-		for _, key := range lookup.Keys {
-			blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
-		}
-		_, ok = one[Import](d.feed(LookupDone{Request: id, Store: "store-0", Blocks: blocks}))
-		assert.Assert(t, ok)
-		importing = append(importing, id)
+	d.feed(OwnershipChanged{Target: engineName, Held: true, Fence: 1, Until: d.now.Add(2 * time.Minute)})
+	d.feed(IncarnationSeen{Target: engineName, Incarnation: 1, Cold: cold})
+	d.pass(time.Second)
+	return d
+}
+
+// importFor brings a prompt whose blocks are all stored, and returns its import.
+func (d *single) importFor(t *testing.T, id identifier.Request) Import {
+	t.Helper()
+	text := strings.Repeat(string(id), 8*hasher.BlockBytes)
+	lookup, ok := one[Lookup](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf(text)}))
+	assert.Assert(t, ok)
+	var blocks []StoredBlock
+	for _, key := range lookup.Keys {
+		blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
 	}
-	d.feed(IncarnationSeen{Target: engine, Incarnation: 2, Cold: true})
-	started := 0
-	for _, id := range importing {
-		for _, effect := range d.feed(ImportDone{Request: id, Target: engine, Store: "store-0", Failed: true}) {
-			if start, ok := effect.(Start); ok {
-				started++
-				assert.Assert(t, !start.SendBy.IsZero(), "a cold target is used within its owner's term")
+	order, ok := one[Import](d.feed(LookupDone{Request: id, Store: "store-0", Blocks: blocks}))
+	assert.Assert(t, ok)
+	return order
+}
+
+func TestTargetTurnsColdDuringImports(t *testing.T) {
+	for _, incarnation := range []identifier.Incarnation{1, 2} {
+		d := newImporter(false)
+		importing := []identifier.Request{"a", "b", "c", "d"}
+		for _, id := range importing {
+			d.importFor(t, id)
+		}
+		d.feed(IncarnationSeen{Target: engineName, Incarnation: incarnation, Cold: true})
+		started := 0
+		for _, id := range importing {
+			for _, effect := range d.feed(ImportDone{Request: id, Target: engineName, Store: "store-0"}) {
+				if start, ok := effect.(Start); ok {
+					started++
+					assert.Assert(t, !start.SendBy.IsZero(), "a cold target is used within its owner's term")
+				}
 			}
 		}
+		assert.Assert(t, started <= worldColdLimit, "%d requests started on a cold target", started)
 	}
-	assert.Assert(t, started <= worldColdLimit, "%d requests started on a cold target", started)
+}
+
+func TestImportIsPlannedAnewAfterARestart(t *testing.T) {
+	d := newImporter(true)
+	d.importFor(t, "a")
+	d.feed(IncarnationSeen{Target: engineName, Incarnation: 2, Cold: true})
+	effects := d.feed(ImportDone{Request: "a", Target: engineName, Store: "store-0", Blocks: 8})
+	_, started := one[Start](effects)
+	assert.Assert(t, !started, "the blocks went to a process that is gone")
+	_, again := one[Import](effects)
+	assert.Assert(t, again)
 }
 
 func TestOwnerLetsAPeerUseATargetThatIsWarm(t *testing.T) {
@@ -313,32 +334,28 @@
 }
 
 func TestAbandonedImportKeepsItsPlaceOnAColdTarget(t *testing.T) {
-	const engine identifier.Target = "target-0"
-	d := newSingle(true, func(f *specifier.Fleet) {
-		f.Stores = map[identifier.Store]specifier.Store{"store-0": {DataCentre: nearCentre, State: specifier.StateIn, LinkBytesPerSecond: 1 << 30}}
-		delete(f.Targets, "target-1")
-	})
-	d.feed(PeersChanged{Hosts: []identifier.Host{d.host}})
-	d.feed(OwnershipChanged{Target: engine, Held: true, Fence: 1, Until: d.now.Add(2 * time.Minute)})
-	d.feed(IncarnationSeen{Target: engine, Incarnation: 1, Cold: true})
-	for i := range worldColdLimit {
-		id := identifier.Request(fmt.Sprintf("r%d", i))
-		text := strings.Repeat(string(rune('a'+i)), 8*hasher.BlockBytes)
-		lookup, ok := one[Lookup](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf(text)}))
-		assert.Assert(t, ok)
-		var blocks []StoredBlock
-		for _, key := range lookup.Keys {
-			blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
-		}
-		order, ok := one[Import](d.feed(LookupDone{Request: id, Store: "store-0", Blocks: blocks}))
-		assert.Assert(t, ok)
+	d := newImporter(true)
+	for _, id := range []identifier.Request{"a", "b"} {
+		order := d.importFor(t, id)
 		assert.Assert(t, order.Timeout <= maxColdUse)
 		d.feed(CallerGone{Request: id})
 	}
-	_, asked := one[Lookup](d.feed(RequestArrived{Request: "last", KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf("x")}))
-	assert.Assert(t, !asked)
-	_, started := one[Start](d.pass(maxColdUse / 2))
+	_, started := one[Start](d.feed(RequestArrived{Request: "c", KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf("c")}))
 	assert.Assert(t, !started, "the target still imports for the requests that were given up")
+	_, started = one[Start](d.pass(maxColdUse / 2))
+	assert.Assert(t, !started)
 	_, started = one[Start](d.pass(maxColdUse))
 	assert.Assert(t, started)
 }
+
+func TestNewIncarnationStartsANewRamp(t *testing.T) {
+	d := newSingle(true, nil)
+	limit := func() int { return d.s.limit(d.s.targets[coldTarget]) }
+	d.seen(1, false)
+	d.pass(time.Minute)
+	warm := limit()
+	d.seen(2, false)
+	assert.Assert(t, limit() < warm, "a target that restarted bears %d requests at once, as before", limit())
+	d.pass(time.Minute)
+	assert.Equal(t, limit(), warm)
+}
--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -263,6 +263,7 @@
 	if p.state.Version() < before {
 		w.t.Fatalf("%s went back from configuration %d to %d", host, before, p.state.Version())
 	}
+	w.judgeQueues(host, p.state)
 	for _, effect := range effects {
 		w.judge(host, p, effect)
 		w.pending = append(w.pending, parcel{host: host, effect: effect})
@@ -299,6 +300,19 @@
 	}
 }
 
+// judgeQueues fails when a request waits although a target could take it.
+func (w *world) judgeQueues(host identifier.Host, s *State) {
+	for service, q := range s.queues {
+		for _, r := range q.waiting {
+			for _, t := range s.byService[service] {
+				if s.usable(t, r) {
+					w.t.Fatalf("%s: request %s waits while %s is free", host, r.id, t.name)
+				}
+			}
+		}
+	}
+}
+
 func (w *world) judgeRefusal(e Refuse) {
 	r := w.requests[e.Request]
 	if e.Run == RunNot && r.runs > 0 {
