--- a/internal/decision/reducer/liveness_test.go
+++ b/internal/decision/reducer/liveness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/cache/hasher"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
@@ -99,3 +101,25 @@
 	assert.Assert(t, retries > 0)
 	assert.Assert(t, float64(retries) <= maxRetrySavings+requests*budget, "%d retries", retries)
 }
+
+func TestFollowersGoOnWithTheirLeader(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := newSingle(true, nil)
+		warmLabels(d)
+		text := strings.Repeat("x", 8*hasher.BlockBytes)
+		ask := func(id identifier.Request) (Start, bool) {
+			return one[Start](d.feed(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Timeout: 20 * time.Second, Work: promptOf(text)}))
+		}
+		leader, ok := ask("r1")
+		assert.Assert(t, ok)
+		_, ok = ask("r2")
+		assert.Assert(t, !ok, "one request computes the prefix for both")
+		ev := Event(AttemptStarted{Attempt: leader.Attempt, Incarnation: 1})
+		if !answered {
+			ev = AttemptFailed{Attempt: leader.Attempt, Reason: FailureCaller}
+		}
+		next, ok := one[Start](d.feed(ev))
+		assert.Assert(t, ok)
+		assert.Equal(t, next.Attempt.Request, identifier.Request("r2"))
+	}
+}
--- a/internal/platform/claimer/claimer_test.go
+++ b/internal/platform/claimer/claimer_test.go
@@ -173,3 +173,28 @@
 	_, ok := claim(t, a, other).(Won)
 	assert.Assert(t, ok)
 }
+
+func TestLostAnswerOfAClaimIsSettled(t *testing.T) {
+	store := newStore(t)
+	a := newClaimer(t, store, 1)
+	n := 0
+	store.SetHook(func(rememberer.Call) rememberer.Fault {
+		n++
+		if n == 1 {
+			return rememberer.FaultLostAnswer
+		}
+		return rememberer.FaultNone
+	})
+	held := win(t, a, "r1")
+	assert.NilError(t, a.Answer(t.Context(), held, Answer{Status: 200}))
+}
+
+func TestDelayedClaimIsVoidOnceItWasGivenUp(t *testing.T) {
+	store := newStore(t)
+	a := newClaimer(t, store, 1)
+	unsettled(t, a, store, rememberer.FaultLostCall)
+	assert.Assert(t, a.releaseAbandoned(t.Context()))
+	// The write that was given up comes late, before anyone else's.
+	_, err := store.Put(t.Context(), a.objectKey(request("r1")), []byte("{}"), client.MustNotExist)
+	assert.Equal(t, client.KindOf(err), client.KindConflict)
+}
