--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -51,6 +51,9 @@
 	Logger hclog.Logger
 	// Progress is called with the number of requests that have ended and of all.
 	Progress func(done, all int)
+	// Samples is the number of requests that were not completed whose decisions
+	// are asked from the daemons at the end.
+	Samples int
 }
 
 // Runner runs one scenario once.
@@ -86,7 +89,7 @@
 		return nil, newError("new runner", KindInvalid, err)
 	}
 	r := &Runner{cfg: cfg, generator: g, arrivals: g.Arrivals()}
-	r.texts = make([]string, cfg.Scenario.Load.Families.Count)
+	r.texts = make([]string, g.Families())
 	for i := range r.texts {
 		r.texts[i] = g.Beginning(i)
 	}
@@ -98,7 +101,8 @@
 	r.record = evaluator.Record{
 		Scenario: r.cfg.Scenario.Name, Policy: string(r.cfg.Policy), Seed: r.cfg.Seed,
 		Duration: r.cfg.Scenario.Load.Duration.Duration, SeededFamilies: r.cfg.Scenario.Load.SeedFamilies,
-		Requests: make([]evaluator.Request, len(r.arrivals)),
+		LastChange: r.cfg.Scenario.LastChange(),
+		Requests:   make([]evaluator.Request, len(r.arrivals)),
 	}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
@@ -164,6 +168,7 @@
 	line.finish()
 	r.record.After = r.snapshot()
 	r.record.DuplicateRuns = r.duplicatePayments()
+	r.explain(ctx)
 	cancel()
 	r.record.PeakHeapBytes = <-heap
 	if stopped {
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -192,8 +192,11 @@
 	Granted bool
 	// RetryAfter is when to ask again.
 	RetryAfter time.Duration
-	// Incarnation is the one that leave is given for.
+	// Incarnation is the one that leave is given for, or that is warm.
 	Incarnation identifier.Incarnation
+	// Warm says that the target needs no leave, by a report that is Age old.
+	Warm bool
+	Age  time.Duration
 }
 
 // WantTargets states which targets this daemon should own.
@@ -211,7 +214,7 @@
 }
 
 // Believe states which incarnation of a target connections may reach. Idle
-// connections to an earlier one are closed.
+// connections to an earlier one are closed. Incarnation 0 means that none may be reached.
 type Believe struct {
 	Target      identifier.Target
 	Incarnation identifier.Incarnation
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
@@ -15,9 +17,25 @@
 type linking struct {
 	links map[identifier.Store]*link
 	// waitingExports are the exports for which a time on a link was asked.
-	waitingExports map[identifier.Request]Export
+	waitingExports map[identifier.Request]*waitingExport
 }
 
+// waitingExport is an export that waits for its time on a link.
+type waitingExport struct {
+	Export
+	ask AskLink
+	// refused counts the times that it was refused, and again is when to ask again.
+	refused int
+	again   time.Time
+}
+
+const (
+	// exportRetry is the time between two questions for one export.
+	exportRetry = 400 * time.Millisecond
+	// maxExportRefusals is the number of refusals after which an export is given up.
+	maxExportRefusals = 8
+)
+
 // link is what a daemon knows of one store's link.
 type link struct {
 	// freeAt is when the times that were handed out end; it is known to the
@@ -31,9 +49,9 @@
 	dynamicLinkShare = 0.85
 	// maxLinkWait is the longest wait for an import's time on the link.
 	maxLinkWait = 800 * time.Millisecond
-	// maxExportWait is the longest wait for an export's time, so that exports
-	// use the link only while imports leave it free.
-	maxExportWait = 60 * time.Millisecond
+	// maxExportWait is the longest wait for an export's time. It is shorter than
+	// that of imports, so that exports give way when the link is short.
+	maxExportWait = 500 * time.Millisecond
 	// maxWaitingExports bounds the exports for which a time was asked.
 	maxWaitingExports = 64
 	// importLatency is the fixed cost of one import order.
@@ -43,7 +61,7 @@
 func newLinking() linking {
 	return linking{
 		links:          map[identifier.Store]*link{},
-		waitingExports: map[identifier.Request]Export{},
+		waitingExports: map[identifier.Request]*waitingExport{},
 	}
 }
 
@@ -96,19 +114,33 @@
 	name, _, _ := s.storeFor(r)
 	r.phase = phaseImporting
 	r.importBytes = int64(c.plan.ImportBlocks) * s.blockBytes(r)
+	r.askedBytes = int64(float64(r.importBytes) * s.expectedCopies(r))
 	s.lead(r)
-	s.askLink(AskLink{Request: r.id, Store: name, Bytes: r.importBytes, Share: r.profile.LinkShare})
+	s.askLink(AskLink{Request: r.id, Store: name, Bytes: r.askedBytes, Share: r.profile.LinkShare})
+}
+
+// expectedCopies returns the share of r's import that is expected to cross the
+// link, since the engine copies only what its cache lacks.
+func (s *State) expectedCopies(r *request) float64 {
+	if r.guessed {
+		return max(minExpectedCopies, 1-s.homeHits)
+	}
+	return 1
 }
 
+// minExpectedCopies is the least share of an import for which time is asked.
+const minExpectedCopies = 0.1
+
 // startExport asks for a time on the link for an export after r.
 func (s *State) startExport(r *request, e Export) {
 	if len(s.waitingExports) >= maxWaitingExports {
 		s.dropExport(e)
 		return
 	}
-	s.waitingExports[r.id] = e
 	bytes := int64(len(e.Keys)) * s.blockBytes(r)
-	s.askLink(AskLink{Request: r.id, Store: e.Store, Bytes: bytes, Share: r.profile.LinkShare, Export: true})
+	ask := AskLink{Request: r.id, Store: e.Store, Bytes: bytes, Share: r.profile.LinkShare, Export: true}
+	s.waitingExports[r.id] = &waitingExport{Export: e, ask: ask}
+	s.askLink(ask)
 }
 
 // dropExport forgets that the blocks of an export that was not made are kept.
@@ -156,18 +188,19 @@
 	s.emit(AnswerLink{Call: ev.Call, Granted: granted, Wait: wait})
 }
 
-// onLinkReturned shortens the times handed out by what a transfer did not use.
+// onLinkReturned shortens the times handed out by what a transfer did not use, or
+// prolongs them by what it used beyond its own.
 func (s *State) onLinkReturned(ev LinkReturned) {
 	store, ok := s.fleet.Stores[ev.Store]
-	if !ok || ev.Bytes <= 0 || ev.Share <= 0 {
+	if !ok || ev.Share <= 0 {
 		return
 	}
 	l := s.linkOf(ev.Store)
 	unused := time.Duration(float64(ev.Bytes) / (dynamicLinkShare * linkBudget(store, ev.Share)) * float64(time.Second))
-	l.freeAt = l.freeAt.Add(-unused)
 	if l.freeAt.Before(s.now) {
 		l.freeAt = s.now
 	}
+	l.freeAt = l.freeAt.Add(-unused)
 }
 
 // onLinkSettled starts the transfer that waits for its time on the link, or does
@@ -236,22 +269,43 @@
 }
 
 func (s *State) settleExport(ev LinkSettled) {
-	e, ok := s.waitingExports[ev.Request]
+	w, ok := s.waitingExports[ev.Request]
 	if !ok {
 		return
 	}
-	delete(s.waitingExports, ev.Request)
 	if !ev.Granted {
-		s.dropExport(e)
+		s.postponeExport(ev.Request, w)
 		return
 	}
-	rate, _ := s.transferRate(ev, s.profileOf(s.serviceOf(e.Target)).LinkShare)
-	e.BytesPerSecond, e.After = rate, ev.Wait
-	s.emit(e)
+	delete(s.waitingExports, ev.Request)
+	rate, _ := s.transferRate(ev, w.ask.Share)
+	w.BytesPerSecond, w.After = rate, ev.Wait
+	s.emit(w.Export)
 }
 
-func (s *State) serviceOf(name identifier.Target) identifier.Service {
-	return s.fleet.Targets[name].Service
+// postponeExport asks again later, or gives the export up.
+func (s *State) postponeExport(id identifier.Request, w *waitingExport) {
+	w.refused++
+	if w.refused >= maxExportRefusals {
+		delete(s.waitingExports, id)
+		s.dropExport(w.Export)
+		return
+	}
+	w.again = s.now.Add(exportRetry)
+}
+
+// retryExports asks again for the exports that were refused, in a fixed order.
+func (s *State) retryExports() {
+	if len(s.waitingExports) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.waitingExports)) {
+		w := s.waitingExports[id]
+		if w != nil && !w.again.IsZero() && !s.now.Before(w.again) {
+			w.again = time.Time{}
+			s.askLink(w.ask)
+		}
+	}
 }
 
 func (s *State) onImportDone(ev ImportDone) {
@@ -259,8 +313,11 @@
 	if r == nil || r.phase != phaseImporting {
 		return
 	}
-	s.returnLink(ev.Store, r.importBytes-ev.Bytes, r.profile.LinkShare)
+	s.returnLink(ev.Store, r.askedBytes-ev.Bytes, r.profile.LinkShare)
 	r.importing = false
+	if !ev.Failed && r.importBytes > 0 {
+		s.learnHomeHits(r, 1-float64(ev.Bytes)/float64(r.importBytes))
+	}
 	r.imported = ev.Blocks
 	s.noteImport(r, ev)
 	if ev.Failed {
@@ -280,7 +337,7 @@
 func (s *State) returnLink(name identifier.Store, bytes int64, share float64) {
 	keeper := s.keeperOf(name)
 	switch {
-	case bytes <= 0 || keeper == "":
+	case bytes == 0 || keeper == "":
 	case keeper == s.cfg.Host:
 		s.onLinkReturned(LinkReturned{Store: name, Bytes: bytes, Share: share})
 	default:
@@ -289,7 +346,7 @@
 }
 
 func (s *State) onExportDone(ev ExportDone) {
-	share := s.profileOf(s.serviceOf(ev.Target)).LinkShare
+	share := s.profileOf(s.fleet.Targets[ev.Target].Service).LinkShare
 	unused := int64(ev.Asked-ev.Blocks) * s.exportBlockBytes(ev)
 	s.returnLink(ev.Store, unused, share)
 }
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -164,38 +164,37 @@
 	return list
 }
 
-// dispatch sends queued requests to targets until none has room.
+// dispatchDepth is the number of requests at the head of a queue of which any may
+// be sent, so that one that waits for its target does not hold up the others.
+const dispatchDepth = 16
+
+// dispatch sends queued requests to targets, in the order of their fair shares,
+// as far as targets have room.
 func (s *State) dispatch() {
 	for _, service := range s.services {
-		q := s.queueOf(service)
+		q := s.queues[service]
+		if q == nil {
+			continue
+		}
 		s.dispatchQueue(q)
-		if len(q.waiting) == 0 {
+		if len(q.waiting) == 0 && len(q.finish) > 0 {
 			clear(q.finish)
 		}
 	}
 }
 
-// dispatchQueue places requests in order. One that waits for a target other than
-// those it failed at does not hold up the others.
 func (s *State) dispatchQueue(q *fairQueue) {
-	var passed []*request
-	for len(q.waiting) > 0 {
-		r := q.waiting[0]
+	var held []*request
+	for len(q.waiting) > 0 && len(held) < dispatchDepth {
+		r := heap.Pop(&q.waiting).(*request)
 		s.allowTried(r)
-		if s.place(r) {
-			q.virtual = max(q.virtual, r.start)
-			if r.index >= 0 {
-				heap.Remove(&q.waiting, r.index)
-			}
+		if !s.place(r) {
+			held = append(held, r)
 			continue
 		}
-		if len(r.tried) == 0 {
-			break
-		}
-		heap.Remove(&q.waiting, r.index)
-		passed = append(passed, r)
+		q.virtual = max(q.virtual, r.start)
 	}
-	for _, r := range passed {
+	for _, r := range held {
 		heap.Push(&q.waiting, r)
 	}
 }
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -32,7 +32,7 @@
 	id       identifier.Request
 	team     identifier.Team
 	service  identifier.Service
-	profile  specifier.Profile
+	profile  *specifier.Profile
 	class    identifier.Class
 	arrived  time.Time
 	deadline time.Time
@@ -49,11 +49,17 @@
 	// importBytes is the size of the import that is asked for, importing is true
 	// while it runs, and imported counts the blocks that it brought.
 	importBytes int64
-	importing   bool
-	imported    int
+	// askedBytes is for how much of it time on the link was asked.
+	askedBytes int64
+	importing  bool
+	imported   int
 	// guessed is true when the target was chosen as the prefix's home without
 	// knowing what its cache holds.
 	guessed bool
+	// believed is the number of blocks that the target was believed to hold, and
+	// believedSince when it was last known to.
+	believed      int
+	believedSince time.Time
 
 	version identifier.WeightVersion
 	keys    []identifier.BlockKey
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -117,7 +117,7 @@
 	if !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
-	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+	if !t.local && !r.profile.SpillOver {
 		return false
 	}
 	return s.hasRoom(t)
@@ -142,7 +142,7 @@
 			continue
 		}
 		load := float64(t.load()) / float64(max(1, s.limit(t)))
-		if t.spec.DataCentre != s.cfg.DataCentre {
+		if !t.local {
 			load += remoteLoadPenalty
 		}
 		if best == nil || load < bestLoad {
@@ -167,12 +167,12 @@
 	}
 	var best *target
 	var bestWeight uint64
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -195,7 +195,7 @@
 // target is known to hold more of the prompt, the home is expected to hold a
 // part of it, so that prompts with one prefix meet on one target.
 func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
-	cached := s.cachedBlocks(r)
+	s.countCached(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
 	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored), ComputeWeight: s.computeWeight(r)}
@@ -205,22 +205,32 @@
 		if !s.usable(t, r) {
 			continue
 		}
-		plan := scorer.Best(prompt, s.scored(t, cached[t.name]), link)
+		plan := scorer.Best(prompt, s.scored(t, s.cachedOn(t)), link)
 		score := plan.Score
 		if t == home {
-			score -= s.homeAdvantage(r, t, cached[t.name])
+			score -= s.homeAdvantage(r, t, s.cachedOn(t))
 		}
 		if best.target == nil || score < bestScore {
 			best, bestScore = choice{target: t, plan: plan}, score
 		}
 	}
-	r.guessed = best.target != nil && best.target == home && cached[home.name] == 0 && len(r.stored) > 0
-	return best, best.target != nil
+	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
+		return choice{}, false
+	}
+	r.believed = s.cachedOn(best.target)
+	r.believedSince = best.target.cachedSince
+	r.guessed = best.target == home && r.believed == 0 && len(r.stored) > 0
+	return best, true
 }
 
+// maxTargetWait is the longest queue of prompts that is built up at a target.
+// Beyond it a request waits in the daemon, where it can still go elsewhere, and
+// where its place depends on its team and class.
+const maxTargetWait = 400 * time.Millisecond
+
 // newPrefixAdvantage is the share of a prompt's blocks that its home target is
 // expected to save later prompts, when nothing of it was stored yet.
-const newPrefixAdvantage = 0.3
+const newPrefixAdvantage = 0.6
 
 // homeAdvantage is what the home target is expected to save by blocks that this
 // daemon does not know it to hold, because other daemons sent them, or that later
@@ -256,27 +266,31 @@
 	if len(r.keys) == 0 {
 		return nil
 	}
-	key := r.keys[0].String()
+	seed := SeedOf(r.keys[0].String())
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
-		if !s.takesWork(t) || t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+		if !s.takesWork(t) || !t.local && !r.profile.SpillOver {
 			continue
 		}
-		if w := weightOf(key, string(t.name)); best == nil || w > bestWeight {
+		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
 	return best
 }
 
+// queueWait estimates how long a prompt waits at t before its prefill starts.
+func (s *State) queueWait(t *target) time.Duration {
+	waiting := max(t.pendingTokens, t.reportedQueue)
+	return time.Duration(float64(waiting) / t.rate() * float64(time.Second))
+}
+
 // scored describes t to the scorer.
 func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
-	waiting := max(t.pendingTokens, t.reportedQueue)
-	wait := time.Duration(float64(waiting) / t.rate() * float64(time.Second))
-	st := scorer.Target{QueueWait: wait, PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
-	if t.spec.DataCentre != s.cfg.DataCentre {
-		st.Penalty = s.profileOf(t.spec.Service).SpillOverPenalty.Duration
+	st := scorer.Target{QueueWait: s.queueWait(t), PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
+	if !t.local {
+		st.Penalty = t.profile.SpillOverPenalty.Duration
 	}
 	return st
 }
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -12,12 +12,19 @@
 type target struct {
 	name identifier.Target
 	spec specifier.Target
+	// local is true for a target of this daemon's data centre.
+	local bool
+	// takes is true while operators and the membership list let it take new work.
+	takes   bool
+	profile *specifier.Profile
 
 	// incarnation is 0 until the target was heard of.
 	incarnation identifier.Incarnation
 	cold        bool
 	// warmSince is when the incarnation was first known to be warm.
 	warmSince time.Time
+	// ramped is true once the ramp that began at warmSince has ended.
+	ramped bool
 
 	// reported is the number of running and queued requests of the last report,
 	// and inflightThen the daemon's own at that time.
@@ -35,6 +42,13 @@
 	askAfter time.Time
 	// pendingTokens counts this daemon's tokens that wait for prefill there.
 	pendingTokens int
+	// cached counts the leading blocks of the request that cachedFor numbers, and
+	// cachedSince is when the target last used them.
+	cached      int
+	cachedFor   uint64
+	cachedSince time.Time
+	// cacheLifetime is for how long the target is believed to hold a block.
+	cacheLifetime time.Duration
 
 	health
 }
@@ -85,19 +99,30 @@
 	return max(t.inflight, t.reported+t.inflight-t.inflightThen)
 }
 
-// rebuildTargets brings the known targets in line with the configuration.
+// rebuildTargets brings the known targets in line with the configuration. Only
+// those of the daemon's own region are kept, since no work goes to others.
 func (s *State) rebuildTargets() {
+	region := s.fleet.DataCentres[s.cfg.DataCentre].Region
 	for name, spec := range s.fleet.Targets {
+		if s.fleet.DataCentres[spec.DataCentre].Region != region {
+			continue
+		}
 		known := s.targets[name]
 		if known == nil || known.spec.Address != spec.Address {
-			known = &target{name: name, cold: true}
+			known = &target{name: name, cold: true, cacheLifetime: initialCacheLifetime}
 			s.targets[name] = known
 		}
 		known.spec = spec
+		known.local = spec.DataCentre == s.cfg.DataCentre
+		known.profile = s.profileOf(spec.Service)
+		known.takes = s.mayTake(known)
+		known.ramped = false
 	}
-	for name := range s.targets {
-		if _, ok := s.fleet.Targets[name]; !ok {
-			delete(s.targets, name)
+	for _, t := range s.sortedTargets() {
+		spec, ok := s.fleet.Targets[t.name]
+		if !ok || s.fleet.DataCentres[spec.DataCentre].Region != region {
+			delete(s.targets, t.name)
+			s.emit(Believe{Target: t.name})
 		}
 	}
 	s.byService = map[identifier.Service][]*target{}
@@ -119,6 +144,7 @@
 	if t == nil || ev.Incarnation < t.incarnation {
 		return
 	}
+	before := s.usability(t)
 	asOf := s.now.Add(-ev.Age)
 	if ev.Incarnation == t.incarnation && asOf.Before(t.heard) {
 		return
@@ -133,6 +159,20 @@
 	if ev.PrefillTokensPerSecond > 0 {
 		t.prefillRate = ev.PrefillTokensPerSecond
 	}
+	after := s.usability(t)
+	gained := after.room && !before.room
+	s.quiet = !gained && after.cold == before.cold && after.incarnation == before.incarnation
+}
+
+// usability is what decides whether a target can take a queued request.
+type usability struct {
+	incarnation identifier.Incarnation
+	cold        bool
+	room        bool
+}
+
+func (s *State) usability(t *target) usability {
+	return usability{incarnation: t.incarnation, cold: t.cold, room: s.hasRoom(t) && s.queueWait(t) <= maxTargetWait}
 }
 
 // onIncarnationSeen takes in what a target itself told this daemon, and passes
@@ -164,6 +204,7 @@
 	if !cold && t.cold {
 		t.cold = false
 		t.warmSince = s.now
+		t.ramped = false
 	}
 	return news
 }
@@ -185,7 +226,6 @@
 	t.reported, t.reportedQueue, t.inflightThen = 0, 0, t.inflight
 	t.heard = time.Time{}
 	t.health = health{}
-	s.forgetCacheOf(t.name)
 	s.endPermits(t)
 	s.emit(Believe{Target: t.name, Incarnation: seen})
 }
@@ -201,12 +241,15 @@
 	if t.cold {
 		return t.spec.ColdLimit
 	}
-	profile := s.profileOf(t.spec.Service)
-	steps, stepTime := profile.RampSteps, profile.RampStepTime.Duration
+	if t.ramped {
+		return t.spec.WarmLimit
+	}
+	steps, stepTime := t.profile.RampSteps, t.profile.RampStepTime.Duration
 	if steps <= 0 || stepTime <= 0 {
 		return t.spec.WarmLimit
 	}
 	step := min(steps, 1+int(s.now.Sub(t.warmSince)/stepTime))
+	t.ramped = step == steps
 	return t.spec.ColdLimit + (t.spec.WarmLimit-t.spec.ColdLimit)*step/steps
 }
 
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,6 +23,8 @@
 	around *surroundings
 	// offer hands a configuration of a peer to the watcher.
 	offer func(version uint64, raw []byte)
+	// members takes in the membership lists of peers.
+	members *membership
 
 	mu       sync.Mutex
 	fleet    specifier.Fleet
@@ -59,6 +62,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version, p.raw, p.fleet = version, raw, fleet
+	p.forgetLocked()
+}
+
+// strangerMemory is how long a silent host that the configuration does not name
+// is remembered.
+const strangerMemory = time.Minute
+
+// forgetLocked drops what is kept of hosts that are silent and not configured.
+func (p *peers) forgetLocked() {
+	now := p.around.clock.Now()
+	forget := func(host identifier.Host) bool {
+		_, configured := p.fleet.Hosts[host]
+		return !configured && now.Sub(p.heard[host]) > strangerMemory
+	}
+	maps.DeleteFunc(p.live, func(host identifier.Host, _ bool) bool { return forget(host) })
+	maps.DeleteFunc(p.leaving, func(host identifier.Host, _ bool) bool { return forget(host) })
+	maps.DeleteFunc(p.versions, func(host identifier.Host, _ uint64) bool { return forget(host) })
+	maps.DeleteFunc(p.heard, func(host identifier.Host, _ time.Time) bool { return forget(host) })
 }
 
 // wanted returns the daemons to exchange heartbeats with: all of the own data
@@ -111,12 +132,14 @@
 			Age:                    time.Duration(load.AgeMilliseconds) * time.Millisecond,
 		})
 	}
+	p.members.offer(c.Membership)
 	p.mu.Lock()
 	p.heard[c.From] = p.around.clock.Now()
 	p.versions[c.From] = c.ConfigVersion
 	behind := c.ConfigVersion > p.version && !p.fetching
 	p.fetching = p.fetching || behind
-	changed := p.setLeavingLocked(c.From, c.Leaving)
+	changed := p.setLeavingLocked(c.From, c.Leaving) || !p.live[c.From]
+	p.live[c.From] = true
 	p.mu.Unlock()
 	if behind {
 		go p.fetch(c.From)
@@ -248,7 +271,9 @@
 	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Number: m.Number, Term: m.Term})
 	select {
 	case a := <-answer:
-		return describer.PermitReply{Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation}, nil
+		return describer.PermitReply{
+			Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation, Warm: a.Warm, Age: a.Age,
+		}, nil
 	case <-p.around.clock.After(answerTimeout):
 		p.around.permits.forget(call)
 		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -55,6 +55,8 @@
 	ConfigVersion uint64
 	// Leaving is true when the sender shuts down and takes no new work.
 	Leaving bool
+	// Membership is the newest that the sender knows of the membership list.
+	Membership Membership
 	// Loads, Summaries, Teams and Links hold the entries that changed since the
 	// receiver last acknowledged them.
 	Loads     []TargetLoad
@@ -128,6 +130,14 @@
 	Raw     []byte
 }
 
+// Membership is what the platform's membership list said of leaving targets.
+type Membership struct {
+	// AsOf is the list's own time; zero before the first list.
+	AsOf time.Time
+	// Leaving are the targets that were leaving, in order.
+	Leaving []identifier.Target
+}
+
 // Permit asks a target's owner for one slot of a cold target.
 type Permit struct {
 	From    identifier.Host
@@ -149,6 +159,10 @@
 	Incarnation identifier.Incarnation
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
+	// Warm says that the target needs no leave, by a report of Incarnation that
+	// is Age old.
+	Warm bool
+	Age  time.Duration
 }
 
 // ReleasePermit gives a slot back; repeating it is harmless.
