--- a/internal/decision/reducer/ownership_test.go
+++ b/internal/decision/reducer/ownership_test.go
@@ -359,3 +359,17 @@
 	d.pass(time.Minute)
 	assert.Equal(t, limit(), warm)
 }
+
+func TestColdTargetIsUsedWithinTheLease(t *testing.T) {
+	d := newSingle(true, nil)
+	d.seen(1, true)
+	d.hold(1, false)
+	until := d.now.Add(time.Minute)
+	start, ok := one[Start](d.patient("r1"))
+	assert.Assert(t, ok)
+	assert.Equal(t, start.SendBy, until)
+	assert.Equal(t, start.Deadline, d.now.Add(maxColdUse))
+	d.pass(time.Minute)
+	_, ok = one[Start](d.patient("r2"))
+	assert.Assert(t, !ok, "the lease has ended")
+}
