--- a/internal/decision/reducer/world_test.go
+++ b/internal/decision/reducer/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -140,7 +141,7 @@
 	farCentre   = identifier.DataCentre("dc-far")
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t *rapid.T, coldLimit int) *world {
 	w := &world{
 		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), version: 1, weights: 1,
 		hosts:     []identifier.Host{"host-a", "host-b", "host-c"},
@@ -154,7 +155,9 @@
 		keyRuns:   map[string]int{},
 	}
 	w.fleet = twoCentres(worldFleet(w.hosts))
-	for name := range w.fleet.Targets {
+	for name, spec := range w.fleet.Targets {
+		spec.ColdLimit = coldLimit
+		w.fleet.Targets[name] = spec
 		w.targets[name] = &engineModel{
 			incarnation: 1, cold: true, running: map[identifier.Attempt]time.Time{},
 			versions: map[identifier.WeightVersion]bool{"v1": true}, cache: map[identifier.BlockKey]blockModel{},
@@ -260,6 +263,7 @@
 	if p.state.Version() < before {
 		w.t.Fatalf("%s went back from configuration %d to %d", host, before, p.state.Version())
 	}
+	w.judgeQueues(host, p.state)
 	for _, effect := range effects {
 		w.judge(host, p, effect)
 		w.pending = append(w.pending, parcel{host: host, effect: effect})
@@ -296,6 +300,24 @@
 	}
 }
 
+// judgeQueues fails when a request waits although a target could take it. Prompts
+// may wait for a target whose own queue is long.
+func (w *world) judgeQueues(host identifier.Host, s *State) {
+	for service, q := range s.queues {
+		targets := s.byService[service]
+		if len(q.waiting) > dispatchDepth || slices.ContainsFunc(targets, func(t *target) bool { return s.queueWait(t) > maxTargetWait }) {
+			continue
+		}
+		for _, r := range q.waiting {
+			for _, t := range targets {
+				if s.usable(t, r) {
+					w.t.Fatalf("%s: request %s waits while %s is free", host, r.id, t.name)
+				}
+			}
+		}
+	}
+}
+
 func (w *world) judgeRefusal(e Refuse) {
 	r := w.requests[e.Request]
 	if e.Run == RunNot && r.runs > 0 {
@@ -614,8 +636,8 @@
 			w.t.Fatalf("key %s ran %d times", r.claim, w.keyRuns[r.claim])
 		}
 	}
-	if engine.cold && len(engine.running) > worldColdLimit {
-		w.t.Fatalf("%s is cold and runs %d requests, its limit is %d", e.Target, len(engine.running), worldColdLimit)
+	if limit := w.fleet.Targets[e.Target].ColdLimit; engine.cold && len(engine.running) > limit {
+		w.t.Fatalf("%s is cold and runs %d requests, its limit is %d", e.Target, len(engine.running), limit)
 	}
 	own := blockModel{team: e.Team, version: e.Version}
 	for _, key := range e.Keys {
@@ -763,7 +785,7 @@
 	if prompt, ok := work.(Prompt); ok {
 		r.digests = prompt.Digests
 	}
-	if call, ok := work.(Call); ok && call.Method == "POST" {
+	if call, ok := work.(Call); ok && call.Method == http.MethodPost {
 		r.claim = claimName(team, key)
 	}
 	w.requests[id] = r
