Refuse paths that a target could read as other paths

Cause: paths with dot segments or doubled slashes were redirected with 301, which turns a POST into a GET at many callers and is no error of the daemon. Conclusion: no spelling of a path passes by the list of non-repeatable paths.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -107,7 +107,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
-	s := &Server{cfg: cfg, router: mux.NewRouter()}
+	s := &Server{cfg: cfg, router: mux.NewRouter().SkipClean(true)}
 	s.router.HandleFunc("/v1/completions", s.completions).Methods(http.MethodPost)
 	s.router.PathPrefix("/services/{service}/").HandlerFunc(s.services)
 	s.router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
--- a/internal/entry/server/services.go
+++ b/internal/entry/server/services.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"path"
 	"strings"
 
 	"github.com/gorilla/mux"
@@ -17,6 +18,10 @@
 
 func (s *Server) services(w http.ResponseWriter, r *http.Request) {
 	id := s.cfg.NewRequestID()
+	if err := checkPath(r.URL.Path); err != nil {
+		refuseMalformed(w, id, err)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
 	if err != nil {
 		refuseMalformed(w, id, bodyError(err))
@@ -30,9 +35,9 @@
 	service := mux.Vars(r)["service"]
 	// The policy goes by the decoded path, so that no spelling of it hides a
 	// call that must not be repeated.
-	path := strings.TrimPrefix(r.URL.Path, "/services/"+service)
+	called := strings.TrimPrefix(r.URL.Path, "/services/"+service)
 	ev.Service = identifier.Service(service)
-	ev.Work = reducer.Call{Method: r.Method, Path: path, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, path, r.URL.RawQuery, body)}
+	ev.Work = reducer.Call{Method: r.Method, Path: called, BodyBytes: len(body), Fingerprint: fingerprint(r.Method, called, r.URL.RawQuery, body)}
 	pathQuery := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
 	if r.URL.RawQuery != "" {
 		pathQuery += "?" + r.URL.RawQuery
@@ -45,10 +50,20 @@
 	x.serve(ev)
 }
 
+// checkPath refuses a decoded path that a target could read as another one, so
+// that the policy for the path holds for what the target does.
+func checkPath(decoded string) error {
+	clean := path.Clean(decoded)
+	if decoded == clean || decoded == clean+"/" {
+		return nil
+	}
+	return invalid("path %q has empty or dot segments, want %q", decoded, clean)
+}
+
 // fingerprint identifies a call by what it asks for.
-func fingerprint(method, path, query string, body []byte) string {
+func fingerprint(method, called, query string, body []byte) string {
 	h := sha256.New()
-	for _, part := range []string{method, path, query} {
+	for _, part := range []string{method, called, query} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
