Push the configuration to daemons that start without the platform

Cause: a daemon learns its peers' addresses from the configuration, so one that restarted while it was cut off from the platform asked nobody and stayed unready, although its peers sent it heartbeats. Change: a daemon that tells of no configuration gets it pushed by the first two live daemons in its rendezvous order.

--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -123,6 +123,9 @@
 	if behind {
 		go p.fetch(c.From)
 	}
+	if c.ConfigVersion == 0 {
+		p.bootstrap(c.From)
+	}
 	if changed {
 		p.tellLive()
 	}
@@ -215,12 +218,36 @@
 		if host == p.around.cfg.Settings.Host {
 			continue
 		}
-		go func() {
-			_, err := p.around.peers.PushConfig(context.Background(), host, describer.PushConfig{Version: version, Raw: raw})
-			if err != nil {
-				p.around.cfg.Logger.Debug("a configuration was not pushed; the heartbeat will tell", "host", string(host), "error", err)
-			}
-		}()
+		go p.pushTo(host, version, raw)
+	}
+}
+
+func (p *peers) pushTo(host identifier.Host, version uint64, raw []byte) {
+	_, err := p.around.peers.PushConfig(context.Background(), host, describer.PushConfig{Version: version, Raw: raw})
+	if err != nil {
+		p.around.cfg.Logger.Debug("a configuration was not pushed; the heartbeat will tell", "host", string(host), "error", err)
+	}
+}
+
+// bootstrap hands the configuration to a peer that has none, since without the
+// platform the peer knows no address to ask. The first live daemons in the
+// peer's rendezvous order do so.
+func (p *peers) bootstrap(host identifier.Host) {
+	p.mu.Lock()
+	version, raw := p.version, p.raw
+	p.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	self := string(p.around.cfg.Settings.Host)
+	rank := 0
+	for _, other := range p.heardHosts() {
+		if other != host && string(other) != self && reducer.Before(string(host), string(other), self) {
+			rank++
+		}
+	}
+	if rank < pushers {
+		go p.pushTo(host, version, raw)
 	}
 }
 
