--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -70,7 +70,7 @@
 	OnChange func(members messenger.Members)
 	// OnRead, if set, takes each good list.
 	OnRead func(members messenger.Members)
-	Logger   hclog.Logger
+	Logger hclog.Logger
 }
 
 // List is the last good list.
--- a/internal/testing/prover/cluster_test.go
+++ b/internal/testing/prover/cluster_test.go
@@ -64,6 +64,8 @@
 	centres, daemons, engines, plains int
 	// cold makes targets start cold; otherwise they are warm from the start.
 	cold bool
+	// warmRequests is the number of requests after which a cold target may turn warm.
+	warmRequests int
 	// profile changes the profile of both services.
 	profile func(*specifier.Profile)
 }
@@ -218,8 +220,8 @@
 	}
 	plain := plainSettings{ColdLimit: coldLimit, WarmTime: "0s", ServiceTime: "5ms"}
 	if p.cold {
-		engine.WarmTime, engine.WarmRequests = "500ms", 4
-		plain.WarmTime, plain.WarmRequests = "500ms", 4
+		engine.WarmTime, engine.WarmRequests = "500ms", p.warmRequests
+		plain.WarmTime, plain.WarmRequests = "500ms", p.warmRequests
 	}
 	for i := range p.engines {
 		c.addTarget(fmt.Sprintf("engine-%02d", i+1), prompts, centre(i, p), commander.StandInEngine, engine)
@@ -335,3 +337,14 @@
 	code, out := c.ctl(args...)
 	assert.Equal(c.t, code, 0, out)
 }
+
+// others returns all hosts but one.
+func (c *cluster) others(one *host) []*host {
+	var list []*host
+	for _, h := range c.hosts {
+		if h != one {
+			list = append(list, h)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/testing/prover/cold_test.go
@@ -0,0 +1,177 @@
+package prover
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/standin/engine"
+	"cardamomscale.example/cardamomscale/internal/standin/proxier"
+	"cardamomscale.example/cardamomscale/internal/standin/registrar"
+	"cardamomscale.example/cardamomscale/internal/standin/responder"
+)
+
+// restartTargets restarts all targets, which cuts their connections.
+func (c *cluster) restartTargets() {
+	c.each(prompts, func(name string) { c.restart(name, engine.Faults{Restart: true}) })
+	c.each(orders, func(name string) { c.restart(name, responder.Faults{Restart: true}) })
+}
+
+// restart posts a fault that also cuts its own connection; checkCold counts the restarts.
+func (c *cluster) restart(name string, faults any) { _ = c.post(name, faults) }
+
+// checkCold fails if any target got more than it bears while cold.
+func checkCold(t *testing.T, s seen, restarts int) {
+	t.Helper()
+	assert.Equal(t, s.coldExceeded, 0, "requests above a cold limit")
+	assert.Equal(t, s.fellOver, 0, "targets fell over")
+	assert.Equal(t, s.restarts, restarts, "restarts of the targets")
+}
+
+// TestGuaranteeColdStarts restarts all targets again and again under the load of
+// all daemons, in the end without and with a slow platform.
+func TestGuaranteeColdStarts(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 3, plains: 1, cold: true, warmRequests: 4, profile: persistent})
+	run := startLoad(t, c.loader(), 12)
+	run.more(t, 40)
+	restarts := 0
+	restart := func() {
+		c.restartTargets()
+		restarts += len(c.fleet.Targets)
+	}
+	for range 3 {
+		restart()
+		run.more(t, 40)
+	}
+	c.platform(registrar.Faults{Down: true})
+	restart()
+	run.more(t, 20)
+	restart()
+	c.platform(registrar.Faults{Delay: specifier.Duration{Duration: 400 * time.Millisecond}})
+	run.more(t, 20)
+	restart()
+	run.more(t, 20)
+	c.platform(registrar.Faults{})
+	run.more(t, 40)
+	outcomes := run.stop()
+	s := c.seen()
+	checkCold(t, s, restarts)
+	checkTrue(t, outcomes, s)
+	assert.Equal(t, s.mismatched, 0)
+}
+
+// ownerOf returns the host that owns a target in the eyes of a host.
+func (c *cluster) ownerOf(target identifier.Target, asked *host) identifier.Host {
+	status, _ := c.status(asked)
+	for _, s := range status.Targets {
+		if s.Name == target {
+			return s.Owner
+		}
+	}
+	return ""
+}
+
+// TestGuaranteeColdStartsWithPausedOwner freezes the owner of a cold target past
+// its lease, and continues it when its successor uses the target.
+func TestGuaranteeColdStartsWithPausedOwner(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 1, plains: 1, cold: true, warmRequests: 1 << 20, profile: persistent})
+	run := startLoad(t, c.loader(), 6)
+	run.more(t, 12)
+	var owner *host
+	within(t, startLimit, "the engine has an owner", func() bool {
+		for _, h := range c.hosts {
+			if c.ownerOf("engine-01", h) == h.settings.Host {
+				owner = h
+			}
+		}
+		return owner != nil
+	})
+	c.restart("engine-01", engine.Faults{Restart: true})
+	owner.freeze(t)
+	others := c.others(owner)
+	within(t, startLimit, "another daemon owns the engine", func() bool {
+		for _, h := range others {
+			if c.ownerOf("engine-01", h) == h.settings.Host {
+				return true
+			}
+		}
+		return false
+	})
+	c.fault("engine-01", engine.Faults{Mark: true})
+	within(t, takeOverLimit, "the new owner uses the engine", func() bool { return c.seen().sinceMarkBy["engine-01"] > 2 })
+	owner.thaw(t)
+	run.more(t, 12)
+	outcomes := run.stop()
+	s := c.seen()
+	checkCold(t, s, 1)
+	checkTrue(t, outcomes, s)
+}
+
+// takeOverLimit bounds the time until a new owner uses a cold target: the
+// longest use of a cold target by the owner before it, and a margin.
+const takeOverLimit = 50 * time.Second
+
+// TestGuaranteeColdStartsWithDeadOwner kills a daemon and parts the others
+// while all targets start cold.
+func TestGuaranteeColdStartsWithDeadOwner(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 3, plains: 1, cold: true, warmRequests: 4, profile: persistent})
+	run := startLoad(t, c.loader(1, 2), 8)
+	run.more(t, 20)
+	c.restartTargets()
+	c.hosts[0].kill()
+	c.proxies(cutOff(), c.peerProxies()...)
+	run.more(t, 20)
+	c.restartTargets()
+	run.more(t, 20)
+	c.proxies(heal(), c.peerProxies()...)
+	c.hosts[0].start(t)
+	within(t, startLimit, "the daemon is back", c.hosts[0].ready)
+	run.more(t, 20)
+	outcomes := run.stop()
+	s := c.seen()
+	checkCold(t, s, 2*len(c.fleet.Targets))
+	checkTrue(t, outcomes, s)
+}
+
+// TestGuaranteeColdStartsWithSilentConnections silences all connections to
+// targets and between daemons while the targets start cold.
+func TestGuaranteeColdStartsWithSilentConnections(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 2, engines: 2, plains: 1, cold: true, warmRequests: 4, profile: persistent})
+	run := startLoad(t, c.loader(), 8)
+	run.more(t, 20)
+	for range 2 {
+		c.proxies(proxier.Faults{SilenceDown: true}, c.peerProxies()...)
+		c.proxies(proxier.Faults{SilenceUp: true}, c.targetProxies()...)
+		c.restartTargets()
+		run.more(t, 20)
+	}
+	outcomes := run.stop()
+	s := c.seen()
+	checkCold(t, s, 2*len(c.fleet.Targets))
+	checkTrue(t, outcomes, s)
+}
+
+// TestGuaranteeColdStartsInPlace makes engines cold while their idle
+// connections stay open.
+func TestGuaranteeColdStartsInPlace(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 3, plains: 1, cold: true, warmRequests: 4, profile: persistent})
+	run := startLoad(t, c.loader(), 12)
+	const rounds = 3
+	for range rounds {
+		run.more(t, 40)
+		c.each(prompts, func(name string) { c.restart(name, engine.Faults{RestartSilently: true}) })
+	}
+	run.more(t, 40)
+	outcomes := run.stop()
+	s := c.seen()
+	checkCold(t, s, rounds*3)
+	checkTrue(t, outcomes, s)
+}
