Confirm a target's incarnation before a request on an old connection

Cause: a target that turns cold without closing its connections got as many requests as a warm one until its next load report. Change: when the last sign of the incarnation is older than 10 ms, one request of the daemon reads the target's report first; a target that does not answer loses its idle connections. Test ports come from outside the range of outgoing connections, since one run met an address in use. It costs one more exchange with a target that was quiet for 10 ms. Conclusion: TestGuaranteeColdStartsAtRest passes; under load a window of a few milliseconds stays.

--- a/internal/target/dialer/pool.go
+++ b/internal/target/dialer/pool.go
@@ -18,18 +18,20 @@
 	dialer    *Dialer
 	endpoint  Endpoint
 	transport *http.Transport
+	evidence  *evidence
 }
 
 var _ http.RoundTripper = (*pool)(nil)
 
 func newPool(d *Dialer, endpoint Endpoint) *pool {
-	p := &pool{dialer: d, endpoint: endpoint}
+	p := &pool{dialer: d, endpoint: endpoint, evidence: newEvidence()}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, endpoint)
 			if err != nil {
 				return nil, err
 			}
+			p.evidence.note(d.cfg.Clock.Now())
 			return conn, nil
 		},
 		DisableCompression:  true,
@@ -48,6 +50,10 @@
 // may have left; when they deny it, none will leave later.
 func (p *pool) RoundTrip(r *http.Request) (*http.Response, error) {
 	tracker := trackerOf(r.Context())
+	if err := p.confirm(r.Context()); err != nil {
+		tracker.Settle()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	cfg := &p.dialer.cfg
 	x := newExchange(cfg.Clock, cfg.HandshakeTimeout, silenceOf(ctx, cfg.Silence), cancel)
@@ -64,7 +70,13 @@
 		return nil, fail(r.Context(), x, tracker, err)
 	}
 	x.moved()
+	seen := func() {}
+	if p.shows(answer) {
+		seen = func() { p.evidence.note(cfg.Clock.Now()) }
+	}
+	seen()
 	answer.Body = &answerBody{
+		seen:       seen,
 		ReadCloser: answer.Body,
 		exchange:   x,
 		tracker:    tracker,
@@ -189,6 +201,8 @@
 // answerBody watches the reads of an answer and classifies their errors.
 type answerBody struct {
 	io.ReadCloser
+	// seen notes that bytes came from the expected incarnation.
+	seen     func()
 	exchange *exchange
 	tracker  *SentTracker
 	ctx      context.Context
@@ -199,6 +213,7 @@
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case err == nil:
+		b.seen()
 		b.exchange.moved()
 		return n, nil
 	case errors.Is(err, io.EOF):
--- a/internal/testing/prover/cold_test.go
+++ b/internal/testing/prover/cold_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/bench/loader"
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/standin/engine"
@@ -158,6 +159,34 @@
 	checkTrue(t, outcomes, s)
 }
 
+// TestGuaranteeColdStartsAtRest makes engines cold while they have no work and
+// their idle connections stay open, and then sends work through all daemons at once.
+func TestGuaranteeColdStartsAtRest(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 1, plains: 1, cold: true, warmRequests: 4, profile: persistent})
+	const rounds = 3
+	const rest = 100 * time.Millisecond
+	var outcomes []loader.Outcome
+	for range rounds {
+		run := startLoad(t, c.loader(), 12)
+		run.more(t, 40)
+		within(t, startLimit, "the engine is warm", func() bool {
+			var e engine.Stats
+			c.stats("engine-01", &e)
+			return !e.Cold
+		})
+		outcomes = append(outcomes, run.stop()...)
+		<-time.After(rest)
+		c.restart("engine-01", engine.Faults{RestartSilently: true})
+	}
+	run := startLoad(t, c.loader(), 12)
+	run.more(t, 40)
+	outcomes = append(outcomes, run.stop()...)
+	s := c.seen()
+	checkCold(t, s, rounds)
+	checkWhole(t, outcomes)
+}
+
 // TestGuaranteeColdStartsInPlace makes engines cold while their idle
 // connections stay open.
 func TestGuaranteeColdStartsInPlace(t *testing.T) {
--- a/internal/testing/prover/process_test.go
+++ b/internal/testing/prover/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -115,20 +116,32 @@
 	ports map[uint16]bool
 }{ports: map[uint16]bool{}}
 
-// freeAddress asks the kernel for a loopback address that no other test has got.
+// Ports that the kernel gives to no outgoing connection, so that a port that is
+// free stays so until its process listens.
+const (
+	minPort = 12_000
+	maxPort = 32_000
+)
+
+// freeAddress returns a loopback address that the kernel says is free and that
+// no other test has got.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	taken.Lock()
 	defer taken.Unlock()
 	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		address := ln.Addr().(*net.TCPAddr).AddrPort()
-		assert.NilError(t, ln.Close())
-		if !taken.ports[address.Port()] {
-			taken.ports[address.Port()] = true
-			return address
+		port := uint16(minPort + rand.IntN(maxPort-minPort))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		if taken.ports[port] {
+			continue
 		}
+		ln, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, ln.Close())
+		taken.ports[port] = true
+		return address
 	}
 }
 
