Count failures at one time as one in the breaker of a target

Cause: each attempt that failed counted, so that one fault under six requests at once opened the breaker of a target for up to 8 s, although new connections worked. Change: failures that come while the breaker is open are not counted. Conclusion: TestBreakerTakesFailuresAtOnceForOne fails without.

--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -57,7 +57,12 @@
 
 func (h *health) succeeded() { *h = health{} }
 
+// failed counts a failure. Those that come while the breaker is open belong to
+// attempts from before it opened and tell nothing new.
 func (h *health) failed(now time.Time) {
+	if h.open(now) {
+		return
+	}
 	h.failures++
 	if h.failures < breakerFailures {
 		return
