Give the tests of silent connections and paused owners teeth

Cause: without the stall timer, and without the wait of a new owner, they passed. Change: requests in the first have 9 s, less than the connections' own bound of silence; in the second the frozen owner's requests fill the cold target. Conclusion: both now depend on their mechanism.

--- a/internal/testing/prover/answers_test.go
+++ b/internal/testing/prover/answers_test.go
@@ -20,6 +20,13 @@
 // persistent lets each request be tried often.
 func persistent(p *specifier.Profile) { p.RetryBudget, p.MaxAttempts = 1, 10 }
 
+// hasty is persistent, with less time than a connection may be quiet in
+// between two bytes, so that only stalled answers are found in time.
+func hasty(p *specifier.Profile) {
+	persistent(p)
+	p.DefaultDeadline = specifier.Duration{Duration: 9 * time.Second}
+}
+
 // once lets no request be tried a second time nor wait long.
 func once(p *specifier.Profile) {
 	p.RetryBudget, p.MaxAttempts = 0, 1
@@ -57,7 +64,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, plan{centres: 1, daemons: 2, engines: 2, plains: 1, profile: persistent})
+			c := newCluster(t, plan{centres: 1, daemons: 2, engines: 2, plains: 1, profile: hasty})
 			run := startLoad(t, c.loader(), 6)
 			run.more(t, 6)
 			for range 2 {
--- a/internal/testing/prover/cold_test.go
+++ b/internal/testing/prover/cold_test.go
@@ -1,6 +1,10 @@
 package prover
 
 import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,40 +80,54 @@
 	return ""
 }
 
-// TestGuaranteeColdStartsWithPausedOwner freezes the owner of a cold target past
-// its lease, and continues it when its successor uses the target.
-func TestGuaranteeColdStartsWithPausedOwner(t *testing.T) {
-	t.Parallel()
-	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 1, plains: 1, cold: true, warmRequests: 1 << 20, profile: persistent})
-	run := startLoad(t, c.loader(), 6)
-	run.more(t, 12)
+// owner returns the host that says itself that it owns a target.
+func (c *cluster) owner(target identifier.Target) *host {
+	c.t.Helper()
 	var owner *host
-	within(t, startLimit, "the engine has an owner", func() bool {
+	within(c.t, startLimit, string(target)+" has an owner", func() bool {
 		for _, h := range c.hosts {
-			if c.ownerOf("engine-01", h) == h.settings.Host {
+			if c.ownerOf(target, h) == h.settings.Host {
 				owner = h
 			}
 		}
 		return owner != nil
 	})
-	c.restart("engine-01", engine.Faults{Restart: true})
-	owner.freeze(t)
-	others := c.others(owner)
-	within(t, startLimit, "another daemon owns the engine", func() bool {
-		for _, h := range others {
-			if c.ownerOf("engine-01", h) == h.settings.Host {
-				return true
-			}
-		}
-		return false
+	return owner
+}
+
+// TestGuaranteeColdStartsWithPausedOwner freezes the owner of a cold target past
+// its lease while its requests fill the target, and continues it when its
+// successor uses the target.
+func TestGuaranteeColdStartsWithPausedOwner(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{centres: 1, daemons: 3, engines: 1, plains: 1, cold: true, warmRequests: 1 << 20, profile: persistent})
+	owner := c.owner("engine-01")
+	l := newLoader(t, func() []netip.AddrPort { return []netip.AddrPort{owner.settings.Listen} })
+	var long sync.WaitGroup
+	for i := range coldLimit {
+		p := prompt(fmt.Sprint("long ", i), 20*decodeRate)
+		p.Deadline = time.Minute
+		long.Go(func() { l.Complete(context.Background(), p) })
+	}
+	within(t, startLimit, "the owner's requests fill the engine", func() bool {
+		var e engine.Stats
+		c.stats("engine-01", &e)
+		return e.Running == coldLimit
 	})
+	owner.freeze(t)
+	var callers []netip.AddrPort
+	for _, h := range c.others(owner) {
+		callers = append(callers, h.settings.Listen)
+	}
+	run := startLoad(t, newLoader(t, func() []netip.AddrPort { return callers }), 6)
 	c.fault("engine-01", engine.Faults{Mark: true})
-	within(t, takeOverLimit, "the new owner uses the engine", func() bool { return c.seen().sinceMarkBy["engine-01"] > 2 })
+	within(t, takeOverLimit, "the new owner uses the engine", func() bool { return c.seen().sinceMarkBy["engine-01"] > coldLimit })
 	owner.thaw(t)
 	run.more(t, 12)
+	long.Wait()
 	outcomes := run.stop()
 	s := c.seen()
-	checkCold(t, s, 1)
+	checkCold(t, s, 0)
 	checkTrue(t, outcomes, s)
 }
 
