Make reads stale from before a change in the test of configuration

Cause: reads that are stale after a change show the change. Change: the staleness begins before the change, and daemons restart under it. Conclusion: restarted daemons do not fall back to the stale version.

--- a/internal/testing/prover/configuration_test.go
+++ b/internal/testing/prover/configuration_test.go
@@ -125,16 +125,17 @@
 		c.inForce(version, c.hosts...)
 		n++
 	}
-	// Reads are stale right after a change, while daemons restart.
-	version := c.change(n)
-	c.inForce(version, c.hosts...)
-	c.platform(registrar.Faults{StaleFor: specifier.Duration{Duration: 3 * time.Second}})
+	// Reads answer from before a change, while daemons restart after it.
+	before := c.version()
+	c.platform(registrar.Faults{StaleFor: specifier.Duration{Duration: 6 * time.Second}})
+	c.accept("target", "in", "engine-02")
+	c.inForce(before+1, c.hosts...)
 	for _, h := range c.hosts[:3] {
 		h.kill()
 		h.start(t)
 	}
 	c.waitReady()
-	c.inForce(version, c.hosts...)
+	c.inForce(before+1, c.hosts...)
 	o.check(t)
 }
 
