--- a/internal/config/specifier/specifier_bench_test.go
+++ b/internal/config/specifier/specifier_bench_test.go
@@ -51,7 +51,9 @@
 	return fleet
 }
 
-func benchCentre(i int) identifier.DataCentre { return identifier.DataCentre(fmt.Sprintf("dc-%02d", i)) }
+func benchCentre(i int) identifier.DataCentre {
+	return identifier.DataCentre(fmt.Sprintf("dc-%02d", i))
+}
 
 func benchAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8000)
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -29,7 +29,7 @@
 	// DefaultMaxRequests is the number of requests that one daemon holds at most.
 	DefaultMaxRequests = 4096
 	// DefaultMaxPrefixes is the number of cache blocks that one daemon remembers.
-	DefaultMaxPrefixes = 65536
+	DefaultMaxPrefixes = 32768
 )
 
 // State is all that one daemon knows and decides by. Its areas are embedded and
--- a/internal/entry/daemon/daemon_bench_test.go
+++ b/internal/entry/daemon/daemon_bench_test.go
@@ -44,7 +44,24 @@
 	client *http.Client
 }
 
+// startAttempts bounds the starts of a data centre. A start fails when another
+// connection of the process has taken one of the chosen ports.
+const startAttempts = 20
+
 func newCentre(b *testing.B, daemons, engines, teams int) *centre {
+	var err error
+	for range startAttempts {
+		var c *centre
+		if c, err = startCentre(daemons, engines, teams); err == nil {
+			b.Cleanup(c.Close)
+			return c
+		}
+	}
+	b.Fatal(err)
+	return nil
+}
+
+func startCentre(daemons, engines, teams int) (*centre, error) {
 	a, err := assembler.New(assembler.Config{Plan: assembler.Plan{
 		Region: "region", DataCentres: []identifier.DataCentre{"dc"},
 		Daemons: daemons, Engines: engines, Responders: 0, Stores: 1,
@@ -52,17 +69,17 @@
 		Fleet: benchFleet(teams), ModelService: "assistant", PlainService: "orders", WarmLimit: 32, PlainLimit: 32,
 	}})
 	if err != nil {
-		b.Fatal(err)
+		return nil, err
 	}
-	b.Cleanup(a.Close)
 	ctx := context.Background()
-	if err := a.Apply(ctx, a.Fleet); err != nil {
-		b.Fatal(err)
+	if err = a.Apply(ctx, a.Fleet); err == nil {
+		err = a.StartDaemons(ctx)
 	}
-	if err := a.StartDaemons(ctx); err != nil {
-		b.Fatal(err)
+	if err != nil {
+		a.Close()
+		return nil, err
 	}
-	return &centre{Assembly: a, client: &http.Client{Timeout: time.Second}}
+	return &centre{Assembly: a, client: &http.Client{Timeout: time.Second}}, nil
 }
 
 // version returns the version in force at a daemon, or 0 when it does not answer.
--- a/internal/peer/exchanger/exchanger_bench_test.go
+++ b/internal/peer/exchanger/exchanger_bench_test.go
@@ -64,6 +64,9 @@
 	// loadChange is the least change in requests that is sent; tokenChange in tokens.
 	loadChange  int32
 	tokenChange int32
+	// reading is the time between two readings of a target; 0 means that the
+	// loads don't change.
+	reading time.Duration
 }
 
 func dialLoopback(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
@@ -152,20 +155,21 @@
 const (
 	meshWarmUp  = 2 * time.Second
 	meshMeasure = 4 * time.Second
-	// loadInterval is the time between two readings of a target.
-	loadInterval = 250 * time.Millisecond
+	// meshStep is the time between two looks at whether a reading is due.
+	meshStep = 250 * time.Millisecond
 )
 
 // measure lets loads change for a while and reports what one daemon spends.
-func (m *mesh) measure(b *testing.B, changing bool) {
-	ticker := time.NewTicker(loadInterval)
+func (m *mesh) measure(b *testing.B, reading time.Duration) {
+	ticker := time.NewTicker(meshStep)
 	defer ticker.Stop()
-	sequence := uint64(1)
+	sequence, changed := uint64(1), time.Now()
 	m.change(sequence)
 	run := func(d time.Duration) {
 		for end := time.Now().Add(d); time.Now().Before(end); <-ticker.C {
-			if changing {
+			if reading > 0 && time.Since(changed) >= reading-meshStep/2 {
 				sequence++
+				changed = time.Now()
 				m.change(sequence)
 			}
 		}
@@ -186,26 +190,25 @@
 // of which reads twelve targets. It runs in real time.
 func BenchmarkMesh(b *testing.B) {
 	const targets = 12
-	for _, interval := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+	paces := []meshSize{
+		{interval: 500 * time.Millisecond},
+		{interval: 500 * time.Millisecond, reading: 250 * time.Millisecond, loadChange: 1},
+		{interval: 500 * time.Millisecond, reading: 250 * time.Millisecond, loadChange: 4},
+		{interval: time.Second, reading: time.Second, loadChange: 1},
+		{interval: time.Second, reading: time.Second, loadChange: 4},
+		{interval: 2 * time.Second, reading: time.Second, loadChange: 1},
+	}
+	for _, size := range paces {
 		for _, peers := range []int{5, 15, 45} {
-			for _, least := range []int32{1, 4} {
-				size := meshSize{peers: peers, targets: targets, interval: interval, loadChange: least, tokenChange: least * DefaultTokenChange}
-				b.Run(fmt.Sprintf("interval=%s/peers=%d/least=%d", interval, peers, least), func(b *testing.B) {
-					for range b.N {
-						newMesh(b, size).measure(b, true)
-					}
-				})
-			}
+			size.peers, size.targets, size.tokenChange = peers, targets, size.loadChange*DefaultTokenChange
+			name := fmt.Sprintf("interval=%s/reading=%s/least=%d/peers=%d", size.interval, size.reading, size.loadChange, peers)
+			b.Run(name, func(b *testing.B) {
+				for range b.N {
+					newMesh(b, size).measure(b, size.reading)
+				}
+			})
 		}
 	}
-	for _, peers := range []int{5, 15, 45} {
-		size := meshSize{peers: peers, targets: targets, interval: 500 * time.Millisecond}
-		b.Run(fmt.Sprintf("idle/peers=%d", peers), func(b *testing.B) {
-			for range b.N {
-				newMesh(b, size).measure(b, false)
-			}
-		})
-	}
 }
 
 // BenchmarkPush measures the fan-out of one configuration to all peers.
--- a/internal/standin/registrar/registrar_bench_test.go
+++ b/internal/standin/registrar/registrar_bench_test.go
@@ -61,6 +61,9 @@
 	b.ReportMetric(float64(longest.Microseconds())/1000, "ms-longest")
 }
 
+// watchSettle is the time in which all watches have begun to wait.
+const watchSettle = 50 * time.Millisecond
+
 // watchOnce starts a watch by each client, writes value and waits until all have it.
 func watchOnce(b *testing.B, r *Registrar, clients []*client.HTTPClient, version uint64, value []byte) (time.Duration, uint64) {
 	var group sync.WaitGroup
@@ -72,9 +75,7 @@
 			}
 		})
 	}
-	b.StopTimer()
-	time.Sleep(50 * time.Millisecond)
-	b.StartTimer()
+	time.Sleep(watchSettle)
 	began := time.Now()
 	o, err := r.Store().Put(context.Background(), "config/fleet", value, version)
 	if err != nil {
