Pass over targets that were never heard of

Cause: Of a region's targets elsewhere nine in ten are never heard of, and each choice looked up their ownership. Change: A target without an incarnation is passed over first.

--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -113,7 +113,7 @@
 
 // usable reports whether t can take r now.
 func (s *State) usable(t *target, r *request) bool {
-	if !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
+	if t.incarnation == 0 || !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
 	if !t.local && !r.profile.SpillOver {
