--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -75,6 +75,8 @@
 	r.started = true
 	s.onAnswerFrom(r.target, ev.Incarnation)
 	s.prefilled(r)
+	s.learnLifetime(r, ev.CachedTokens)
+	s.correct(r, ev.CachedTokens)
 	s.remember(r, r.target)
 	s.unlead(r)
 	s.note(r.id, StepStarted, r.target.name, fmt.Sprintf("%d tokens from cache", ev.CachedTokens))
@@ -116,6 +118,9 @@
 	t := r.target
 	s.blame(t, ev)
 	s.unlead(r)
+	if !ev.Proven {
+		s.keepPlace(r)
+	}
 	s.release(r)
 	r.phase = phaseQueued
 	r.index = -1
@@ -248,6 +253,9 @@
 
 func (s *State) onClaimSettled(ev ClaimSettled) {
 	r := s.requests[ev.Request]
+	if r != nil && r.claimed {
+		return
+	}
 	if r == nil || r.phase != phaseClaiming {
 		if ev.Outcome == ClaimWon {
 			s.emit(ReleaseClaim{Request: ev.Request, Team: ev.Team, IdempotencyKey: ev.IdempotencyKey})
--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -8,7 +9,6 @@
 	"cardamomscale.example/cardamomscale/internal/cache/hasher"
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
-	"cardamomscale.example/cardamomscale/internal/decision/scorer"
 )
 
 // caching holds what the daemon believes of the targets' caches and of the
@@ -17,7 +17,9 @@
 	prefixes *simplelru.LRU[identifier.BlockKey, *prefix]
 	// leaders finds the request that computes a block at the moment.
 	leaders map[identifier.BlockKey]*request
-	links   map[identifier.Store]*link
+	// homeHits is the recent share of blocks that a prefix's home target held
+	// although this daemon did not know it.
+	homeHits float64
 	// counted numbers the calls of countCached.
 	counted uint64
 }
@@ -37,12 +39,8 @@
 type holding struct {
 	target      *target
 	incarnation identifier.Incarnation
-}
-
-// link is this daemon's use of one store's link.
-type link struct {
-	// transfers counts the imports and exports in progress.
-	transfers int
+	// since is when the target last used the block, as far as this daemon knows.
+	since time.Time
 }
 
 // maxHolders bounds the remembered targets of one block.
@@ -56,7 +54,7 @@
 	return caching{
 		prefixes: prefixes,
 		leaders:  map[identifier.BlockKey]*request{},
-		links:    map[identifier.Store]*link{},
+		homeHits: initialHomeHits,
 	}
 }
 
@@ -85,13 +83,13 @@
 	if len(r.keys) == 0 || len(r.keys) < r.profile.KeepMinBlocks {
 		return false
 	}
-	_, _, ok := s.storeFor(r.keys[0])
+	_, _, ok := s.storeFor(r)
 	return ok
 }
 
 func (s *State) startLookup(r *request) {
 	r.phase = phaseLookup
-	name, store, _ := s.storeFor(r.keys[0])
+	name, store, _ := s.storeFor(r)
 	s.emit(Lookup{Request: r.id, Store: name, Address: store.Address, Keys: r.keys, Timeout: lookupTimeout})
 }
 
@@ -125,8 +123,8 @@
 		}
 		for _, h := range p.holders {
 			t := h.target
-			if t != nil && h.incarnation == t.incarnation && t.cachedFor != s.counted {
-				t.cached, t.cachedFor = i+1, s.counted
+			if t != nil && h.incarnation == t.incarnation && t.cachedFor != s.counted && s.now.Sub(h.since) < t.cacheLifetime {
+				t.cached, t.cachedFor, t.cachedSince = i+1, s.counted, h.since
 			}
 		}
 	}
@@ -140,6 +138,59 @@
 	return t.cached
 }
 
+const (
+	// initialHomeHits is the assumed share before any prompt was sent.
+	initialHomeHits = 0.5
+	// homeHitsGain is the weight of one prompt in the recent share.
+	homeHitsGain = 0.05
+)
+
+// learnHomeHits takes in which share of a prompt's stored blocks the home target
+// held, although the prompt was sent there without knowing.
+func (s *State) learnHomeHits(r *request, share float64) {
+	if r.guessed {
+		s.homeHits += homeHitsGain * (min(max(share, 0), 1) - s.homeHits)
+	}
+}
+
+// Bounds of the time for which a target is believed to hold a block.
+const (
+	initialCacheLifetime = 2 * time.Second
+	minCacheLifetime     = 100 * time.Millisecond
+	maxCacheLifetime     = time.Hour
+	// lifetimeCut and lifetimeGain scale the time after a wrong and a right belief.
+	lifetimeCut  = 0.9
+	lifetimeGain = 1.25
+)
+
+// learnLifetime adjusts for how long r's target is believed to hold blocks, by
+// whether it still held those that r was sent there for.
+func (s *State) learnLifetime(r *request, cachedTokens int) {
+	if r.believed == 0 || r.imported > 0 {
+		return
+	}
+	t := r.target
+	age := s.now.Sub(r.believedSince)
+	if cachedTokens/hasher.BlockTokens < r.believed {
+		t.cacheLifetime = max(minCacheLifetime, min(t.cacheLifetime, time.Duration(lifetimeCut*float64(age))))
+		return
+	}
+	if 2*age > t.cacheLifetime {
+		t.cacheLifetime = min(maxCacheLifetime, max(t.cacheLifetime, time.Duration(lifetimeGain*float64(age))))
+	}
+}
+
+// correct takes back what the daemon believed of the target's cache beyond the
+// blocks that the target really had.
+func (s *State) correct(r *request, cachedTokens int) {
+	had := cachedTokens / hasher.BlockTokens
+	for i := had; i < len(r.keys); i++ {
+		if p, ok := s.prefixes.Peek(r.keys[i]); ok {
+			p.drop(r.target)
+		}
+	}
+}
+
 // remember notes that t holds r's blocks now.
 func (s *State) remember(r *request, t *target) {
 	for _, key := range r.keys {
@@ -149,15 +200,15 @@
 			s.prefixes.Add(key, p)
 		}
 		p.uses++
-		p.hold(t)
+		p.hold(t, s.now)
 	}
 }
 
 // hold puts t first among the holders.
-func (p *prefix) hold(t *target) {
+func (p *prefix) hold(t *target, now time.Time) {
 	p.drop(t)
 	copy(p.holders[1:], p.holders[:maxHolders-1])
-	p.holders[0] = holding{target: t, incarnation: t.incarnation}
+	p.holders[0] = holding{target: t, incarnation: t.incarnation, since: now}
 }
 
 // drop removes t and moves the holders behind it up.
@@ -178,7 +229,7 @@
 	}
 	for _, key := range ev.Stored {
 		if p, ok := s.prefixes.Peek(key); ok {
-			p.hold(t)
+			p.hold(t, s.now)
 		}
 	}
 	for _, key := range ev.Evicted {
@@ -188,82 +239,18 @@
 	}
 }
 
-// linkFor describes the free share of the link between r's store and the targets.
-func (s *State) linkFor(r *request) scorer.Link {
-	if len(r.stored) == 0 {
-		return scorer.Link{}
-	}
-	name, store, ok := s.storeFor(r.keys[0])
-	if !ok {
-		return scorer.Link{}
-	}
-	return scorer.Link{
-		BytesPerSecond: float64(s.linkRate(name, store, r.profile)),
-		BlockBytes:     float64(s.fleet.Models[r.prompt.Model].BlockBytes),
-		Latency:        importLatency,
-	}
-}
-
-// importLatency is the fixed cost of one import order.
-const importLatency = 5 * time.Millisecond
-
-// linkRate returns the rate that one more transfer of this daemon may use, in
-// bytes per second. The profile's share of the link is divided evenly among the
-// live daemons, so that together they stay within it.
-func (s *State) linkRate(name identifier.Store, store specifier.Store, profile *specifier.Profile) int64 {
-	share := float64(store.LinkBytesPerSecond) * profile.LinkShare / float64(len(s.hosts))
-	return int64(share / float64(s.linkOf(name).transfers+1))
-}
-
-func (s *State) linkOf(name identifier.Store) *link {
-	l := s.links[name]
-	if l == nil {
-		l = &link{}
-		s.links[name] = l
-	}
-	return l
-}
-
-func (s *State) startImport(r *request, c choice) {
-	name, store, _ := s.storeFor(r.keys[0])
-	rate := s.linkRate(name, store, r.profile)
-	s.linkOf(name).transfers++
-	r.phase = phaseImporting
-	s.lead(r)
-	s.emit(Import{
-		Request: r.id, Target: c.target.name, TargetAddress: c.target.spec.Address,
-		Store: name, StoreAddress: store.Address,
-		Model: r.prompt.Model, Version: r.version,
-		Blocks: r.stored, BytesPerSecond: rate, Timeout: r.deadline.Sub(s.now),
-	})
+func (s *State) noteImport(r *request, ev ImportDone) {
+	s.note(r.id, StepImported, ev.Target, fmt.Sprintf("%d blocks, %d bytes from %s in %s", ev.Blocks, ev.Bytes, ev.Store, ev.Took))
 }
 
-func (s *State) onImportDone(ev ImportDone) {
-	s.linkOf(ev.Store).transfers--
-	r := s.requests[ev.Request]
-	if r == nil || r.phase != phaseImporting {
-		return
-	}
-	s.note(r.id, StepImported, ev.Target, "")
-	if ev.Failed {
-		r.stored = nil
-	}
-	if !s.stillUsable(r) {
-		s.unlead(r)
-		s.release(r)
-		s.requeue(r)
-		return
-	}
-	s.start(r)
-}
-
-// stillUsable reports whether r's reserved target can still take it.
+// stillUsable reports whether r's reserved target can still take it. A place on
+// a warm target says nothing once the target has turned cold.
 func (s *State) stillUsable(r *request) bool {
 	t := r.target
-	if !s.takesWork(t) || t.open(s.now) {
+	if !s.takesWork(t) || t.open(s.now) || t.incarnation != r.incarnation {
 		return false
 	}
-	return !t.cold || s.owns(t) || r.permitFrom != ""
+	return !t.cold || !r.cutoff.IsZero() && (s.owns(t) || r.permitFrom != "")
 }
 
 // lead makes r the one that computes its blocks; later requests may follow it.
@@ -315,7 +302,7 @@
 	if !r.profile.Keep || r.profile.Policy != specifier.PolicyFull || len(r.keys) < max(1, r.profile.KeepMinBlocks) {
 		return
 	}
-	name, store, ok := s.storeFor(r.keys[0])
+	name, store, ok := s.storeFor(r)
 	if !ok || len(r.stored) >= len(r.keys) {
 		return
 	}
@@ -323,11 +310,9 @@
 	if len(keys) == 0 {
 		return
 	}
-	rate := s.linkRate(name, store, r.profile)
-	s.linkOf(name).transfers++
-	s.emit(Export{
+	s.startExport(r, Export{
 		Target: t.name, TargetAddress: t.spec.Address, Store: name, StoreAddress: store.Address,
-		Keys: keys, BytesPerSecond: rate, Timeout: exportTimeout,
+		Keys: keys, Timeout: exportTimeout,
 	})
 }
 
@@ -347,7 +332,3 @@
 	}
 	return keys
 }
-
-func (s *State) onExportDone(ev ExportDone) {
-	s.linkOf(ev.Store).transfers--
-}
--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -20,8 +20,8 @@
 	serviceOf map[identifier.Model]identifier.Service
 	// profiles finds the profile that each service picks.
 	profiles map[identifier.Service]*specifier.Profile
-	// stores lists the names of this data centre's stores that take blocks, in order.
-	stores []string
+	// stores lists the names of each data centre's stores that take blocks, in order.
+	stores map[identifier.DataCentre][]string
 	// leaving holds the targets that the membership list calls leaving.
 	leaving map[identifier.Target]bool
 }
@@ -48,6 +48,7 @@
 	s.indexServices()
 	s.indexStores()
 	s.rebuildTargets()
+	s.groupHosts()
 	s.forgetUnconfigured()
 	s.assignTargets()
 }
@@ -77,13 +78,15 @@
 }
 
 func (s *State) indexStores() {
-	s.stores = nil
+	s.stores = map[identifier.DataCentre][]string{}
 	for name, store := range s.fleet.Stores {
-		if store.DataCentre == s.cfg.DataCentre && store.State != specifier.StateOut {
-			s.stores = append(s.stores, string(name))
+		if store.State != specifier.StateOut {
+			s.stores[store.DataCentre] = append(s.stores[store.DataCentre], string(name))
 		}
 	}
-	slices.Sort(s.stores)
+	for _, names := range s.stores {
+		slices.Sort(names)
+	}
 }
 
 // forgetUnconfigured drops what is kept of teams and stores that the
@@ -94,8 +97,8 @@
 			delete(s.buckets, name)
 		}
 	}
-	for name, l := range s.links {
-		if _, ok := s.fleet.Stores[name]; !ok && l.transfers == 0 {
+	for name := range s.links {
+		if _, ok := s.fleet.Stores[name]; !ok {
 			delete(s.links, name)
 		}
 	}
@@ -143,11 +146,17 @@
 	return s.fleet.DataCentres[t.spec.DataCentre].State != specifier.StateOut
 }
 
-// storeFor returns the store of this data centre that keeps the prefix of key.
-func (s *State) storeFor(key identifier.BlockKey) (identifier.Store, specifier.Store, bool) {
-	if len(s.stores) == 0 {
+// storeFor returns the store that keeps r's prefix: one in the data centre of the
+// prefix's home target, so that all daemons ask the same one.
+func (s *State) storeFor(r *request) (identifier.Store, specifier.Store, bool) {
+	centre := s.cfg.DataCentre
+	if home := s.homeOf(r, s.byService[r.service]); home != nil {
+		centre = home.spec.DataCentre
+	}
+	stores := s.stores[centre]
+	if len(stores) == 0 {
 		return "", specifier.Store{}, false
 	}
-	best := identifier.Store(first(key.String(), s.stores))
+	best := identifier.Store(first(r.keys[0].String(), stores))
 	return best, s.fleet.Stores[best], true
 }
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -147,11 +147,46 @@
 type ExportDone struct {
 	Target identifier.Target
 	Store  identifier.Store
+	// Asked and Blocks count the blocks that were asked for and that were exported.
+	Asked  int
 	Blocks int
 	Bytes  int64
 	Failed bool
 }
 
+// LinkAsked reports that a peer wants a time on the link of a store whose link
+// keeper this daemon is.
+type LinkAsked struct {
+	// Call identifies the question for the answer.
+	Call  uint64
+	Store identifier.Store
+	Bytes int64
+	// Share is the part of the link that the asker's profile permits, from 0 to 1.
+	Share float64
+	// Export is true for an export, which gives way to imports.
+	Export bool
+}
+
+// LinkSettled brings the link keeper's answer to AskLink.
+type LinkSettled struct {
+	Request identifier.Request
+	Store   identifier.Store
+	Export  bool
+	Granted bool
+	// Failed is true when the keeper gave no answer.
+	Failed bool
+	// Wait is how long the transfer waits for its time.
+	Wait time.Duration
+}
+
+// LinkReturned reports that a transfer used less of the link than was handed out.
+type LinkReturned struct {
+	Store identifier.Store
+	// Bytes is what was not used; negative when more was used.
+	Bytes int64
+	Share float64
+}
+
 // ClaimSettled reports the outcome of a claim on a request that must not run twice.
 type ClaimSettled struct {
 	Request        identifier.Request
@@ -224,7 +259,7 @@
 	TakenOver bool
 }
 
-// PeersChanged brings the live daemons of this daemon's data centre, itself included.
+// PeersChanged brings the live daemons that this daemon hears, itself included.
 type PeersChanged struct{ Hosts []identifier.Host }
 
 // MembersChanged brings the targets that the membership list calls leaving.
@@ -238,6 +273,9 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number counts the request's questions, so that a late return of one permit
+	// does not end a later one.
+	Number int
 	// Term is how long the request may run at most.
 	Term time.Duration
 }
@@ -246,12 +284,18 @@
 type PermitSettled struct {
 	Owner   identifier.Host
 	Request identifier.Request
+	// Number is that of the question.
+	Number  int
 	Target  identifier.Target
 	Granted bool
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
-	// Incarnation is the one that the owner gave leave for.
+	// Incarnation is the one that the owner gave leave for, or knows to be warm.
 	Incarnation identifier.Incarnation
+	// Warm says that the owner knows the target to be warm, by a report that was
+	// Age old when it answered.
+	Warm bool
+	Age  time.Duration
 	// Asked is when the question was sent; the permit's term counts from it.
 	Asked time.Time
 }
@@ -261,6 +305,8 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number is that of the question by which the permit was got.
+	Number int
 }
 
 // DrainStarted reports that this daemon is shutting down.
@@ -278,6 +324,9 @@
 func (LookupDone) isEvent()        {}
 func (ImportDone) isEvent()        {}
 func (ExportDone) isEvent()        {}
+func (LinkAsked) isEvent()         {}
+func (LinkSettled) isEvent()       {}
+func (LinkReturned) isEvent()      {}
 func (ClaimSettled) isEvent()      {}
 func (LoadObserved) isEvent()      {}
 func (IncarnationSeen) isEvent()   {}
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -10,11 +11,15 @@
 
 // owning holds which targets this daemon owns and the permits it gave for them.
 type owning struct {
+	// live are all live daemons that are heard, this one included.
+	live []identifier.Host
 	// hosts are the live daemons of the data centre, this one included.
 	hosts []identifier.Host
-	// hostNames are the same as text, for rendezvous hashing.
-	hostNames []string
+	// hostNames are the live daemons of each data centre as text, for rendezvous hashing.
+	hostNames map[identifier.DataCentre][]string
 	owned     map[identifier.Target]*ownership
+	// asked holds the questions for permits that have no answer yet.
+	asked map[permitKey]bool
 	// wanted and read are the targets that the last effects named.
 	wanted []identifier.Target
 	read   []TargetAddress
@@ -25,24 +30,34 @@
 // ownership is the right to say who uses a cold target.
 type ownership struct {
 	fence uint64
-	// until is when the right ends unless it is renewed.
+	// until is when the right ends unless it is renewed; zero while it is lost.
 	until time.Time
 	// usable is when permits of earlier owners have ended.
-	usable  time.Time
-	permits map[permitKey]time.Time
+	usable time.Time
+	// permits outlive a loss of the right, which may come back under the same fence.
+	permits map[permitKey]permit
 }
 
-// permitKey names one permit of a peer.
+// permitKey names one permit of a peer, or one place of this daemon.
 type permitKey struct {
 	host    identifier.Host
 	request identifier.Request
+	number  int
+}
+
+// permit is a place on a cold target that may be in use.
+type permit struct {
+	until time.Time
+	// incarnation is the only one of the target that the request can reach.
+	incarnation identifier.Incarnation
 }
 
 func newOwning(self identifier.Host) owning {
 	return owning{
-		hosts:     []identifier.Host{self},
-		hostNames: []string{string(self)},
-		owned:     map[identifier.Target]*ownership{},
+		live:  []identifier.Host{self},
+		hosts: []identifier.Host{self},
+		owned: map[identifier.Target]*ownership{},
+		asked: map[permitKey]bool{},
 	}
 }
 
@@ -52,17 +67,30 @@
 		hosts = append(hosts, s.cfg.Host)
 	}
 	slices.Sort(hosts)
-	if slices.Equal(hosts, s.hosts) {
+	if slices.Equal(hosts, s.live) {
 		return
 	}
-	s.hosts = hosts
-	s.hostNames = nil
-	for _, host := range hosts {
-		s.hostNames = append(s.hostNames, string(host))
-	}
+	s.live = hosts
+	s.groupHosts()
 	s.assignTargets()
 }
 
+// groupHosts sorts the live daemons by their data centres.
+func (s *State) groupHosts() {
+	s.hosts = nil
+	s.hostNames = map[identifier.DataCentre][]string{}
+	for _, host := range s.live {
+		centre := s.fleet.Hosts[host].DataCentre
+		if host == s.cfg.Host {
+			centre = s.cfg.DataCentre
+		}
+		s.hostNames[centre] = append(s.hostNames[centre], string(host))
+		if centre == s.cfg.DataCentre {
+			s.hosts = append(s.hosts, host)
+		}
+	}
+}
+
 // assignTargets states which targets this daemon owns and reads: those of its
 // data centre for which it is first among the live daemons.
 func (s *State) assignTargets() {
@@ -99,7 +127,7 @@
 // nothing in use.
 func (s *State) usesCold(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && t.cold && t.inflight+len(own.permits) > 0
+	return own != nil && !own.until.IsZero() && t.cold && t.inflight+len(own.permits) > 0
 }
 
 // coldInUse reports whether any owned target is cold and in use.
@@ -127,25 +155,33 @@
 }
 
 func (s *State) onOwnershipChanged(ev OwnershipChanged) {
+	own := s.owned[ev.Target]
 	if !ev.Held {
-		delete(s.owned, ev.Target)
+		if own != nil {
+			own.until = time.Time{}
+		}
 		return
 	}
-	own := s.owned[ev.Target]
-	if own == nil || own.fence != ev.Fence {
-		own = &ownership{fence: ev.Fence, permits: map[permitKey]time.Time{}}
+	if own == nil {
+		own = &ownership{permits: map[permitKey]permit{}}
 		s.owned[ev.Target] = own
-		if ev.TakenOver {
-			own.usable = s.now.Add(maxColdUse + permitMargin)
-		}
 	}
+	if ev.Fence < own.fence {
+		return
+	}
+	if own.fence != ev.Fence && ev.TakenOver {
+		own.usable = s.now.Add(maxColdUse + permitMargin)
+	}
+	own.fence = ev.Fence
 	own.until = ev.Until
 }
 
-// owns reports whether this daemon may say now who uses t.
+// owns reports whether this daemon may say now who uses t. A target that it
+// gives up is owned no more from the moment when that is decided, since its next
+// owner finds no record and does not wait.
 func (s *State) owns(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && s.now.Before(own.until)
+	return own != nil && s.now.Before(own.until) && slices.Contains(s.wanted, t.name) && !s.drained
 }
 
 // coldRoom reports whether this daemon, as the owner, may put one more request
@@ -181,24 +217,40 @@
 	}
 }
 
-// askable returns a cold target of this data centre whose owner may give leave
-// to run r there, or nil.
+// askable returns a cold target whose owner may give leave to run r there, or
+// nil. Targets of the own data centre go first.
 func (s *State) askable(r *request) *target {
+	var remote *target
 	for _, t := range s.byService[r.service] {
-		if !t.cold || t.incarnation == 0 || t.asking || s.now.Before(t.askAfter) || t.open(s.now) || r.tried[t.name] {
+		if !s.mayAsk(t, r) {
 			continue
 		}
-		if t.spec.DataCentre != s.cfg.DataCentre || !s.takesWork(t) || s.expectedOwner(t) == s.cfg.Host {
-			continue
+		if t.spec.DataCentre == s.cfg.DataCentre {
+			return t
+		}
+		if remote == nil {
+			remote = t
 		}
-		return t
 	}
-	return nil
+	return remote
+}
+
+// mayAsk reports whether t's owner may be asked for leave to run r.
+func (s *State) mayAsk(t *target, r *request) bool {
+	if !t.cold || t.incarnation == 0 || t.asking || s.now.Before(t.askAfter) || t.open(s.now) || r.tried[t.name] {
+		return false
+	}
+	if t.spec.DataCentre != s.cfg.DataCentre && !r.profile.SpillOver {
+		return false
+	}
+	owner := s.expectedOwner(t)
+	return s.takesWork(t) && owner != s.cfg.Host && owner != ""
 }
 
-// expectedOwner returns the live daemon that should own t.
+// expectedOwner returns the live daemon that should own t, or "" when none of
+// t's data centre is heard.
 func (s *State) expectedOwner(t *target) identifier.Host {
-	return identifier.Host(first(string(t.name), s.hostNames))
+	return identifier.Host(first(string(t.name), s.hostNames[t.spec.DataCentre]))
 }
 
 // askForPermit asks a cold target's owner for leave to run r there, and reports
@@ -209,31 +261,45 @@
 		return false
 	}
 	t.asking = true
+	r.asks++
+	s.asked[permitKey{s.cfg.Host, r.id, r.asks}] = true
 	r.phase = phasePermit
 	term := min(r.deadline.Sub(s.now), maxColdUse)
-	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Target: t.name, Term: term})
+	s.emit(AskPermit{Owner: s.expectedOwner(t), Request: r.id, Number: r.asks, Target: t.name, Term: term})
 	return true
 }
 
 func (s *State) onPermitAsked(ev PermitAsked) {
 	t, own := s.targets[ev.Target], s.owned[ev.Target]
-	if t == nil || own == nil || !t.cold || !s.takesWork(t) || !s.coldRoom(t) {
+	if t != nil && own != nil && !t.cold && s.owns(t) {
+		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry, Warm: true, Incarnation: t.incarnation, Age: s.now.Sub(t.heard)})
+		return
+	}
+	if t == nil || !s.takesWork(t) || !s.hasRoom(t) {
 		s.emit(AnswerPermit{Call: ev.Call, RetryAfter: permitRetry})
 		return
 	}
-	own.permits[permitKey{ev.From, ev.Request}] = s.now.Add(min(ev.Term, maxColdUse) + permitMargin)
+	if own != nil {
+		until := s.now.Add(min(ev.Term, maxColdUse) + permitMargin)
+		own.permits[permitKey{ev.From, ev.Request, ev.Number}] = permit{until, t.incarnation}
+	}
 	s.emit(AnswerPermit{Call: ev.Call, Granted: true, Incarnation: t.incarnation})
 }
 
 func (s *State) onPermitReturned(ev PermitReturned) {
 	if own := s.owned[ev.Target]; own != nil {
-		delete(own.permits, permitKey{ev.From, ev.Request})
+		delete(own.permits, permitKey{ev.From, ev.Request, ev.Number})
 	}
 }
 
 // onPermitSettled starts the request if its owner gave leave, and puts it back
 // into the queue otherwise.
 func (s *State) onPermitSettled(ev PermitSettled) {
+	question := permitKey{s.cfg.Host, ev.Request, ev.Number}
+	if !s.asked[question] {
+		return
+	}
+	delete(s.asked, question)
 	t := s.targets[ev.Target]
 	if t != nil {
 		t.asking = false
@@ -242,12 +308,15 @@
 		}
 	}
 	if ev.Granted {
-		s.onIncarnationSeen(ev.Target, ev.Incarnation, true)
+		s.learn(ev.Target, ev.Incarnation, true)
+	}
+	if ev.Warm {
+		s.onOwnerWarm(t, ev)
 	}
 	r := s.requests[ev.Request]
-	waiting := r != nil && r.phase == phasePermit
+	waiting := r != nil && r.phase == phasePermit && r.asks == ev.Number
 	if ev.Granted && (!waiting || !s.permitUsable(t, ev)) {
-		s.emit(ReturnPermit{Owner: ev.Owner, Request: ev.Request, Target: ev.Target})
+		s.emit(ReturnPermit{Owner: ev.Owner, Request: ev.Request, Number: ev.Number, Target: ev.Target})
 	}
 	switch {
 	case !waiting:
@@ -259,6 +328,17 @@
 	}
 }
 
+// onOwnerWarm ends the suspicion that t has turned cold, if its owner has read
+// a later report of the same incarnation.
+func (s *State) onOwnerWarm(t *target, ev PermitSettled) {
+	asOf := ev.Asked.Add(-ev.Age)
+	if t == nil || ev.Incarnation != t.incarnation || !asOf.After(t.heard) {
+		return
+	}
+	t.heard = asOf
+	s.onIncarnationSeen(t.name, ev.Incarnation, false)
+}
+
 // permitUsable reports whether a granted permit still fits what is known of t.
 func (s *State) permitUsable(t *target, ev PermitSettled) bool {
 	return t != nil && s.takesWork(t) && ev.Incarnation == t.incarnation && s.now.Before(ev.Asked.Add(maxColdUse))
@@ -277,17 +357,42 @@
 	if r.permitFrom == "" {
 		return
 	}
-	s.emit(ReturnPermit{Owner: r.permitFrom, Request: r.id, Target: r.target.name})
+	s.emit(ReturnPermit{Owner: r.permitFrom, Request: r.id, Number: r.asks, Target: r.target.name})
 	r.permitFrom = ""
 }
 
-// expirePermits forgets the permits that no daemon can still use, in a fixed order.
+// keepPlace counts r's place on a cold target as used until its attempt ends by
+// itself, because the target may still run it.
+func (s *State) keepPlace(r *request) {
+	if r.cutoff.IsZero() || r.target.incarnation != r.incarnation {
+		return
+	}
+	if r.permitFrom != "" {
+		r.permitFrom = "" // The owner's record of the permit ends by its term.
+		return
+	}
+	if own := s.owned[r.target.name]; own != nil {
+		until := earlier(r.deadline, r.cutoff).Add(permitMargin)
+		own.permits[permitKey{s.cfg.Host, r.id, r.number}] = permit{until, r.incarnation}
+	}
+}
+
+// endPermits forgets the permits for earlier incarnations of t, which run nothing any more.
+func (s *State) endPermits(t *target) {
+	own := s.owned[t.name]
+	if own == nil {
+		return
+	}
+	maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return p.incarnation < t.incarnation })
+}
+
+// expirePermits forgets the permits that no daemon can still use, and the lost
+// ownerships that have none left.
 func (s *State) expirePermits() {
-	for _, own := range s.owned {
-		for key, until := range own.permits {
-			if s.now.After(until) {
-				delete(own.permits, key)
-			}
+	for name, own := range s.owned {
+		maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return s.now.After(p.until) })
+		if own.until.IsZero() && len(own.permits) == 0 && !s.now.Before(own.usable) {
+			delete(s.owned, name)
 		}
 	}
 }
--- a/internal/decision/reducer/queueing.go
+++ b/internal/decision/reducer/queueing.go
@@ -164,25 +164,50 @@
 	return list
 }
 
-// dispatch sends queued requests to targets until none has room.
+// dispatchDepth is the number of requests at the head of a queue of which any may
+// be sent, so that one that waits for its target does not hold up the others.
+const dispatchDepth = 16
+
+// dispatch sends queued requests to targets, in the order of their fair shares,
+// as far as targets have room.
 func (s *State) dispatch() {
 	for _, service := range s.services {
 		q := s.queues[service]
 		if q == nil {
 			continue
 		}
-		for len(q.waiting) > 0 {
-			r := q.waiting[0]
-			if !s.place(r) {
-				break
-			}
-			q.virtual = max(q.virtual, r.start)
-			if r.index >= 0 {
-				heap.Remove(&q.waiting, r.index)
-			}
-		}
+		s.dispatchQueue(q)
 		if len(q.waiting) == 0 && len(q.finish) > 0 {
 			clear(q.finish)
 		}
 	}
 }
+
+func (s *State) dispatchQueue(q *fairQueue) {
+	var held []*request
+	for len(q.waiting) > 0 && len(held) < dispatchDepth {
+		r := heap.Pop(&q.waiting).(*request)
+		s.allowTried(r)
+		if !s.place(r) {
+			held = append(held, r)
+			continue
+		}
+		q.virtual = max(q.virtual, r.start)
+	}
+	for _, r := range held {
+		heap.Push(&q.waiting, r)
+	}
+}
+
+// allowTried lets r go to the targets that it failed at when no other one takes work.
+func (s *State) allowTried(r *request) {
+	if len(r.tried) == 0 {
+		return
+	}
+	for _, t := range s.byService[r.service] {
+		if !r.tried[t.name] && s.takesWork(t) && !t.open(s.now) && t.incarnation != 0 {
+			return
+		}
+	}
+	clear(r.tried)
+}
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -49,6 +49,7 @@
 	routing
 	attempts
 	caching
+	linking
 	owning
 	draining
 }
@@ -72,7 +73,9 @@
 	s.routing = newRouting()
 	s.attempts = newAttempts()
 	s.caching = newCaching(cfg.MaxPrefixes)
+	s.linking = newLinking()
 	s.owning = newOwning(cfg.Host)
+	s.groupHosts()
 	return s
 }
 
@@ -138,6 +141,12 @@
 		s.onPeersChanged(ev)
 	case MembersChanged:
 		s.onMembersChanged(ev)
+	case LinkAsked:
+		s.onLinkAsked(ev)
+	case LinkSettled:
+		s.onLinkSettled(ev)
+	case LinkReturned:
+		s.onLinkReturned(ev)
 	case PermitAsked:
 		s.onPermitAsked(ev)
 	case PermitSettled:
@@ -155,6 +164,7 @@
 
 func (s *State) onTick() {
 	s.expireQueued()
+	s.retryExports()
 	s.expirePermits()
 	if s.lingering {
 		s.assignTargets()
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -46,6 +46,21 @@
 	prompt *Prompt
 	call   *Call
 
+	// importBytes is the size of the import that is asked for, importing is true
+	// while it runs, and imported counts the blocks that it brought.
+	importBytes int64
+	// askedBytes is for how much of it time on the link was asked.
+	askedBytes int64
+	importing  bool
+	imported   int
+	// guessed is true when the target was chosen as the prefix's home without
+	// knowing what its cache holds.
+	guessed bool
+	// believed is the number of blocks that the target was believed to hold, and
+	// believedSince when it was last known to.
+	believed      int
+	believedSince time.Time
+
 	version identifier.WeightVersion
 	keys    []identifier.BlockKey
 	stored  []StoredBlock
@@ -64,6 +79,10 @@
 	tried     map[identifier.Target]bool
 	// permitFrom is the owner that gave leave for the present target, or empty.
 	permitFrom identifier.Host
+	// asks counts the questions for permits; the last one's number is a permit's.
+	asks int
+	// incarnation is that of the target when it was chosen.
+	incarnation identifier.Incarnation
 	// sendBy and cutoff bound the sending and the running on a cold target.
 	sendBy time.Time
 	cutoff time.Time
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -62,6 +62,7 @@
 // reserve takes a place on the chosen target.
 func (s *State) reserve(r *request, c choice) {
 	r.target = c.target
+	r.incarnation = c.target.incarnation
 	r.computing = c.plan.ComputedTokens
 	c.target.inflight++
 	c.target.pendingTokens += r.computing
@@ -190,36 +191,77 @@
 }
 
 // chooseByFirstToken takes the target with the shortest expected time to the
-// first token. Among equal ones the rendezvous order of the prefix decides, so
-// that all daemons agree on a home for it.
+// first token. The prefix's home is the same for all daemons; unless another
+// target is known to hold more of the prompt, the home is expected to hold a
+// part of it, so that prompts with one prefix meet on one target.
 func (s *State) chooseByFirstToken(r *request, candidates []*target) (choice, bool) {
 	s.countCached(r)
 	home := s.homeOf(r, candidates)
 	link := s.linkFor(r)
-	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored)}
+	prompt := scorer.Prompt{Tokens: r.prompt.Tokens, BlockTokens: hasher.BlockTokens, StoredBlocks: len(r.stored), ComputeWeight: s.computeWeight(r)}
 	var best choice
+	var bestScore time.Duration
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
 		plan := scorer.Best(prompt, s.scored(t, s.cachedOn(t)), link)
-		score := plan.FirstToken
+		score := plan.Score
 		if t == home {
-			score -= homeBonus
+			score -= s.homeAdvantage(r, t, s.cachedOn(t))
 		}
-		if best.target == nil || score < best.plan.FirstToken {
-			best = choice{target: t, plan: plan}
-			best.plan.FirstToken = score
+		if best.target == nil || score < bestScore {
+			best, bestScore = choice{target: t, plan: plan}, score
 		}
 	}
-	return best, best.target != nil
+	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
+		return choice{}, false
+	}
+	r.believed = s.cachedOn(best.target)
+	r.believedSince = best.target.cachedSince
+	r.guessed = best.target == home && r.believed == 0 && len(r.stored) > 0
+	return best, true
+}
+
+// maxTargetWait is the longest queue of prompts that is built up at a target.
+// Beyond it a request waits in the daemon, where it can still go elsewhere, and
+// where its place depends on its team and class.
+const maxTargetWait = 400 * time.Millisecond
+
+// newPrefixAdvantage is the share of a prompt's blocks that its home target is
+// expected to save later prompts, when nothing of it was stored yet.
+const newPrefixAdvantage = 0.6
+
+// homeAdvantage is what the home target is expected to save by blocks that this
+// daemon does not know it to hold, because other daemons sent them, or that later
+// prompts will find there.
+func (s *State) homeAdvantage(r *request, t *target, cached int) time.Duration {
+	share := newPrefixAdvantage
+	if len(r.stored) > 0 {
+		share = max(share, s.homeHits)
+	}
+	unknown := max(0, len(r.keys)-cached)
+	tokens := share * float64(unknown*hasher.BlockTokens)
+	return time.Duration((1 + s.computeWeight(r)) * tokens / t.rate() * float64(time.Second))
 }
 
-// homeBonus is by how much a prefix's home target may be slower than others and
-// still be chosen.
-const homeBonus = 50 * time.Millisecond
+// Weights of computed work against the time to the first token. Work that is
+// computed again delays other prompts too.
+const (
+	computeWeightFirstToken = 1.5
+	computeWeightService    = 3
+)
 
-// homeOf returns the rendezvous choice for r's first block, usable or not.
+func (s *State) computeWeight(r *request) float64 {
+	if r.profile.Weighs == specifier.WeighsService {
+		return computeWeightService
+	}
+	return computeWeightFirstToken
+}
+
+// homeOf returns the rendezvous choice for r's first block, whether it has room
+// or not. All daemons of a region choose the same one, if work may go to other
+// data centres.
 func (s *State) homeOf(r *request, candidates []*target) *target {
 	if len(r.keys) == 0 {
 		return nil
@@ -228,7 +270,7 @@
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
-		if !t.local || !s.takesWork(t) {
+		if !s.takesWork(t) || !t.local && !r.profile.SpillOver {
 			continue
 		}
 		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
@@ -238,11 +280,15 @@
 	return best
 }
 
+// queueWait estimates how long a prompt waits at t before its prefill starts.
+func (s *State) queueWait(t *target) time.Duration {
+	waiting := max(t.pendingTokens, t.reportedQueue)
+	return time.Duration(float64(waiting) / t.rate() * float64(time.Second))
+}
+
 // scored describes t to the scorer.
 func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
-	waiting := max(t.pendingTokens, t.reportedQueue)
-	wait := time.Duration(float64(waiting) / t.rate() * float64(time.Second))
-	st := scorer.Target{QueueWait: wait, PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
+	st := scorer.Target{QueueWait: s.queueWait(t), PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
 	if !t.local {
 		st.Penalty = t.profile.SpillOverPenalty.Duration
 	}
--- a/internal/decision/reducer/tables_test.go
+++ b/internal/decision/reducer/tables_test.go
@@ -27,10 +27,6 @@
 	}
 	assert.Equal(t, len(s.buckets), size.teams)
 	assert.Assert(t, len(s.links) > 0)
-	for name := range s.links {
-		s.onExportDone(ExportDone{Store: name})
-		s.links[name].transfers = 0
-	}
 	small := size
 	small.teams, small.services, small.targets = 2, 1, 3
 	next := benchFleet(small)
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -23,6 +23,8 @@
 	around *surroundings
 	// offer hands a configuration of a peer to the watcher.
 	offer func(version uint64, raw []byte)
+	// members takes in the membership lists of peers.
+	members *membership
 
 	mu       sync.Mutex
 	fleet    specifier.Fleet
@@ -51,8 +53,8 @@
 	regionMeshLimit = 64
 	// remoteSample is the number of peers in each other data centre of a larger region.
 	remoteSample = 4
-	// permitTimeout bounds the reducer's answer to a permit.
-	permitTimeout = 200 * time.Millisecond
+	// answerTimeout bounds the reducer's answer to a peer.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // adopt takes over a version of the configuration.
@@ -126,9 +128,11 @@
 		p.around.post(reducer.LoadObserved{
 			Target: load.Target, Incarnation: load.Incarnation, Cold: load.Cold,
 			Running: int(load.Running), Queued: int(load.Queued), QueuedTokens: int(load.QueuedTokens),
-			Age: time.Duration(load.AgeMilliseconds) * time.Millisecond,
+			PrefillTokensPerSecond: float64(load.PrefillTokensPerSecond),
+			Age:                    time.Duration(load.AgeMilliseconds) * time.Millisecond,
 		})
 	}
+	p.members.offer(c.Membership)
 	p.mu.Lock()
 	p.heard[c.From] = p.around.clock.Now()
 	p.versions[c.From] = c.ConfigVersion
@@ -177,9 +181,23 @@
 	p.tellLive()
 }
 
-// tellLive gives the reducer the live daemons of the data centre.
+// tellLive gives the reducer the live daemons.
 func (p *peers) tellLive() {
-	p.around.post(reducer.PeersChanged{Hosts: p.liveHosts()})
+	p.around.post(reducer.PeersChanged{Hosts: p.heardHosts()})
+}
+
+// heardHosts returns the live daemons of all data centres in order, this one included.
+func (p *peers) heardHosts() []identifier.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := []identifier.Host{p.around.cfg.Settings.Host}
+	for host, live := range p.live {
+		if live && !p.leaving[host] {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
 }
 
 // liveHosts returns the live daemons of the data centre in order, this one included.
@@ -249,37 +267,23 @@
 
 // OnPermit asks the reducer whether a peer may use a cold target.
 func (p *peers) OnPermit(m describer.Permit) (describer.PermitReply, error) {
-	call, answer := p.around.expectAnswer()
-	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Term: m.Term})
+	call, answer := p.around.permits.expect()
+	p.around.post(reducer.PermitAsked{Call: call, From: m.From, Target: m.Target, Request: m.Request, Number: m.Number, Term: m.Term})
 	select {
 	case a := <-answer:
-		return describer.PermitReply{Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation}, nil
-	case <-p.around.clock.After(permitTimeout):
-		p.around.forgetAnswer(call)
-		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+		return describer.PermitReply{
+			Granted: a.Granted, RetryAfter: a.RetryAfter, Incarnation: a.Incarnation, Warm: a.Warm, Age: a.Age,
+		}, nil
+	case <-p.around.clock.After(answerTimeout):
+		p.around.permits.forget(call)
+		p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 		return describer.PermitReply{}, newError("permit", KindRun, errNoAnswer)
 	}
 }
 
-// expectAnswer registers a question to the reducer.
-func (s *surroundings) expectAnswer() (uint64, <-chan reducer.AnswerPermit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	ch := make(chan reducer.AnswerPermit, 1)
-	s.answers[s.calls] = ch
-	return s.calls, ch
-}
-
-func (s *surroundings) forgetAnswer(call uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.answers, call)
-}
-
 // OnRelease takes back a permit.
 func (p *peers) OnRelease(m describer.ReleasePermit) (describer.ReleasePermitReply, error) {
-	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request})
+	p.around.post(reducer.PermitReturned{From: m.From, Target: m.Target, Request: m.Request, Number: m.Number})
 	return describer.ReleasePermitReply{Released: true}, nil
 }
 
--- a/internal/entry/daemon/peers_test.go
+++ b/internal/entry/daemon/peers_test.go
@@ -20,7 +20,9 @@
 	clock := clockwork.NewFakeClock()
 	cfg := Config{}
 	cfg.Settings.Host, cfg.Settings.DataCentre = "entry-1", "dc"
-	p := newPeers(&surroundings{cfg: cfg, clock: clock, post: func(reducer.Event) {}})
+	around := &surroundings{cfg: cfg, clock: clock, post: func(reducer.Event) {}}
+	p := newPeers(around)
+	newMembership(around, nil, p)
 	heartbeat := func(from identifier.Host) {
 		p.OnHeartbeat(describer.Heartbeat{Content: describer.Content{From: from}}.Content)
 	}
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -35,15 +35,16 @@
 	owners  owners
 	claims  *claims
 	drained chan struct{}
+	permits *questions[reducer.AnswerPermit]
+	links   *questions[reducer.AnswerLink]
 
-	mu       sync.Mutex
-	believed map[identifier.Target]identifier.Incarnation
-	loads    map[identifier.Target]exchanger.Load
-	answers  map[uint64]chan reducer.AnswerPermit
-	calls    uint64
-	wanted   []identifier.Target
-	version  uint64
-	leaving  bool
+	mu         sync.Mutex
+	believed   map[identifier.Target]identifier.Incarnation
+	loads      map[identifier.Target]exchanger.Load
+	wanted     []identifier.Target
+	version    uint64
+	membership describer.Membership
+	leaving    bool
 }
 
 // owners is the daemon's part in the ownership of targets.
@@ -61,7 +62,8 @@
 		drained:  make(chan struct{}),
 		believed: map[identifier.Target]identifier.Incarnation{},
 		loads:    map[identifier.Target]exchanger.Load{},
-		answers:  map[uint64]chan reducer.AnswerPermit{},
+		permits:  newQuestions[reducer.AnswerPermit](),
+		links:    newQuestions[reducer.AnswerLink](),
 	}
 }
 
@@ -123,15 +125,16 @@
 func (s *surroundings) AskPermit(e reducer.AskPermit) {
 	asked := s.clock.Now()
 	go func() {
-		settled := reducer.PermitSettled{Owner: e.Owner, Request: e.Request, Target: e.Target, Asked: asked}
+		settled := reducer.PermitSettled{Owner: e.Owner, Request: e.Request, Number: e.Number, Target: e.Target, Asked: asked}
 		reply, err := s.peers.Permit(context.Background(), e.Owner, describer.Permit{
-			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Term: e.Term,
+			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Number: e.Number, Term: e.Term,
 		})
 		if err != nil {
-			s.ReturnPermit(reducer.ReturnPermit{Owner: e.Owner, Request: e.Request, Target: e.Target})
+			s.ReturnPermit(reducer.ReturnPermit{Owner: e.Owner, Request: e.Request, Number: e.Number, Target: e.Target})
 			settled.RetryAfter = permitRetryAfterError
 		} else {
 			settled.Granted, settled.RetryAfter, settled.Incarnation = reply.Granted, reply.RetryAfter, reply.Incarnation
+			settled.Warm, settled.Age = reply.Warm, reply.Age
 		}
 		s.post(settled)
 	}()
@@ -144,7 +147,7 @@
 func (s *surroundings) ReturnPermit(e reducer.ReturnPermit) {
 	go func() {
 		_, err := s.peers.Release(context.Background(), e.Owner, describer.ReleasePermit{
-			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request,
+			From: s.cfg.Settings.Host, Target: e.Target, Request: e.Request, Number: e.Number,
 		})
 		if err != nil {
 			s.cfg.Logger.Debug("a permit was not returned; it ends by its term", "target", string(e.Target), "error", err)
@@ -153,14 +156,7 @@
 }
 
 // AnswerPermit hands the reducer's answer to the waiting call of a peer.
-func (s *surroundings) AnswerPermit(e reducer.AnswerPermit) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ch := s.answers[e.Call]; ch != nil {
-		ch <- e
-		delete(s.answers, e.Call)
-	}
-}
+func (s *surroundings) AnswerPermit(e reducer.AnswerPermit) { s.permits.answer(e.Call, e) }
 
 // ShareLoad passes a target's new state on to peers at once.
 func (s *surroundings) ShareLoad(e reducer.ShareLoad) {
@@ -219,7 +215,7 @@
 		TargetLoad: describer.TargetLoad{
 			Target: r.Target, Incarnation: r.Incarnation, Cold: r.Cold,
 			Running: int32(r.Running), Queued: int32(r.Queued), QueuedTokens: int32(r.QueuedTokens),
-			Sequence: o.Sequence,
+			PrefillTokensPerSecond: float32(r.PrefillTokensPerSecond), Sequence: o.Sequence,
 		},
 		AsOf: o.At,
 	}
@@ -229,7 +225,7 @@
 // publishLocked gives the peers the present state.
 func (s *surroundings) publishLocked() {
 	names := slices.Sorted(maps.Keys(s.loads))
-	state := exchanger.State{ConfigVersion: s.version, Leaving: s.leaving}
+	state := exchanger.State{ConfigVersion: s.version, Leaving: s.leaving, Membership: s.membership}
 	for _, name := range names {
 		state.Loads = append(state.Loads, s.loads[name])
 	}
@@ -243,6 +239,13 @@
 	s.publishLocked()
 }
 
+func (s *surroundings) setMembership(m describer.Membership) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership = m
+	s.publishLocked()
+}
+
 func (s *surroundings) announceLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/describer/describer.go
+++ b/internal/peer/describer/describer.go
@@ -24,13 +24,15 @@
 	MethodPermit      Method = "Permit"
 	MethodRelease     Method = "Release"
 	MethodExplain     Method = "Explain"
+	MethodLink        Method = "Link"
+	MethodReturnLink  Method = "ReturnLink"
 )
 
 // Methods lists all methods.
 func Methods() []Method {
 	return []Method{
 		MethodHeartbeat, MethodPushConfig, MethodFetchConfig,
-		MethodPermit, MethodRelease, MethodExplain,
+		MethodPermit, MethodRelease, MethodExplain, MethodLink, MethodReturnLink,
 	}
 }
 
@@ -42,15 +44,19 @@
 	Session uint64
 	// Sequence rises with each content that the sender builds for the receiver.
 	Sequence uint64
-	// Ack is the sequence of the last reply that the sender took from the
-	// receiver. A receiver in another session has forgotten that reply.
-	Ack uint64
+	// Ack is the sequence of the last content that the sender took from the
+	// receiver, and AckSession is the session of that content. They say nothing
+	// to a receiver in another session.
+	Ack        uint64
+	AckSession uint64
 	// Stale is true in a reply when the heartbeat's content was older than one
 	// that had been taken before, so that it was dropped.
 	Stale         bool
 	ConfigVersion uint64
 	// Leaving is true when the sender shuts down and takes no new work.
 	Leaving bool
+	// Membership is the newest that the sender knows of the membership list.
+	Membership Membership
 	// Loads, Summaries, Teams and Links hold the entries that changed since the
 	// receiver last acknowledged them.
 	Loads     []TargetLoad
@@ -69,6 +75,8 @@
 	Running      int32
 	Queued       int32
 	QueuedTokens int32
+	// PrefillTokensPerSecond is the target's prefill rate; 0 when it told none.
+	PrefillTokensPerSecond float32
 	// AgeMilliseconds is the age of the report when the message was built.
 	AgeMilliseconds uint32
 	// Sequence is the reader's count of its reads of the target.
@@ -122,11 +130,21 @@
 	Raw     []byte
 }
 
+// Membership is what the platform's membership list said of leaving targets.
+type Membership struct {
+	// AsOf is the list's own time; zero before the first list.
+	AsOf time.Time
+	// Leaving are the targets that were leaving, in order.
+	Leaving []identifier.Target
+}
+
 // Permit asks a target's owner for one slot of a cold target.
 type Permit struct {
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number counts the request's questions for slots.
+	Number int
 	// Term is how long the slot is wanted at most; the owner counts it from the
 	// permit's arrival, the asker from before its sending.
 	Term time.Duration
@@ -141,6 +159,10 @@
 	Incarnation identifier.Incarnation
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
+	// Warm says that the target needs no leave, by a report of Incarnation that
+	// is Age old.
+	Warm bool
+	Age  time.Duration
 }
 
 // ReleasePermit gives a slot back; repeating it is harmless.
@@ -148,6 +170,8 @@
 	From    identifier.Host
 	Target  identifier.Target
 	Request identifier.Request
+	// Number is that of the question by which the slot was got.
+	Number int
 }
 
 // ReleasePermitReply answers ReleasePermit.
@@ -161,3 +185,30 @@
 	Found bool
 	JSON  []byte
 }
+
+// Link asks a store's link keeper for a time on the link.
+type Link struct {
+	Store identifier.Store
+	Bytes int64
+	// Share is the part of the link that the asker's profile permits, from 0 to 1.
+	Share float64
+	// Export is true for an export, which gives way to imports.
+	Export bool
+}
+
+// LinkReply answers Link.
+type LinkReply struct {
+	Granted bool
+	// Wait is how long the transfer waits for its time.
+	Wait time.Duration
+}
+
+// ReturnLink tells a link keeper what a transfer did not use.
+type ReturnLink struct {
+	Store identifier.Store
+	Bytes int64
+	Share float64
+}
+
+// ReturnLinkReply answers ReturnLink.
+type ReturnLinkReply struct{ Returned bool }
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 	// idleIntervals is how long an inbound connection may be without a
 	// request; it exceeds the longest back-off.
 	idleIntervals = 3 * maxBackoffIntervals
+	// messageOverhead bounds what a message takes besides its raw bytes.
+	messageOverhead = 4 << 10
 	// maxStrangers bounds the peers that call without being among Config.Peers.
 	maxStrangers = 256
 )
@@ -61,6 +63,8 @@
 	OnPermit(msg describer.Permit) (describer.PermitReply, error)
 	OnRelease(msg describer.ReleasePermit) (describer.ReleasePermitReply, error)
 	OnExplain(msg describer.Explain) (describer.ExplainReply, error)
+	OnLink(msg describer.Link) (describer.LinkReply, error)
+	OnReturnLink(msg describer.ReturnLink) (describer.ReturnLinkReply, error)
 }
 
 // Config configures an Exchanger. Self, Clock, Listener, Dial, Peers and
@@ -198,8 +202,13 @@
 	return x.counters.wire.in.Load(), x.counters.wire.out.Load()
 }
 
-// PushConfig hands a configuration to a peer.
+// PushConfig hands a configuration to a peer. A configuration above
+// Config.MaxMessage is an Error of KindTooLarge and is not sent.
 func (x *Exchanger) PushConfig(ctx context.Context, host identifier.Host, msg describer.PushConfig) (describer.PushConfigReply, error) {
+	if uint64(len(msg.Raw))+messageOverhead > x.cfg.MaxMessage {
+		err := errors.Newf("configuration %d has %d bytes, limit is %d", msg.Version, len(msg.Raw), x.cfg.MaxMessage)
+		return describer.PushConfigReply{}, newError("push configuration", KindTooLarge, err)
+	}
 	return call[describer.PushConfigReply](ctx, x, host, describer.MethodPushConfig, &msg)
 }
 
@@ -224,6 +233,16 @@
 	return call[describer.ExplainReply](ctx, x, host, describer.MethodExplain, &msg)
 }
 
+// Link asks a store's link keeper for a time on the link.
+func (x *Exchanger) Link(ctx context.Context, host identifier.Host, msg describer.Link) (describer.LinkReply, error) {
+	return call[describer.LinkReply](ctx, x, host, describer.MethodLink, &msg)
+}
+
+// ReturnLink tells a link keeper what a transfer did not use.
+func (x *Exchanger) ReturnLink(ctx context.Context, host identifier.Host, msg describer.ReturnLink) (describer.ReturnLinkReply, error) {
+	return call[describer.ReturnLinkReply](ctx, x, host, describer.MethodReturnLink, &msg)
+}
+
 // call runs a method of a peer within Config.Timeout.
 func call[R any](ctx context.Context, x *Exchanger, host identifier.Host, method describer.Method, msg any) (R, error) {
 	reply := new(R)
--- a/internal/peer/exchanger/exchanger_bench_test.go
+++ b/internal/peer/exchanger/exchanger_bench_test.go
@@ -51,6 +51,14 @@
 	return describer.ReleasePermitReply{Released: true}, nil
 }
 
+func (h meshHandler) OnLink(describer.Link) (describer.LinkReply, error) {
+	return describer.LinkReply{Granted: true}, nil
+}
+
+func (h meshHandler) OnReturnLink(describer.ReturnLink) (describer.ReturnLinkReply, error) {
+	return describer.ReturnLinkReply{Returned: true}, nil
+}
+
 func (h meshHandler) OnExplain(describer.Explain) (describer.ExplainReply, error) {
 	return describer.ExplainReply{}, nil
 }
--- a/internal/target/caller/caller_bench_test.go
+++ b/internal/target/caller/caller_bench_test.go
@@ -24,6 +24,8 @@
 
 func (t cannedTransport) RoundTripper(dialer.Endpoint) (http.RoundTripper, error) { return t, nil }
 
+func (t cannedTransport) CloseAll() {}
+
 func (t cannedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(t.body)), Request: r}, nil
 }
