Silence a watch of each daemon in the test of silent connections

Cause: the connections were silenced between two watches, so that the test passed without the second watch. Change: they are silenced five times in 1.25 s, more than the time between watches. Conclusion: the test depends on its mechanism.

--- a/internal/testing/prover/leaving_test.go
+++ b/internal/testing/prover/leaving_test.go
@@ -112,11 +112,16 @@
 	c.proveNoNewWork(func() { c.accept("data-centre", "out", "centre-1") }, c.inCentre("centre-1")...)
 }
 
+// TestGuaranteeDataCentreOutWithSilentPlatformConnections silences connections
+// for longer than the time between two watches, so that it hits one of each daemon.
 func TestGuaranteeDataCentreOutWithSilentPlatformConnections(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, threeCentres)
-	for _, h := range c.hosts {
-		c.proxies(proxier.Faults{SilenceDown: true}, objectsOf(h.settings.Host))
+	for range 5 {
+		for _, h := range c.hosts {
+			c.proxies(proxier.Faults{SilenceDown: true}, objectsOf(h.settings.Host))
+		}
+		<-time.After(250 * time.Millisecond)
 	}
 	c.proveNoNewWork(func() { c.accept("data-centre", "out", "centre-2") }, c.inCentre("centre-2")...)
 }
