--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -253,10 +253,14 @@
 	r.phase = phaseClaiming
 	s.emit(Claim{
 		Request: r.id, Team: r.team, IdempotencyKey: r.idempotencyKey,
-		Fingerprint: r.call.Fingerprint, Deadline: r.deadline,
+		Fingerprint: r.call.Fingerprint, Deadline: earlier(r.deadline, s.now.Add(claimTimeout)),
 	})
 }
 
+// claimTimeout bounds the settling of a claim. A caller whose claim does not
+// settle within it is told so at once, and when to come back.
+const claimTimeout = 1500 * time.Millisecond
+
 func (s *State) onClaimSettled(ev ClaimSettled) {
 	r := s.requests[ev.Request]
 	if r != nil && r.claimed {
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -56,6 +56,10 @@
 	if !ok {
 		return s.askForPermit(r)
 	}
+	if s.now.Add(c.plan.FirstToken).After(r.deadline) {
+		s.refuse(r, RefusalDeadline, "no target is expected to give the first token before the deadline", s.retryAfter(r.service))
+		return true
+	}
 	s.noteDecision(r, c)
 	s.reserve(r, c)
 	if c.plan.ImportBlocks > 0 {
--- a/internal/standin/registrar/registrar_test.go
+++ b/internal/standin/registrar/registrar_test.go
@@ -101,7 +101,7 @@
 		changes <- objects
 	}()
 	// The watch has begun once the platform has made its timer.
-	assert.NilError(t, p.clock.BlockUntilContext(ctx, 2))
+	assert.NilError(t, p.clock.BlockUntilContext(ctx, watchTimers))
 	assert.NilError(t, c.Delete(ctx, "x/1", 2))
 	objects := <-changes
 	assert.Equal(t, len(objects), 1)
@@ -109,6 +109,10 @@
 	assert.Equal(t, objects[0].Version, uint64(4))
 }
 
+// watchTimers is the number of timers that a watch waits on: the client's for
+// its time-out and for silence, and the platform's for the end of the wait.
+const watchTimers = 3
+
 func TestWatchEndsWithoutChange(t *testing.T) {
 	p := serve(t, registrar.Config{})
 	c := p.client(t, "")
@@ -121,7 +125,7 @@
 		objects, err := c.Watch(t.Context(), "x/", 0)
 		results <- result{objects, err}
 	}()
-	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), 2))
+	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), watchTimers))
 	p.clock.Advance(client.DefaultWatchWait)
 	got := <-results
 	assert.NilError(t, got.err)
@@ -207,7 +211,7 @@
 		_, err := c.Put(t.Context(), "a", nil, client.MustNotExist)
 		kinds <- client.KindOf(err)
 	}()
-	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), 2))
+	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), watchTimers))
 	p.clock.Advance(client.DefaultTimeout)
 	assert.Equal(t, <-kinds, client.KindUnknown)
 }
