--- a/internal/standin/registrar/registrar_test.go
+++ b/internal/standin/registrar/registrar_test.go
@@ -211,7 +211,7 @@
 		_, err := c.Put(t.Context(), "a", nil, client.MustNotExist)
 		kinds <- client.KindOf(err)
 	}()
-	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), watchTimers))
+	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), 2))
 	p.clock.Advance(client.DefaultTimeout)
 	assert.Equal(t, <-kinds, client.KindUnknown)
 }
