Order engines to load the weights of the configuration

Cause: a new weight version in the configuration refused all prompts, since nobody ordered the engines to load it.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -165,7 +165,11 @@
 		s.refuse(r, kind, fmt.Sprintf("target %q: %s: %s (%s)", t.name, ev.Reason, ev.Detail, why), retryAfterFailure)
 		return
 	}
-	if ev.Reason != FailureIncarnation {
+	switch ev.Reason {
+	case FailureIncarnation:
+	case FailureVersion:
+		s.noteLacking(t, r)
+	default:
 		r.tried[t.name] = true
 	}
 	if len(r.tried) >= len(s.byService[r.service]) {
@@ -193,6 +197,8 @@
 		return "the deadline passed"
 	case !r.repeatable && !ev.Proven:
 		return "it may have run and must not run twice"
+	case ev.Reason == FailureVersion && ev.Proven && r.delivered == 0:
+		return ""
 	case r.number >= max(1, r.profile.MaxAttempts):
 		return fmt.Sprintf("after %d attempts", r.number)
 	case !s.spendRetry():
--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -50,6 +50,8 @@
 	s.rebuildTargets()
 	s.groupHosts()
 	s.forgetUnconfigured()
+	s.forgetOrders()
+	s.rebindQueued()
 	s.assignTargets()
 }
 
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -142,6 +142,23 @@
 // Finish ends a request whose answer is whole.
 type Finish struct{ Request identifier.Request }
 
+// Weights names weights that a target has or is to have.
+type Weights struct {
+	Model    identifier.Model
+	Version  identifier.WeightVersion
+	Adapters []identifier.Adapter
+}
+
+// Order states to a target which weights it is to have in the end.
+type Order struct {
+	Target  identifier.Target
+	Address netip.AddrPort
+	// Fence is the fencing number of the target's owner.
+	Fence   uint64
+	Weights []Weights
+	Timeout time.Duration
+}
+
 // Claim claims a request that must not run twice.
 type Claim struct {
 	Request        identifier.Request
@@ -280,6 +297,7 @@
 func (Export) isEffect()       {}
 func (Start) isEffect()        {}
 func (Finish) isEffect()       {}
+func (Order) isEffect()        {}
 func (AskLink) isEffect()      {}
 func (AnswerLink) isEffect()   {}
 func (ReturnLink) isEffect()   {}
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -222,6 +222,8 @@
 	Running      int
 	Queued       int
 	QueuedTokens int
+	// Loaded lists the loaded weights; it is empty when a peer passed the report on.
+	Loaded []Weights
 	// PrefillTokensPerSecond is 0 when the report has none.
 	PrefillTokensPerSecond float64
 	// Age is how old the report is.
--- a/internal/decision/reducer/reducer.go
+++ b/internal/decision/reducer/reducer.go
@@ -50,6 +50,7 @@
 	attempts
 	caching
 	linking
+	weighing
 	owning
 	draining
 }
@@ -74,6 +75,7 @@
 	s.attempts = newAttempts()
 	s.caching = newCaching(cfg.MaxPrefixes)
 	s.linking = newLinking()
+	s.weighing = newWeighing()
 	s.owning = newOwning(cfg.Host)
 	s.groupHosts()
 	return s
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -128,7 +128,7 @@
 	if t.incarnation == 0 || !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
-	if !t.local && !r.profile.SpillOver {
+	if t.lacks(r, s.now) || !t.local && !r.profile.SpillOver {
 		return false
 	}
 	return s.hasRoom(t)
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -47,6 +47,9 @@
 	cached      int
 	cachedFor   uint64
 	cachedSince time.Time
+	// lacking is the weight version that the target refused, until lackingUntil.
+	lacking      identifier.WeightVersion
+	lackingUntil time.Time
 	// cacheLifetime is for how long the target is believed to hold a block.
 	cacheLifetime time.Duration
 
@@ -164,8 +167,10 @@
 	if ev.PrefillTokensPerSecond > 0 {
 		t.prefillRate = ev.PrefillTokensPerSecond
 	}
+	lacked := t.lacking
+	s.checkWeights(t, ev.Loaded)
 	after := s.usability(t)
-	gained := after.room && !before.room
+	gained := after.room && !before.room || lacked != t.lacking
 	s.quiet = !gained && after.cold == before.cold && after.incarnation == before.incarnation
 }
 
--- /dev/null
+++ b/internal/decision/reducer/weights_test.go
@@ -0,0 +1,91 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/config/specifier"
+	"cardamomscale.example/cardamomscale/internal/core/identifier"
+)
+
+// weightsState returns a State that owns target-0 and wants version v2 there.
+func weightsState(now time.Time, owns bool) *State {
+	fleet := worldFleet([]identifier.Host{"host-a"})
+	fleet.Hosts["host-a"] = specifier.Host{DataCentre: "dc", State: specifier.StateIn}
+	fleet.Targets = map[identifier.Target]specifier.Target{
+		"target-0": {Service: "labels", DataCentre: "dc", State: specifier.StateIn, ColdLimit: 1, WarmLimit: 8},
+		"target-1": {Service: "labels", DataCentre: "dc", State: specifier.StateIn, ColdLimit: 1, WarmLimit: 8},
+	}
+	fleet.Models["m"] = specifier.Model{Version: "v2"}
+	s := New(Config{Host: "host-a", DataCentre: "dc", Seed: 1, BlockSecret: []byte("secret")})
+	s.Reduce(ConfigAdopted{Version: 1, Fleet: fleet}, now)
+	if owns {
+		s.Reduce(OwnershipChanged{Target: "target-0", Held: true, Fence: 7, Until: now.Add(time.Hour)}, now)
+	}
+	return s
+}
+
+func report(target identifier.Target, version identifier.WeightVersion) LoadObserved {
+	return LoadObserved{Target: target, Incarnation: 1, Loaded: []Weights{{Model: "m", Version: version}}}
+}
+
+func TestOwnerOrdersWeights(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name    string
+		owns    bool
+		version identifier.WeightVersion
+		after   time.Duration
+		want    int
+	}{
+		{"loads what is lacking", true, "v1", 0, 1},
+		{"waits before it repeats an order", true, "v1", orderInterval / 2, 1},
+		{"repeats an order that had no effect", true, "v1", orderInterval, 2},
+		{"leaves a target with the wanted weights alone", true, "v2", 0, 0},
+		{"orders nothing that it does not own", false, "v1", orderInterval, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := weightsState(start, test.owns)
+			got := 0
+			for _, now := range []time.Time{start, start.Add(test.after)} {
+				order, ok := effectOf[Order](s.Reduce(report("target-0", test.version), now))
+				if ok {
+					got++
+					assert.Equal(t, order.Fence, uint64(7))
+					assert.DeepEqual(t, order.Weights, []Weights{{Model: "m", Version: "v2"}})
+				}
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+// TestPromptAvoidsTargetsThatLackItsVersion refuses a prompt's version at one
+// target after the other; it waits without spending the retry budget and is sent
+// again once a target shows the version.
+func TestPromptAvoidsTargetsThatLackItsVersion(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := weightsState(now, false)
+	s.Reduce(report("target-0", "v1"), now)
+	s.Reduce(report("target-1", "v1"), now)
+	now = now.Add(time.Hour)
+	effects := s.Reduce(RequestArrived{Request: "r", KeyHash: "k1", Service: "labels", Work: promptOf("short")}, now)
+	tried := map[identifier.Target]bool{}
+	for range 2 {
+		started, ok := effectOf[Start](effects)
+		assert.Assert(t, ok)
+		assert.Assert(t, !tried[started.Target])
+		tried[started.Target] = true
+		effects = s.Reduce(AttemptFailed{Attempt: started.Attempt, Proven: true, Reason: FailureVersion}, now)
+	}
+	_, ok := effectOf[Start](effects)
+	assert.Assert(t, !ok, "both targets lack the version")
+	assert.Equal(t, s.retries, float64(maxRetrySavings))
+	effects = s.Reduce(report("target-1", "v2"), now.Add(time.Millisecond))
+	started, ok := effectOf[Start](effects)
+	assert.Assert(t, ok, "effects: %v", effects)
+	assert.Equal(t, started.Target, identifier.Target("target-1"))
+}
--- a/internal/entry/daemon/surroundings.go
+++ b/internal/entry/daemon/surroundings.go
@@ -18,6 +18,7 @@
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
 	"cardamomscale.example/cardamomscale/internal/target/dialer"
+	"cardamomscale.example/cardamomscale/internal/target/messenger"
 	"cardamomscale.example/cardamomscale/internal/target/orderer"
 	"cardamomscale.example/cardamomscale/internal/target/reader"
 )
@@ -86,6 +87,16 @@
 // ForgetClaim notes an unknown outcome in the background.
 func (s *surroundings) ForgetClaim(e reducer.ForgetClaim) { s.claims.forgetLater(e) }
 
+// Order orders a target in the background. Whether it took effect shows in the
+// target's reports.
+func (s *surroundings) Order(e reducer.Order) {
+	go func() {
+		if err := s.orderer.Order(context.Background(), e); err != nil {
+			s.cfg.Logger.Warn("an order was not taken", "target", string(e.Target), "fence", e.Fence, "error", err)
+		}
+	}()
+}
+
 // WantTargets tells the leaser which targets to own.
 func (s *surroundings) WantTargets(e reducer.WantTargets) {
 	s.mu.Lock()
@@ -220,6 +231,7 @@
 		Target: r.Target, Incarnation: r.Incarnation, Cold: r.Cold,
 		Running: r.Running, Queued: r.Queued, QueuedTokens: r.QueuedTokens,
 		PrefillTokensPerSecond: r.PrefillTokensPerSecond, Age: s.clock.Since(o.At),
+		Loaded: loadedOf(r.Weights),
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,6 +246,14 @@
 	s.publishLocked()
 }
 
+func loadedOf(list []messenger.LoadedWeights) []reducer.Weights {
+	loaded := make([]reducer.Weights, 0, len(list))
+	for _, w := range list {
+		loaded = append(loaded, reducer.Weights{Model: w.Model, Version: w.Version, Adapters: w.Adapters})
+	}
+	return loaded
+}
+
 // publishLocked gives the peers the present state.
 func (s *surroundings) publishLocked() {
 	names := slices.Sorted(maps.Keys(s.loads))
--- a/internal/entry/executor/executor.go
+++ b/internal/entry/executor/executor.go
@@ -39,6 +39,8 @@
 	ReleaseClaim(reducer.ReleaseClaim)
 	// ForgetClaim notes that the outcome of a claimed request is not known.
 	ForgetClaim(reducer.ForgetClaim)
+	// Order orders a target to load weights.
+	Order(reducer.Order)
 	// WantTargets, ReadTargets and Believe set up the work on targets.
 	WantTargets(reducer.WantTargets)
 	ReadTargets(reducer.ReadTargets)
@@ -226,6 +228,8 @@
 		around.ReleaseClaim(effect)
 	case reducer.ForgetClaim:
 		around.ForgetClaim(effect)
+	case reducer.Order:
+		around.Order(effect)
 	case reducer.WantTargets:
 		around.WantTargets(effect)
 	case reducer.ReadTargets:
--- a/internal/target/orderer/orderer.go
+++ b/internal/target/orderer/orderer.go
@@ -112,6 +112,23 @@
 	return reducer.ExportDone{Target: e.Target, Store: e.Store, Asked: len(e.Keys), Blocks: result.Blocks, Bytes: result.Bytes}
 }
 
+// Order states to a target which weights it is to have. It returns an Error of
+// KindRefused when the target turned the order down.
+func (o *Orderer) Order(ctx context.Context, e reducer.Order) error {
+	order := messenger.Order{Fence: e.Fence}
+	for _, w := range e.Weights {
+		order.Weights = append(order.Weights, messenger.LoadedWeights{Model: w.Model, Version: w.Version, Adapters: w.Adapters})
+	}
+	var result messenger.OrderResult
+	if err := o.post(ctx, e.Address, messenger.PathOrder, e.Timeout, order, &result); err != nil {
+		return err
+	}
+	if !result.Accepted {
+		return &Error{failer.Detail[Kind]{Op: "order target " + string(e.Target), Kind: KindRefused, Err: errors.New(result.Message)}}
+	}
+	return nil
+}
+
 // wait waits for a transfer's time and reports whether ctx is still in force.
 func (o *Orderer) wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
