Place everything by one rendezvous hashing

Cause: the reducer and package placer each had a rendezvous hash of their own. Change: the reducer and the daemon use package placer; a target's hash is kept with it. The test of bounded tables has one host, which then keeps the links itself whatever the hash is. Conclusion: homes of prefixes and owners differ from those of earlier builds, which matters only to caches.

--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -26,17 +26,39 @@
 	mixSecond    = 0x94d049bb133111eb
 )
 
-// score returns the weight of a member for a key; the highest one wins.
-func score(key Key, member uint64) uint64 {
-	z := uint64(key) + member*mixIncrement
+// Weight returns the weight of the member whose hash is member for a key. The
+// member with the highest weight is the first one.
+func Weight(key, member Key) uint64 {
+	z := uint64(key) + uint64(member)*mixIncrement
 	z = (z ^ z>>30) * mixFirst
 	z = (z ^ z>>27) * mixSecond
 	return z ^ z>>31
 }
 
+// First returns the member with the highest weight for key, or "" without members.
+func First[M ~string](key Key, members []M) M {
+	var best M
+	var bestWeight uint64
+	for i, name := range members {
+		if w := Weight(key, KeyOf(name)); i == 0 || w > bestWeight {
+			best, bestWeight = name, w
+		}
+	}
+	return best
+}
+
+// Before reports whether member a goes before b for key.
+func Before[M ~string](key Key, a, b M) bool {
+	weightA, weightB := Weight(key, KeyOf(a)), Weight(key, KeyOf(b))
+	if weightA != weightB {
+		return weightA > weightB
+	}
+	return a < b
+}
+
 type member[M ~string] struct {
 	name M
-	hash uint64
+	hash Key
 }
 
 // Placer ranks a fixed set of members. It is immutable and safe for concurrent use.
@@ -46,7 +68,7 @@
 func New[M ~string](members []M) *Placer[M] {
 	p := &Placer[M]{members: make([]member[M], 0, len(members))}
 	for _, name := range members {
-		p.members = append(p.members, member[M]{name: name, hash: xxh3.HashString(string(name))})
+		p.members = append(p.members, member[M]{name: name, hash: KeyOf(name)})
 	}
 	slices.SortFunc(p.members, func(a, b member[M]) int { return cmp.Compare(a.name, b.name) })
 	p.members = slices.Compact(p.members)
@@ -61,7 +83,7 @@
 	var best member[M]
 	var bestScore uint64
 	for i, m := range p.members {
-		if s := score(key, m.hash); i == 0 || s > bestScore {
+		if s := Weight(key, m.hash); i == 0 || s > bestScore {
 			best, bestScore = m, s
 		}
 	}
@@ -83,7 +105,7 @@
 	var best [smallK]ranked
 	n := 0
 	for i, m := range p.members {
-		n = insert(best[:k], n, ranked{score: score(key, m.hash), index: i})
+		n = insert(best[:k], n, ranked{score: Weight(key, m.hash), index: i})
 	}
 	for _, r := range best[:n] {
 		dst = append(dst, p.members[r.index].name)
@@ -126,7 +148,7 @@
 func (p *Placer[M]) sortAll(dst []M, key Key, k int) []M {
 	all := make([]ranked, len(p.members))
 	for i, m := range p.members {
-		all[i] = ranked{score: score(key, m.hash), index: i}
+		all[i] = ranked{score: Weight(key, m.hash), index: i}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		if a.before(b) {
@@ -173,7 +195,7 @@
 		if c.Load+1 > max(1, share*c.Capacity) {
 			continue
 		}
-		s := score(key, xxh3.HashString(string(c.Member)))
+		s := Weight(key, KeyOf(c.Member))
 		if best < 0 || s > bestScore {
 			best, bestScore = i, s
 		}
--- a/internal/decision/reducer/configuration.go
+++ b/internal/decision/reducer/configuration.go
@@ -6,6 +6,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 )
 
 // configuration is the fleet's configuration in force and its indexes.
@@ -159,6 +160,6 @@
 	if len(stores) == 0 {
 		return "", specifier.Store{}, false
 	}
-	best := identifier.Store(first(r.keys[0].String(), stores))
+	best := identifier.Store(placer.First(placer.KeyOfBytes(r.keys[0][:]), stores))
 	return best, s.fleet.Stores[best], true
 }
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -7,6 +7,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 	"cardamomscale.example/cardamomscale/internal/decision/scorer"
 )
 
@@ -84,7 +85,7 @@
 
 // keeperOf returns the daemon that hands out times on a store's link, or "".
 func (s *State) keeperOf(name identifier.Store) identifier.Host {
-	return identifier.Host(first(string(name), s.hostNames[s.fleet.Stores[name].DataCentre]))
+	return identifier.Host(placer.First(placer.KeyOf(name), s.hostNames[s.fleet.Stores[name].DataCentre]))
 }
 
 // linkFor describes the link between r's store and the targets.
--- a/internal/decision/reducer/owning.go
+++ b/internal/decision/reducer/owning.go
@@ -7,6 +7,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 )
 
 // owning holds which targets this daemon owns and the permits it gave for them.
@@ -250,7 +251,7 @@
 // expectedOwner returns the live daemon that should own t, or "" when none of
 // t's data centre is heard.
 func (s *State) expectedOwner(t *target) identifier.Host {
-	return identifier.Host(first(string(t.name), s.hostNames[t.spec.DataCentre]))
+	return identifier.Host(placer.First(placer.KeyOf(t.name), s.hostNames[t.spec.DataCentre]))
 }
 
 // askForPermit asks a cold target's owner for leave to run r there, and reports
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -6,6 +6,7 @@
 	"cardamomscale.example/cardamomscale/internal/cache/hasher"
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 	"cardamomscale.example/cardamomscale/internal/decision/scorer"
 )
 
@@ -178,12 +179,12 @@
 	}
 	var best *target
 	var bestWeight uint64
-	seed := SeedOf(r.keys[0].String())
+	key := placer.KeyOfBytes(r.keys[0][:])
 	for _, t := range candidates {
 		if !s.usable(t, r) {
 			continue
 		}
-		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
+		if w := placer.Weight(key, t.hash); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
@@ -288,14 +289,14 @@
 	if len(r.keys) == 0 {
 		return nil
 	}
-	seed := SeedOf(r.keys[0].String())
+	key := placer.KeyOfBytes(r.keys[0][:])
 	var best *target
 	var bestWeight uint64
 	for _, t := range candidates {
 		if !s.takesWork(t) || !t.local && !r.profile.SpillOver {
 			continue
 		}
-		if w := weight(seed, string(t.name)); best == nil || w > bestWeight {
+		if w := placer.Weight(key, t.hash); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -6,11 +6,14 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 )
 
 // target is what the daemon knows of one target.
 type target struct {
 	name identifier.Target
+	// hash is the name's hash for rendezvous hashing.
+	hash placer.Key
 	spec specifier.Target
 	// local is true for a target of this daemon's data centre.
 	local bool
@@ -117,7 +120,7 @@
 		}
 		known := s.targets[name]
 		if known == nil || known.spec.Address != spec.Address {
-			known = &target{name: name, cold: true, cacheLifetime: initialCacheLifetime}
+			known = &target{name: name, hash: placer.KeyOf(name), cold: true, cacheLifetime: initialCacheLifetime}
 			s.targets[name] = known
 		}
 		known.spec = spec
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -13,6 +13,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
@@ -111,7 +112,7 @@
 // sample returns the first few members in the rendezvous order of host.
 func sample(host identifier.Host, members []exchanger.Peer) []exchanger.Peer {
 	slices.SortFunc(members, func(a, b exchanger.Peer) int {
-		if reducer.Before(string(host), string(a.Host), string(b.Host)) {
+		if placer.Before(placer.KeyOf(host), a.Host, b.Host) {
 			return -1
 		}
 		return 1
@@ -223,7 +224,7 @@
 	self := string(p.around.cfg.Settings.Host)
 	rank := 0
 	for _, host := range p.liveHosts() {
-		if string(host) != self && reducer.Before(configRankKey, string(host), self) {
+		if string(host) != self && placer.Before(placer.KeyOf(configRankKey), string(host), self) {
 			rank++
 		}
 	}
@@ -263,7 +264,7 @@
 	self := string(p.around.cfg.Settings.Host)
 	rank := 0
 	for _, other := range p.heardHosts() {
-		if other != host && string(other) != self && reducer.Before(string(host), string(other), self) {
+		if other != host && string(other) != self && placer.Before(placer.KeyOf(host), string(other), self) {
 			rank++
 		}
 	}
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -10,6 +10,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/config/specifier"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/decision/placer"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/entry/executor"
 	"cardamomscale.example/cardamomscale/internal/peer/exchanger"
@@ -65,7 +66,7 @@
 }
 
 func hostSeed(host identifier.Host) uint64 {
-	return reducer.SeedOf(string(host))
+	return uint64(placer.KeyOf(host))
 }
 
 // The parts that have random numbers of their own.
