Ask engines which stored blocks they hold before asking for the link, and ease off slow targets

Cause: expected shares of imports let transfers overlap, and under overload prompts were sent to engines whose real queue was seconds long: eight daemons topped it up between two reports (an explanation: first token expected in 14.5 ms, stalled after 3 s). Change: an import begins with a probe, time on the link is asked for the missing blocks only; a daemon's own prompts since the last report count on top of the report; a target that started a prompt much later than expected gets no more from this daemon for about as long.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -75,6 +75,9 @@
 	r.started = true
 	s.onAnswerFrom(r.target, ev.Incarnation)
 	s.prefilled(r)
+	if r.prompt != nil {
+		s.slowed(r.target, s.now.Sub(r.expected))
+	}
 	s.learnLifetime(r, ev.CachedTokens)
 	s.correct(r, ev.CachedTokens)
 	s.remember(r, r.target)
@@ -141,6 +144,9 @@
 	}
 	switch ev.Reason {
 	case FailureUnreachable, FailureBroken, FailureStalled:
+		if ev.Reason == FailureStalled && ev.Delivered == 0 {
+			s.slowed(t, maxTargetPause)
+		}
 		t.failed(s.now)
 		s.suspectCold(t, ev)
 	}
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -72,6 +72,8 @@
 	Version        identifier.WeightVersion
 	Blocks         []StoredBlock
 	BytesPerSecond int64
+	// Probe asks only how many of the leading blocks the engine holds.
+	Probe bool
 	// After is how long to wait before the import begins.
 	After   time.Duration
 	Timeout time.Duration
--- a/internal/decision/reducer/events.go
+++ b/internal/decision/reducer/events.go
@@ -136,9 +136,11 @@
 	Request identifier.Request
 	Target  identifier.Target
 	Store   identifier.Store
-	Blocks  int
-	Bytes   int64
-	Failed  bool
+	// Probe is true for the answer to a probe, whose Blocks counts those held.
+	Probe  bool
+	Blocks int
+	Bytes  int64
+	Failed bool
 	// Took is the duration of the import.
 	Took time.Duration
 }
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -57,6 +57,8 @@
 	maxWaitingExports = 64
 	// importLatency is the fixed cost of one import order.
 	importLatency = 5 * time.Millisecond
+	// probeTimeout bounds an engine's answer to a probe.
+	probeTimeout = 100 * time.Millisecond
 )
 
 func newLinking() linking {
@@ -110,28 +112,43 @@
 
 func (s *State) blockBytes(r *request) int64 { return s.fleet.Models[r.prompt.Model].BlockBytes }
 
-// startImport asks for a time on the link for r's import.
-func (s *State) startImport(r *request, c choice) {
-	name, _, _ := s.storeFor(r)
+// startImport asks the target first which of the stored blocks it holds, so that
+// time on the link is asked for the missing ones only.
+func (s *State) startImport(r *request) {
 	r.phase = phaseImporting
-	r.importBytes = int64(c.plan.ImportBlocks) * s.blockBytes(r)
-	r.askedBytes = int64(float64(r.importBytes) * s.expectedCopies(r))
+	r.probing = true
 	s.lead(r)
-	s.askLink(AskLink{Request: r.id, Store: name, Bytes: r.askedBytes, Share: r.profile.LinkShare})
+	name, store, _ := s.storeFor(r)
+	s.emit(Import{
+		Request: r.id, Target: r.target.name, TargetAddress: r.target.spec.Address,
+		Store: name, StoreAddress: store.Address, Model: r.prompt.Model, Version: r.version,
+		Blocks: r.stored, Probe: true, Timeout: probeTimeout,
+	})
 }
 
-// expectedCopies returns the share of r's import that is expected to cross the
-// link, since the engine copies only what its cache lacks.
-func (s *State) expectedCopies(r *request) float64 {
-	if r.guessed {
-		return max(minExpectedCopies, 1-s.homeHits)
+// onProbed starts r if its target holds all stored blocks, and asks for a time on
+// the link otherwise. Without an answer all blocks count as missing.
+func (s *State) onProbed(r *request, ev ImportDone) {
+	r.probing = false
+	held := ev.Blocks
+	if ev.Failed {
+		held = 0
+	}
+	missing := len(r.stored) - held
+	if !ev.Failed {
+		s.learnHomeHits(r, float64(held)/float64(max(1, len(r.stored))))
+	}
+	switch {
+	case !s.stillUsable(r):
+		s.skipImport(r)
+	case missing <= 0:
+		s.start(r)
+	default:
+		r.importBytes = int64(missing) * s.blockBytes(r)
+		s.askLink(AskLink{Request: r.id, Store: ev.Store, Bytes: r.importBytes, Share: r.profile.LinkShare})
 	}
-	return 1
 }
 
-// minExpectedCopies is the least share of an import for which time is asked.
-const minExpectedCopies = 0.1
-
 // startExport asks for a time on the link for an export after r.
 func (s *State) startExport(r *request, e Export) {
 	if len(s.waitingExports) >= maxWaitingExports {
@@ -215,7 +232,7 @@
 		return
 	}
 	r := s.requests[ev.Request]
-	if r == nil || r.phase != phaseImporting || r.importing {
+	if r == nil || r.phase != phaseImporting || r.importing || r.probing {
 		return
 	}
 	rate, ok := s.transferRate(ev, r.profile.LinkShare)
@@ -314,11 +331,14 @@
 	if r == nil || r.phase != phaseImporting {
 		return
 	}
-	s.returnLink(ev.Store, r.askedBytes-ev.Bytes, r.profile.LinkShare)
-	r.importing = false
-	if !ev.Failed && r.importBytes > 0 {
-		s.learnHomeHits(r, 1-float64(ev.Bytes)/float64(r.importBytes))
+	if ev.Probe {
+		if r.probing {
+			s.onProbed(r, ev)
+		}
+		return
 	}
+	s.returnLink(ev.Store, r.importBytes-ev.Bytes, r.profile.LinkShare)
+	r.importing = false
 	r.imported = ev.Blocks
 	s.noteImport(ev)
 	if ev.Failed {
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -46,13 +46,13 @@
 	prompt *Prompt
 	call   *Call
 
-	// importBytes is the size of the import that is asked for, importing is true
+	// importBytes is the size of the import that is asked for; importing is true
 	// while it runs, and imported counts the blocks that it brought.
 	importBytes int64
-	// askedBytes is for how much of it time on the link was asked.
-	askedBytes int64
-	importing  bool
-	imported   int
+	// probing is true while the target is asked which blocks it holds.
+	probing   bool
+	importing bool
+	imported  int
 	// guessed is true when the target was chosen as the prefix's home without
 	// knowing what its cache holds.
 	guessed bool
@@ -70,7 +70,9 @@
 	// computing is the number of tokens that the target is to prefill for it.
 	computing int
 	number    int
-	started   bool
+	// expected is when the first token was expected at the decision.
+	expected time.Time
+	started  bool
 	// mayHaveRun is true once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// ran is true when an earlier request under the same key has run.
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -64,7 +64,7 @@
 	s.noteDecision(r, c)
 	s.reserve(r, c)
 	if c.plan.ImportBlocks > 0 {
-		s.startImport(r, c)
+		s.startImport(r)
 		return true
 	}
 	s.start(r)
@@ -76,6 +76,7 @@
 	r.target = c.target
 	r.incarnation = c.target.incarnation
 	r.computing = c.plan.ComputedTokens
+	r.expected = s.now.Add(c.plan.FirstToken)
 	c.target.inflight++
 	c.target.pendingTokens += r.computing
 	s.boundColdUse(r)
@@ -129,6 +130,9 @@
 	if t.incarnation == 0 || !s.takesWork(t) || t.open(s.now) || r.tried[t.name] {
 		return false
 	}
+	if r.prompt != nil && t.inflight > 0 && s.now.Before(t.pausedUntil) {
+		return false
+	}
 	if t.lacks(r, s.now) || !t.local && !r.profile.SpillOver {
 		return false
 	}
@@ -305,7 +309,7 @@
 
 // queueWait estimates how long a prompt waits at t before its prefill starts.
 func (s *State) queueWait(t *target) time.Duration {
-	waiting := max(t.pendingTokens, t.reportedQueue)
+	waiting := t.pendingTokens + max(0, t.reportedQueue-t.pendingThen)
 	return time.Duration(float64(waiting) / t.rate() * float64(time.Second))
 }
 
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -43,8 +43,13 @@
 	// it may be asked again.
 	asking   bool
 	askAfter time.Time
+	// pausedUntil is when the target may get more of this daemon's prompts, after
+	// it started one much later than expected.
+	pausedUntil time.Time
 	// pendingTokens counts this daemon's tokens that wait for prefill there.
 	pendingTokens int
+	// pendingThen is what pendingTokens was at the last report, which includes it.
+	pendingThen int
 	// cached counts the leading blocks of the request that cachedFor numbers, and
 	// cachedSince is when the target last used them.
 	cached      int
@@ -91,6 +96,19 @@
 	h.openUntil = now.Add(min(wait, breakerMax))
 }
 
+// slowed stops new prompts for about as long as the target is behind, so that the
+// daemons together drain the queue that they built up without knowing.
+func (s *State) slowed(t *target, behind time.Duration) {
+	if behind <= maxTargetWait {
+		return
+	}
+	pause := time.Duration((0.5 + s.rng.Float64()) * float64(min(behind, maxTargetPause)))
+	t.pausedUntil = s.now.Add(pause)
+}
+
+// maxTargetPause bounds the time for which a slow target gets no more prompts.
+const maxTargetPause = 2 * time.Second
+
 func (h *health) open(now time.Time) bool { return now.Before(h.openUntil) }
 
 // defaultPrefillRate is the assumed prefill rate of a target that has told none,
@@ -166,6 +184,7 @@
 	t.reported = ev.Running + ev.Queued
 	t.reportedQueue = ev.QueuedTokens
 	t.inflightThen = t.inflight
+	t.pendingThen = t.pendingTokens
 	t.heard = asOf
 	if ev.PrefillTokensPerSecond > 0 {
 		t.prefillRate = ev.PrefillTokensPerSecond
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -33,6 +33,15 @@
 	h := e.hold()
 	defer h.release()
 	var result messenger.TransferResult
+	if req.Probe {
+		for _, ref := range req.Blocks {
+			if !h.pin(ref.Key) {
+				break
+			}
+			result.Blocks++
+		}
+		return result
+	}
 	for _, ref := range req.Blocks {
 		copied, err := e.importBlock(ctx, h, req, ref)
 		if err != nil {
--- a/internal/target/messenger/messenger.go
+++ b/internal/target/messenger/messenger.go
@@ -142,6 +142,8 @@
 	Model         identifier.Model         `json:"model"`
 	WeightVersion identifier.WeightVersion `json:"weight-version"`
 	Blocks        []BlockRef               `json:"blocks"`
+	// Probe asks only how many of the leading blocks the cache holds; nothing is copied.
+	Probe bool `json:"probe,omitempty"`
 	// BytesPerSecond is the link's share that the engine may use.
 	BytesPerSecond       int64 `json:"bytes-per-second"`
 	DeadlineMilliseconds int64 `json:"deadline-ms"`
--- a/internal/target/orderer/orderer.go
+++ b/internal/target/orderer/orderer.go
@@ -78,12 +78,12 @@
 // Import orders an engine to import blocks from a store.
 func (o *Orderer) Import(ctx context.Context, e reducer.Import) reducer.ImportDone {
 	if !o.wait(ctx, e.After) {
-		return reducer.ImportDone{Request: e.Request, Target: e.Target, Store: e.Store, Failed: true}
+		return reducer.ImportDone{Request: e.Request, Target: e.Target, Store: e.Store, Probe: e.Probe, Failed: true}
 	}
 	began := o.cfg.Clock.Now()
 	order := messenger.ImportRequest{
 		RequestID: e.Request, Store: e.StoreAddress, Model: e.Model, WeightVersion: e.Version,
-		BytesPerSecond: e.BytesPerSecond, DeadlineMilliseconds: e.Timeout.Milliseconds(),
+		Probe: e.Probe, BytesPerSecond: e.BytesPerSecond, DeadlineMilliseconds: e.Timeout.Milliseconds(),
 	}
 	for _, b := range e.Blocks {
 		order.Blocks = append(order.Blocks, messenger.BlockRef{Key: b.Key, Generation: b.Generation, Checksum: b.Checksum})
@@ -91,7 +91,7 @@
 	var result messenger.TransferResult
 	err := o.post(ctx, e.TargetAddress, messenger.PathImport, e.Timeout, order, &result)
 	return reducer.ImportDone{
-		Request: e.Request, Target: e.Target, Store: e.Store,
+		Request: e.Request, Target: e.Target, Store: e.Store, Probe: e.Probe,
 		Blocks: result.Blocks, Bytes: result.Bytes, Failed: err != nil,
 		Took: o.cfg.Clock.Since(began),
 	}
