Wait for the third timer of a watch in the stand-in's tests

Cause: a watch of the client has a timer of its own for silence beside those of the call and of the stand-in; the tests waited for two timers and advanced the clock before the stand-in had set its own, so that one hung. Change: they wait for three timers; what they check is unchanged. Conclusion: no check is weaker.

--- a/internal/standin/registrar/registrar_test.go
+++ b/internal/standin/registrar/registrar_test.go
@@ -101,7 +101,7 @@
 		changes <- objects
 	}()
 	// The watch has begun once the platform has made its timer.
-	assert.NilError(t, p.clock.BlockUntilContext(ctx, 2))
+	assert.NilError(t, p.clock.BlockUntilContext(ctx, 3))
 	assert.NilError(t, c.Delete(ctx, "x/1", 2))
 	objects := <-changes
 	assert.Equal(t, len(objects), 1)
@@ -121,7 +121,7 @@
 		objects, err := c.Watch(t.Context(), "x/", 0)
 		results <- result{objects, err}
 	}()
-	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), 2))
+	assert.NilError(t, p.clock.BlockUntilContext(t.Context(), 3))
 	p.clock.Advance(client.DefaultWatchWait)
 	got := <-results
 	assert.NilError(t, got.err)
