Let a daemon queue a second prompt at a target only where one of each daemon fits

Cause: under overload every daemon filled a target's queue up to 400 ms between two reports, so that eight of them built up seconds. Change: beyond its first waiting prompt a daemon counts its own waiting prompts once for each live daemon.

--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -228,7 +228,7 @@
 		}
 		best.offer(choice{target: t, plan: plan, cached: cached, score: score})
 	}
-	if best.target == nil || s.queueWait(best.target) > maxTargetWait {
+	if best.target == nil || !s.mayQueue(best.target) {
 		return choice{}, false
 	}
 	r.believed = s.cachedOn(best.target)
@@ -307,6 +307,17 @@
 	return best
 }
 
+// mayQueue reports whether one more prompt may wait at t. Between two reports the
+// daemons don't see each other's prompts, so that each may have a second one
+// waiting only if a second one of all daemons would fit.
+func (s *State) mayQueue(t *target) bool {
+	if s.queueWait(t) > maxTargetWait {
+		return false
+	}
+	own := time.Duration(float64(t.pendingTokens) / t.rate() * float64(time.Second))
+	return own*time.Duration(len(s.live)) <= maxTargetWait
+}
+
 // queueWait estimates how long a prompt waits at t before its prefill starts.
 func (s *State) queueWait(t *target) time.Duration {
 	waiting := t.pendingTokens + max(0, t.reportedQueue-t.pendingThen)
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -204,7 +204,7 @@
 }
 
 func (s *State) usability(t *target) usability {
-	return usability{incarnation: t.incarnation, cold: t.cold, room: s.hasRoom(t) && s.queueWait(t) <= maxTargetWait}
+	return usability{incarnation: t.incarnation, cold: t.cold, room: s.hasRoom(t) && s.mayQueue(t)}
 }
 
 // onIncarnationSeen takes in what a target itself told this daemon, and passes
