Tell probes from imports in traces, and count only imported blocks

Cause: an import begins with a probe since the link is asked for missing blocks only; the trace test saw two spans named import.

--- a/internal/core/identifier/identifier.go
+++ b/internal/core/identifier/identifier.go
@@ -6,7 +6,7 @@
 	"fmt"
 )
 
-// Team names one customer organisation whose requests and cache are kept apart.
+// Team names one organisation whose requests and cache are kept apart.
 type Team string
 
 // Service names one routed service, either a model service or a plain one.
--- a/internal/entry/server/hops.go
+++ b/internal/entry/server/hops.go
@@ -16,10 +16,12 @@
 
 // fetch orders an import under a span of its own.
 func (x *exchange) fetch(e reducer.Import) {
-	ctx, span := x.trace.Start(x.ctx, tracer.SpanImport, tracer.KeyStore.String(string(e.Store)), tracer.KeyTarget.String(string(e.Target)))
+	ctx, span := x.trace.Start(x.ctx, nameOfImport(e), tracer.KeyStore.String(string(e.Store)), tracer.KeyTarget.String(string(e.Target)))
 	done := x.server.cfg.Caches.Import(ctx, e)
 	span.End(failedIf(done.Failed), tracer.KeyBlocks.Int(done.Blocks), tracer.KeyBytes.Int64(done.Bytes))
-	x.imported = done.Blocks
+	if !e.Probe {
+		x.imported = done.Blocks
+	}
 	x.server.cfg.Meter.Moved(e.Store, meter.DirectionImport, done.Bytes)
 	x.server.cfg.Reducer.Post(done)
 }
@@ -47,3 +49,11 @@
 	span.End(failure)
 	x.server.cfg.Reducer.Post(done)
 }
+
+// nameOfImport tells a question for blocks from an import.
+func nameOfImport(e reducer.Import) string {
+	if e.Probe {
+		return tracer.SpanProbe
+	}
+	return tracer.SpanImport
+}
--- a/internal/entry/tracer/tracer.go
+++ b/internal/entry/tracer/tracer.go
@@ -42,6 +42,7 @@
 	SpanClaim    = "claim"
 	SpanLookup   = "lookup"
 	SpanImport   = "import"
+	SpanProbe    = "probe"
 	SpanAttempt  = "attempt"
 	SpanResume   = "resume"
 )
