Spread short prompts by what runs already

Change: each running request adds a millisecond to its target's score. Figures: four short prompts on two targets: 4 and 0 before, 2 and 2 after (TestShortPromptsSpread).

--- a/internal/decision/reducer/liveness_test.go
+++ b/internal/decision/reducer/liveness_test.go
@@ -123,3 +123,21 @@
 		assert.Equal(t, next.Attempt.Request, identifier.Request("r2"))
 	}
 }
+
+// TestShortPromptsSpread sends prompts without a full block, whose score is the
+// same everywhere but for what runs already.
+func TestShortPromptsSpread(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := weightsState(now, false)
+	s.Reduce(report("target-0", "v2"), now)
+	s.Reduce(report("target-1", "v2"), now)
+	now = now.Add(time.Hour)
+	started := map[identifier.Target]int{}
+	for _, id := range []identifier.Request{"a", "b", "c", "d"} {
+		effect, ok := effectOf[Start](s.Reduce(RequestArrived{Request: id, KeyHash: "k1", Service: "labels", Work: promptOf("short")}, now))
+		assert.Assert(t, ok)
+		started[effect.Target]++
+		s.Reduce(AttemptStarted{Attempt: effect.Attempt, Incarnation: 1}, now)
+	}
+	assert.DeepEqual(t, started, map[identifier.Target]int{"target-0": 2, "target-1": 2})
+}
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -324,11 +324,16 @@
 	return time.Duration(float64(waiting) / t.rate() * float64(time.Second))
 }
 
+// runningCost is what each request that runs on a target adds to its score, since
+// it slows down the others' tokens.
+const runningCost = time.Millisecond
+
 // scored describes t to the scorer.
 func (s *State) scored(t *target, cachedBlocks int) scorer.Target {
 	st := scorer.Target{QueueWait: s.queueWait(t), PrefillTokensPerSecond: t.rate(), CachedBlocks: cachedBlocks}
+	st.Penalty = time.Duration(t.load()) * runningCost
 	if !t.local {
-		st.Penalty = t.profile.SpillOverPenalty.Duration
+		st.Penalty += t.profile.SpillOverPenalty.Duration
 	}
 	return st
 }
