--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -88,8 +88,6 @@
 
 func (s *State) startLookup(r *request) {
 	r.phase = phaseLookup
-	r.lookups++
-	r.lookedUp = s.now
 	name, store, _ := s.storeFor(r)
 	s.emit(Lookup{Request: r.id, Store: name, Address: store.Address, Keys: r.keys, Timeout: lookupTimeout})
 }
@@ -100,29 +98,9 @@
 		return
 	}
 	r.stored = matching(r.keys, ev.Blocks)
-	if r.lookups > 1 {
-		s.requeue(r)
-		return
-	}
 	s.enqueue(r)
 }
 
-const (
-	// lookupAge is the age from which a store's answer may have missed an export.
-	lookupAge = 250 * time.Millisecond
-	// maxLookups bounds the questions of one request to its store.
-	maxLookups = 4
-)
-
-// lookupStale reports whether the store may by now hold more of a request that
-// has waited.
-func (s *State) lookupStale(r *request) bool {
-	if r.lookups == 0 || r.lookups >= maxLookups || r.number > 0 || len(r.stored) >= len(r.keys) {
-		return false
-	}
-	return s.now.Sub(r.lookedUp) >= lookupAge && s.lookupNeeded(r)
-}
-
 // matching returns the leading blocks whose keys are the request's own.
 func matching(keys []identifier.BlockKey, blocks []StoredBlock) []StoredBlock {
 	for i := range blocks {
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -46,9 +46,6 @@
 	prompt *Prompt
 	call   *Call
 
-	// lookups counts the questions to the store, the last one at lookedUp.
-	lookups  int
-	lookedUp time.Time
 	// importBytes is the size of the import that is asked for; importing is true
 	// while it runs, and imported counts the blocks that it brought.
 	importBytes int64
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -53,10 +53,6 @@
 	if s.follow(r) {
 		return true
 	}
-	if s.lookupStale(r) {
-		s.startLookup(r)
-		return true
-	}
 	c, ok := s.choose(r)
 	if !ok {
 		return s.askForPermit(r)
