Export a prompt's blocks as soon as its first token has come

Change: the export is asked for when the prefill has ended, while the blocks are in use by the answer.

--- a/internal/decision/reducer/attempts.go
+++ b/internal/decision/reducer/attempts.go
@@ -81,6 +81,11 @@
 	s.learnLifetime(r, ev.CachedTokens)
 	s.correct(r, ev.CachedTokens)
 	s.remember(r, r.target)
+	if r.prompt != nil {
+		// The blocks are in use until the answer ends, so that none is evicted
+		// before it is exported.
+		s.keep(r, r.target)
+	}
 	s.unlead(r)
 	s.note(r.id, StepStarted, r.target.name, fmt.Sprintf("%d tokens from cache", ev.CachedTokens))
 }
@@ -102,9 +107,6 @@
 	s.onAnswerFrom(t, ev.Incarnation)
 	s.unlead(r)
 	s.release(r)
-	if r.prompt != nil && s.targets[t.name] == t {
-		s.keep(r, t)
-	}
 	if r.claimed {
 		s.emit(RecordAnswer{Request: r.id})
 	}
