Import from the store that answered, and choose a home in one place

Cause: a read of the whole change. The store of a prefix was worked out anew for its lookup, its link and its import; when the home changed in between, blocks and generations of one store were asked of another. The engine's check of generations made that a miss, so that nothing wrong was read, but the import was wasted. The home was worked out twice for each choice, the rendezvous loop stood twice, the targets were sorted twice, and the refusal no-target could not occur.

--- a/internal/decision/reducer/caching.go
+++ b/internal/decision/reducer/caching.go
@@ -98,6 +98,7 @@
 		return
 	}
 	r.stored = matching(r.keys, ev.Blocks)
+	r.storedAt = ev.Store
 	s.enqueue(r)
 }
 
--- a/internal/decision/reducer/effects.go
+++ b/internal/decision/reducer/effects.go
@@ -33,7 +33,6 @@
 	RefusalTeamLimit       RefusalKind = "team-limit"
 	RefusalOverload        RefusalKind = "overload"
 	RefusalDeadline        RefusalKind = "deadline"
-	RefusalNoTarget        RefusalKind = "no-target"
 	RefusalNotReady        RefusalKind = "not-ready"
 	RefusalClaimed         RefusalKind = "claimed"
 	RefusalKeyMismatch     RefusalKind = "key-mismatch"
--- a/internal/decision/reducer/links.go
+++ b/internal/decision/reducer/links.go
@@ -90,16 +90,14 @@
 	return identifier.Host(placer.First(placer.KeyOf(name), s.hostNames[s.fleet.Stores[name].DataCentre]))
 }
 
-// linkFor describes the link between r's store and the targets.
+// linkFor describes the link between the store that holds r's blocks and the
+// targets. A store that was taken out or removed meanwhile has none.
 func (s *State) linkFor(r *request) scorer.Link {
-	if len(r.stored) == 0 {
+	store, ok := s.fleet.Stores[r.storedAt]
+	if len(r.stored) == 0 || !ok || store.State == specifier.StateOut {
 		return scorer.Link{}
 	}
-	name, store, ok := s.storeFor(r)
-	if !ok {
-		return scorer.Link{}
-	}
-	wait := s.linkOf(name).wait(s.now)
+	wait := s.linkOf(r.storedAt).wait(s.now)
 	if wait > maxLinkWait {
 		return scorer.Link{}
 	}
@@ -118,10 +116,9 @@
 	r.phase = phaseImporting
 	r.probing = true
 	s.lead(r)
-	name, store, _ := s.storeFor(r)
 	s.emit(Import{
 		Request: r.id, Target: r.target.name, TargetAddress: r.target.spec.Address,
-		Store: name, StoreAddress: store.Address, Model: r.prompt.Model, Version: r.version,
+		Store: r.storedAt, StoreAddress: s.fleet.Stores[r.storedAt].Address, Model: r.prompt.Model, Version: r.version,
 		Blocks: r.stored, Probe: true, Timeout: probeTimeout,
 	})
 }
--- a/internal/decision/reducer/ownership_test.go
+++ b/internal/decision/reducer/ownership_test.go
@@ -376,3 +376,30 @@
 	_, ok = one[Start](d.patient("r2"))
 	assert.Assert(t, !ok, "the lease has ended")
 }
+
+// TestImportComesFromTheStoreThatAnswered takes the store of a lookup out before
+// its answer comes: what it holds is not asked of another store, whose
+// generations are its own.
+func TestImportComesFromTheStoreThatAnswered(t *testing.T) {
+	d := newImporter(false)
+	fleet := d.s.fleet.Clone()
+	fleet.Stores["store-1"] = fleet.Stores["store-0"]
+	d.feed(ConfigAdopted{Version: d.s.version + 1, Fleet: fleet})
+	text := strings.Repeat("x", 8*hasher.BlockBytes)
+	lookup, ok := one[Lookup](d.feed(RequestArrived{Request: "a", KeyHash: "k1", Service: "labels", Timeout: 2 * time.Minute, Work: promptOf(text)}))
+	assert.Assert(t, ok)
+	fleet = fleet.Clone()
+	asked := fleet.Stores[lookup.Store]
+	asked.State = specifier.StateOut
+	fleet.Stores[lookup.Store] = asked
+	d.feed(ConfigAdopted{Version: d.s.version + 1, Fleet: fleet})
+	var blocks []StoredBlock
+	for _, key := range lookup.Keys {
+		blocks = append(blocks, StoredBlock{Key: key, Generation: 1})
+	}
+	effects := d.feed(LookupDone{Request: "a", Store: lookup.Store, Blocks: blocks})
+	order, imports := one[Import](effects)
+	assert.Assert(t, !imports, "import from %q of blocks that %q holds", order.Store, lookup.Store)
+	_, started := one[Start](effects)
+	assert.Assert(t, started)
+}
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -63,7 +63,9 @@
 
 	version identifier.WeightVersion
 	keys    []identifier.BlockKey
-	stored  []StoredBlock
+	// stored are the leading blocks that the store storedAt can serve.
+	stored   []StoredBlock
+	storedAt identifier.Store
 
 	// target is the one chosen, while phaseImporting or phaseRunning.
 	target *target
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -181,21 +181,28 @@
 	if len(r.keys) == 0 {
 		return s.chooseLeastLoaded(r, candidates)
 	}
+	best := firstOf(r, candidates, s.usable)
+	if best == nil {
+		return choice{}, false
+	}
+	return choice{target: best, plan: s.plainPlan(r, best)}, true
+}
+
+// firstOf returns the first accepted target in the rendezvous order of r's first
+// block, or nil.
+func firstOf(r *request, candidates []*target, accept func(*target, *request) bool) *target {
+	key := placer.KeyOfBytes(r.keys[0][:])
 	var best *target
 	var bestWeight uint64
-	key := placer.KeyOfBytes(r.keys[0][:])
 	for _, t := range candidates {
-		if !s.usable(t, r) {
+		if !accept(t, r) {
 			continue
 		}
 		if w := placer.Weight(key, t.hash); best == nil || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
-	if best == nil {
-		return choice{}, false
-	}
-	return choice{target: best, plan: s.plainPlan(r, best)}, true
+	return best
 }
 
 // plainPlan computes the whole prompt on t.
@@ -293,18 +300,12 @@
 	if len(r.keys) == 0 {
 		return nil
 	}
-	key := placer.KeyOfBytes(r.keys[0][:])
-	var best *target
-	var bestWeight uint64
-	for _, t := range candidates {
-		if !s.takesWork(t) || !t.local && !r.profile.SpillOver {
-			continue
-		}
-		if w := placer.Weight(key, t.hash); best == nil || w > bestWeight {
-			best, bestWeight = t, w
-		}
-	}
-	return best
+	return firstOf(r, candidates, s.mayBeHome)
+}
+
+// mayBeHome reports whether t may be the home of r's prefix.
+func (s *State) mayBeHome(t *target, r *request) bool {
+	return s.takesWork(t) && (t.local || r.profile.SpillOver)
 }
 
 // mayQueue reports whether one more prompt may wait at t. Between two reports the
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -155,17 +155,9 @@
 		}
 	}
 	s.byService = map[identifier.Service][]*target{}
-	for _, t := range s.targets {
+	for _, t := range s.sortedTargets() {
 		s.byService[t.spec.Service] = append(s.byService[t.spec.Service], t)
 	}
-	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *target) int {
-			if a.name < b.name {
-				return -1
-			}
-			return 1
-		})
-	}
 }
 
 func (s *State) onLoadObserved(ev LoadObserved) {
--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -35,7 +35,6 @@
 	reducer.RefusalTeamLimit:       http.StatusTooManyRequests,
 	reducer.RefusalOverload:        http.StatusServiceUnavailable,
 	reducer.RefusalDeadline:        http.StatusGatewayTimeout,
-	reducer.RefusalNoTarget:        http.StatusServiceUnavailable,
 	reducer.RefusalNotReady:        http.StatusServiceUnavailable,
 	reducer.RefusalClaimed:         http.StatusConflict,
 	reducer.RefusalKeyMismatch:     http.StatusUnprocessableEntity,
