Let engines refuse prompts that are meant for another incarnation

Cause: a request that left within 10 ms of the engine's last sign reached the new, cold incarnation over a connection that had stayed open, uncounted by its owner. Ruled out: the owner's count, permits of peers (both name the incarnation already). The users' platform lets a request name the one instance that may run it; the engine's protocol now has the same, and the engine refuses others before counting.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -294,6 +294,8 @@
 		return newError(op, KindInvalid, errors.New("request-id, max-tokens or prompt-tokens is missing"))
 	case req.ResumeOffset < 0 || req.ResumeOffset > req.MaxTokens:
 		return newError(op, KindInvalid, errors.Newf("resume-offset is %d, want from 0 to %d", req.ResumeOffset, req.MaxTokens))
+	case req.ExpectIncarnation != 0 && req.ExpectIncarnation != e.warmer.Incarnation():
+		return newError(op, KindWrongIncarnation, errors.Newf("incarnation %d is expected, this one is %d", req.ExpectIncarnation, e.warmer.Incarnation()))
 	case !e.weights.has(req.Model, req.Adapter, req.WeightVersion):
 		return newError(op, KindWrongVersion, errors.Newf("model %q version %q with adapter %q is not loaded", req.Model, req.WeightVersion, req.Adapter))
 	case e.queue.len() >= e.cfg.QueueLimit && (e.prefilling != nil || e.running() >= e.cfg.RunningLimit):
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -321,6 +321,12 @@
 	o := f.generate(wrong)
 	assert.Equal(t, o.refusal.Kind, string(KindWrongVersion))
 	assert.Equal(t, o.refusal.Run, messenger.RunNot)
+	stale := request("stale", 0, 1)
+	stale.ExpectIncarnation = f.warmer.Incarnation() + 1
+	o = f.generate(stale)
+	assert.Equal(t, o.status, http.StatusMisdirectedRequest)
+	assert.Equal(t, o.refusal.Kind, string(KindWrongIncarnation))
+	assert.Equal(t, o.refusal.Run, messenger.RunNot)
 
 	results := make(chan outcome, 2)
 	go func() { results <- f.generate(request("running", 0, 1)) }()
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -150,6 +150,8 @@
 		return http.StatusBadRequest
 	case KindNotFound:
 		return http.StatusNotFound
+	case KindWrongIncarnation:
+		return http.StatusMisdirectedRequest
 	case KindWrongVersion, KindCancelled:
 		return http.StatusConflict
 	case KindDeadline:
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -27,6 +27,8 @@
 	KindOverloaded Kind = "overloaded"
 	// KindRefusing reports an engine that a fault makes refuse all requests.
 	KindRefusing Kind = "refusing"
+	// KindWrongIncarnation reports a request that was meant for another incarnation.
+	KindWrongIncarnation Kind = "wrong-incarnation"
 	// KindWrongVersion reports a request for weights that are not loaded.
 	KindWrongVersion Kind = "wrong-version"
 	// KindDeadline reports a request whose deadline passed.
--- a/internal/target/caller/generate.go
+++ b/internal/target/caller/generate.go
@@ -32,6 +32,7 @@
 // Generate runs a prompt on an engine and returns AttemptDone or AttemptFailed.
 func (c *Caller) Generate(ctx context.Context, start reducer.Start, body messenger.GenerateRequest, sink Sink) reducer.Event {
 	body.DeadlineMilliseconds = start.Deadline.Sub(c.cfg.Clock.Now()).Milliseconds()
+	body.ExpectIncarnation = start.Incarnation
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return reducer.AttemptFailed{Attempt: start.Attempt, Proven: true, Reason: reducer.FailureRefused, Detail: err.Error(), Delivered: start.ResumeOffset}
@@ -75,8 +76,11 @@
 		Detail: x.describeRefusal(refusal), Incarnation: incarnationOf(x.response.Header),
 		Proven: err == nil && refusal.Run == messenger.RunNot,
 	}
-	if refusal.Kind == kindWrongVersion {
+	switch refusal.Kind {
+	case kindWrongVersion:
 		failed.Reason = reducer.FailureVersion
+	case kindWrongIncarnation:
+		failed.Reason = reducer.FailureIncarnation
 	}
 	return failed
 }
@@ -91,8 +95,13 @@
 	return status
 }
 
-// kindWrongVersion is the kind of an engine's refusal of an unknown weight version.
-const kindWrongVersion = "wrong-version"
+const (
+	// kindWrongVersion is the kind of an engine's refusal of an unknown weight version.
+	kindWrongVersion = "wrong-version"
+	// kindWrongIncarnation is the kind of the refusal of a request that was meant
+	// for another incarnation.
+	kindWrongIncarnation = "wrong-incarnation"
+)
 
 // stream passes on the frames of an answer until its end mark.
 func (c *Caller) stream(x *exchange, sink Sink) reducer.Event {
--- a/internal/target/messenger/messenger.go
+++ b/internal/target/messenger/messenger.go
@@ -90,6 +90,8 @@
 	ResumeOffset int `json:"resume-offset"`
 	// Generated holds the tokens before ResumeOffset, joined as text.
 	Generated string `json:"generated,omitempty"`
+	// ExpectIncarnation is the only incarnation that may run the request; 0 means any.
+	ExpectIncarnation identifier.Incarnation `json:"expect-incarnation,omitempty"`
 	// Priority is higher for more important work.
 	Priority int `json:"priority"`
 	// DeadlineMilliseconds is the time left; the engine stops the run after it.
