--- a/internal/entry/commander/commander.go
+++ b/internal/entry/commander/commander.go
@@ -17,6 +17,7 @@
 	"cardamomscale.example/cardamomscale/internal/config/starter"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/entry/daemon"
+	relay "cardamomscale.example/cardamomscale/internal/relay/commander"
 )
 
 // Kind classifies failures of this package.
@@ -70,6 +71,7 @@
 	if err := root.MarkFlagRequired("config"); err != nil {
 		return nil, newError("new command", KindInvalid, err)
 	}
+	root.AddCommand(relay.New(relay.Config{Out: cfg.Out}))
 	return root, nil
 }
 
--- /dev/null
+++ b/internal/relay/decider/caching.go
@@ -0,0 +1,281 @@
+package decider
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+const (
+	// fetchTime bounds a fetch: a longer one costs more than reading the prompt,
+	// and frees of outdated parts wait for its end.
+	fetchTime = 1500 * time.Millisecond
+	// saveTime is how long a part counts as being saved before it is saved again.
+	saveTime = 1500 * time.Millisecond
+	// storeFull is the share of a store's memory from which nothing is saved there.
+	storeFull = 0.97
+	// smallPart is the share of a fast store that a part may take.
+	smallPart = 0.02
+	// freeBatch bounds the parts of one call that frees them.
+	freeBatch = 400
+	// freeAfter is how long all engines must have newer weights before parts of
+	// older ones are freed: longer than any fetch.
+	freeAfter = fetchTime + time.Second
+)
+
+// partKey names a part under its salt.
+type partKey struct{ salt, part string }
+
+// directory holds what the stores hold.
+type directory struct {
+	stores []*store
+	// saving holds the parts that are on their way to a store, until when.
+	saving map[partKey]time.Time
+	// skew is the targets' clock less this host's; known once a store told its clock.
+	skew      time.Duration
+	skewKnown bool
+	// currentSince is when all engines were first seen to have their named weights.
+	currentSince time.Time
+}
+
+// store is what is known of one store.
+type store struct {
+	descriptor.Store
+	service string
+	boot    int64
+	// alive is true while the store answers and its parts are known.
+	alive bool
+	held  map[partKey]int
+	used  int
+}
+
+func newDirectory() directory { return directory{saving: map[partKey]time.Time{}} }
+
+// noteStores takes over the stores of the configuration.
+func (s *State) noteStores() {
+	var list []*store
+	for name, svc := range s.config.Services {
+		if svc.Store == nil {
+			continue
+		}
+		i := slices.IndexFunc(s.stores, func(st *store) bool { return st.Address == svc.Store.Address })
+		if i >= 0 {
+			s.stores[i].Store = *svc.Store
+			list = append(list, s.stores[i])
+			continue
+		}
+		list = append(list, &store{Store: *svc.Store, service: name, held: map[partKey]int{}})
+	}
+	slices.SortFunc(list, func(a, b *store) int { return a.Address.Compare(b.Address) })
+	s.stores = list
+}
+
+func (s *State) storeAt(addr netip.AddrPort) *store {
+	i := slices.IndexFunc(s.stores, func(st *store) bool { return st.Address == addr })
+	if i < 0 {
+		return nil
+	}
+	return s.stores[i]
+}
+
+// onPartsChanged keeps account of a store. After a restart or a gap nothing is
+// believed until the whole list was read.
+func (s *State) onPartsChanged(ev PartsChanged) {
+	st := s.storeAt(ev.Store)
+	if st == nil {
+		return
+	}
+	if !ev.Changes.Clock.IsZero() {
+		s.skew, s.skewKnown = ev.Changes.Clock.Sub(s.now), true
+	}
+	if ev.Changes.Boot != st.boot || ev.Changes.Lost || ev.Whole {
+		if st.boot != ev.Changes.Boot || !ev.Whole {
+			s.note("store restarted or changes lost", "", "store", ev.Store, "boot", ev.Changes.Boot, "before", st.boot, "parts", len(st.held))
+		}
+		st.boot, st.used = ev.Changes.Boot, 0
+		clear(st.held)
+	}
+	if !st.alive {
+		s.note("store answers", "", "store", ev.Store, "boot", st.boot)
+	}
+	st.alive = true
+	if ev.Changes.Lost && !ev.Whole {
+		s.emit(ListParts{Store: ev.Store})
+		return
+	}
+	for _, c := range ev.Changes.Changes {
+		s.changePart(st, c)
+	}
+}
+
+func (s *State) changePart(st *store, c descriptor.PartChange) {
+	key := partKey{c.Salt, c.Part}
+	st.used -= st.held[key]
+	delete(st.held, key)
+	if c.Held {
+		st.held[key] = c.Tokens
+		st.used += c.Tokens
+		delete(s.saving, key)
+	}
+}
+
+func (s *State) onStoreLost(ev StoreLost) {
+	if st := s.storeAt(ev.Store); st != nil && st.alive {
+		st.alive = false
+		s.note("store lost", "", "store", ev.Store, "parts", len(st.held))
+	}
+}
+
+// salt keeps the parts of each model, version and isolated team apart.
+func (r *request) salt(version int) string {
+	salt := fmt.Sprintf("%s:%d", r.prompt.Model, version)
+	if r.team != nil && r.team.Isolated {
+		salt += ":" + r.team.Name
+	}
+	return salt
+}
+
+// holder returns a store that holds a part in whole, the fastest first.
+func (s *State) holder(key partKey, tokens int) *store {
+	var best *store
+	for _, st := range s.stores {
+		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) {
+			best = st
+		}
+	}
+	return best
+}
+
+// importable returns what an engine with a version can import of r's prompt: the
+// leading shared parts that stores hold.
+func (s *State) importable(r *request, version int) importPlan {
+	var plan importPlan
+	salt := r.salt(version)
+	for _, part := range r.prompt.Shared() {
+		st := s.holder(partKey{salt, part.ID}, part.Tokens)
+		if st == nil {
+			break
+		}
+		plan.tokens += part.Tokens
+		plan.time += transferTime(&st.Store, part.Tokens, s.tokenBytes(r.service))
+	}
+	return plan
+}
+
+func (s *State) tokenBytes(service string) int {
+	if svc := s.config.Services[service]; svc != nil && svc.Engine != nil {
+		return svc.Engine.TokenBytes
+	}
+	return 0
+}
+
+// planCache says where t imports r's shared parts from and saves them to.
+func (s *State) planCache(r *request, t *target, out *Send) {
+	version := t.Weights[r.prompt.Model]
+	r.weights = version
+	out.Weights = version
+	out.Salt = r.salt(version)
+	plan := s.importable(r, version)
+	r.work.Unread = max(0, r.prompt.Tokens-plan.tokens)
+	r.work.Memory = r.prompt.Tokens + r.prompt.MaxOutput
+	out.Sources = make([]netip.AddrPort, len(r.prompt.Parts))
+	out.Sinks = make([]netip.AddrPort, len(r.prompt.Parts))
+	for i, part := range r.prompt.Shared() {
+		key := partKey{out.Salt, part.ID}
+		if st := s.holder(key, part.Tokens); st != nil {
+			out.Sources[i] = st.Address
+			continue
+		}
+		if st := s.home(key, part.Tokens, i); st != nil && s.now.After(s.saving[key]) {
+			out.Sinks[i] = st.Address
+			s.saving[key] = s.now.Add(saveTime)
+		}
+	}
+	if s.skewKnown {
+		out.SourceUntil = s.now.Add(s.skew + fetchTime)
+	}
+}
+
+// home returns the store that a part is saved to. All hosts choose the same one,
+// so that parts aren't kept twice: small parts and those that start a prompt go
+// to the fast stores, the others to the large ones.
+func (s *State) home(key partKey, tokens, index int) *store {
+	var best *store
+	var bestRank uint64
+	for _, st := range s.stores {
+		if !st.alive || float64(st.used+tokens) > storeFull*float64(st.Tokens) {
+			continue
+		}
+		rank := xxh3.HashString(st.Address.String() + "|" + key.salt + "|" + key.part)
+		if s.preferred(st, tokens, index) {
+			rank |= 1 << 63
+		} else {
+			rank &^= 1 << 63
+		}
+		if best == nil || rank > bestRank {
+			best, bestRank = st, rank
+		}
+	}
+	return best
+}
+
+// preferred reports whether st is of the right kind for a part.
+func (s *State) preferred(st *store, tokens, index int) bool {
+	fastest, fastTokens := st.FirstByte, st.Tokens
+	for _, other := range s.stores {
+		if other.FirstByte < fastest {
+			fastest, fastTokens = other.FirstByte, other.Tokens
+		}
+	}
+	fits := index == 0 || float64(tokens) <= smallPart*float64(fastTokens)
+	return (st.FirstByte == fastest) == fits
+}
+
+// freeOutdated frees the parts of older weights once all engines have had newer
+// ones for longer than a fetch takes. No engine reads such parts any more: each
+// request names the only version that may run it.
+func (s *State) freeOutdated() {
+	if !s.allCurrent() {
+		s.currentSince = time.Time{}
+		return
+	}
+	if s.currentSince.IsZero() {
+		s.currentSince = s.now
+	}
+	if s.now.Sub(s.currentSince) < freeAfter {
+		return
+	}
+	for _, st := range s.stores {
+		s.freeFrom(st)
+	}
+}
+
+func (s *State) freeFrom(st *store) {
+	if !st.alive {
+		return
+	}
+	bySalt := map[string][]string{}
+	for key := range st.held {
+		model, rest, _ := strings.Cut(key.salt, ":")
+		var version int
+		if n, err := fmt.Sscanf(rest, "%d", &version); n != 1 || err != nil {
+			continue // Not a salt of this project.
+		}
+		if version < s.wanted[model] && len(bySalt[key.salt]) < freeBatch {
+			bySalt[key.salt] = append(bySalt[key.salt], key.part)
+		}
+	}
+	for salt, parts := range bySalt {
+		for _, part := range parts {
+			s.changePart(st, descriptor.PartChange{Salt: salt, Part: part})
+		}
+		s.note("outdated parts freed", "", "store", st.Address, "salt", salt, "parts", len(parts))
+		s.emit(FreeParts{Store: st.Address, Boot: st.boot, Salt: salt, Parts: parts})
+	}
+}
--- /dev/null
+++ b/internal/relay/decider/peers.go
@@ -0,0 +1,216 @@
+package decider
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// tellEvery is the pause between messages to peers at a few hosts; it grows
+	// with their number so that each host gets about tellRate messages a second.
+	tellEvery = 100 * time.Millisecond
+	tellRate  = 100
+	// peerTimeout is how long a silent peer's work counts.
+	peerTimeout = 1500 * time.Millisecond
+	// peerForget is how long a silent host counts when limits are shared.
+	peerForget = 30 * time.Second
+	// rebootSilence is how long a peer must have been silent before a process with
+	// a lower boot replaces it: its time of day may have been put back.
+	rebootSilence = 300 * time.Millisecond
+	// messageDelay is added to the age of what peers tell.
+	messageDelay = 200 * time.Millisecond
+)
+
+// Message is what a host tells its peers.
+type Message struct {
+	Host string `cbor:"1,keyasint"`
+	Boot int64  `cbor:"2,keyasint"`
+	// Number orders the messages of one process.
+	Number uint64 `cbor:"3,keyasint"`
+	// Work is what the host has on its way to targets.
+	Work map[string]work `cbor:"4,keyasint,omitempty"`
+	// Down lists targets that the host found down since its last message or so.
+	Down []string `cbor:"5,keyasint,omitempty"`
+	// Orders lists the targets that the holder of orders has under order.
+	Orders []string `cbor:"6,keyasint,omitempty"`
+	// Weights are the versions of targets, with their models.
+	Weights map[string]map[string]int `cbor:"7,keyasint,omitempty"`
+	// Config is the version in force, and ConfigAge how long ago it was confirmed.
+	Config    int64         `cbor:"8,keyasint,omitempty"`
+	ConfigAge time.Duration `cbor:"9,keyasint,omitempty"`
+	// Lease is the newest revision of the lease of orders; Holder is true if the sender holds it.
+	Lease  int64 `cbor:"10,keyasint,omitempty"`
+	Holder bool  `cbor:"11,keyasint,omitempty"`
+	// Leaving is true when the sender stops.
+	Leaving bool `cbor:"12,keyasint,omitempty"`
+}
+
+// peers holds what other hosts told.
+type peers struct {
+	hosts map[string]netip.AddrPort
+	heard map[string]*peer
+	// told counts this host's messages; nextTell is when the next is due.
+	told     uint64
+	nextTell time.Time
+	// ordered are targets that the holder has under order, until when.
+	ordered map[string]time.Time
+}
+
+type peer struct {
+	boot   int64
+	number uint64
+	at     time.Time
+	work   map[string]work
+}
+
+func newPeers() peers {
+	return peers{hosts: map[string]netip.AddrPort{}, heard: map[string]*peer{}, ordered: map[string]time.Time{}}
+}
+
+func (s *State) onHostsListed(ev HostsListed) {
+	s.hosts = ev.Hosts
+	s.note("hosts listed", "", "hosts", len(ev.Hosts))
+}
+
+// Peers returns the addresses of the other hosts.
+func (s *State) Peers() []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(s.hosts))
+	for host, addr := range s.hosts {
+		if host != s.cfg.Host {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
+// hostCount is the number of hosts among which limits are shared: all that were
+// heard lately, and those that are registered but were never heard.
+func (s *State) hostCount() int {
+	n := 1
+	for host := range s.hosts {
+		if p := s.heard[host]; host != s.cfg.Host && (p == nil || s.now.Sub(p.at) < peerForget) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) tellPeers() {
+	pause := max(tellEvery, time.Second*time.Duration(len(s.hosts))/tellRate)
+	if s.now.Before(s.nextTell) {
+		return
+	}
+	s.nextTell = s.now.Add(pause)
+	s.forgetSilent()
+	s.emit(Tell{Message: s.message()})
+}
+
+func (s *State) message() Message {
+	s.told++
+	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told, Work: map[string]work{}, Weights: map[string]map[string]int{}, Leaving: s.stopping}
+	for id, t := range s.targets {
+		if t.own != (work{}) {
+			m.Work[id] = t.own
+		}
+		if t.down && s.now.Sub(t.probeAt) < longestDown {
+			m.Down = append(m.Down, id)
+		}
+		if len(t.Weights) > 0 && s.holding() {
+			m.Weights[id] = t.Weights
+		}
+	}
+	if s.config != nil {
+		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.confirmed)
+	}
+	m.Lease, m.Holder = s.lease.Revision, s.holding()
+	if m.Holder {
+		for id := range s.jobs {
+			m.Orders = append(m.Orders, id)
+		}
+	}
+	return m
+}
+
+func (s *State) onPeerSaid(ev PeerSaid) {
+	m := ev.Message
+	if m.Host == s.cfg.Host {
+		return
+	}
+	p := s.heard[m.Host]
+	if p == nil || m.Boot > p.boot || m.Boot < p.boot && s.now.Sub(p.at) > rebootSilence {
+		s.dropWork(p)
+		p = &peer{boot: m.Boot}
+		s.heard[m.Host] = p
+		s.note("peer heard", "", "peer", m.Host, "boot", m.Boot)
+	}
+	if m.Boot != p.boot || m.Number <= p.number {
+		return
+	}
+	s.dropWork(p)
+	p.number, p.at, p.work = m.Number, s.now, m.Work
+	s.addWork(p.work, 1)
+	for _, id := range m.Down {
+		if t := s.targets[id]; t != nil && !t.down && t.own.Requests == 0 {
+			s.markDownByPeer(t, m.Host)
+		}
+	}
+	s.takeOverBeliefs(m)
+}
+
+// markDownByPeer lets this host see for itself before it uses t again.
+func (s *State) markDownByPeer(t *target, host string) {
+	t.down = true
+	t.probeAt = s.now
+	s.note("target down", "", "target", t.ID, "why", "a peer can't reach it", "peer", host)
+}
+
+func (s *State) takeOverBeliefs(m Message) {
+	if s.config != nil && m.Config == s.config.Version {
+		s.confirm(s.now.Add(-m.ConfigAge - messageDelay))
+	}
+	for id, weights := range m.Weights {
+		for model, version := range weights {
+			if t := s.targets[id]; t != nil {
+				s.learnWeights(t, model, version)
+			}
+		}
+	}
+	if m.Lease > s.lease.Revision {
+		s.lease.Revision, s.leaseSeen = m.Lease, s.now
+	}
+	if m.Holder {
+		clear(s.ordered)
+		for _, id := range m.Orders {
+			s.ordered[id] = s.now.Add(peerTimeout)
+		}
+	}
+}
+
+// underOrder reports whether t is under order by this host or by the holder.
+func (s *State) underOrder(t *target) bool {
+	return s.jobs[t.ID] != nil && s.holding() || s.now.Before(s.ordered[t.ID])
+}
+
+func (s *State) addWork(list map[string]work, sign int) {
+	for id, w := range list {
+		if t := s.targets[id]; t != nil {
+			t.others.add(w, sign)
+		}
+	}
+}
+
+func (s *State) dropWork(p *peer) {
+	if p != nil {
+		s.addWork(p.work, -1)
+		p.work = nil
+	}
+}
+
+// forgetSilent takes the work of silent peers off the targets.
+func (s *State) forgetSilent() {
+	for _, p := range s.heard {
+		if p.work != nil && s.now.Sub(p.at) > peerTimeout {
+			s.dropWork(p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/decider/placing.go
@@ -0,0 +1,113 @@
+package decider
+
+import (
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a second, by the
+	// deployments' sheets.
+	readRate = 110_000
+	// holdTime is about how long a request occupies an engine's memory: the time
+	// to read and answer a long prompt, by the deployments' sheets.
+	holdTime = 500 * time.Millisecond
+	// farCost is what a target of another data centre must be faster to be
+	// chosen: the way there and back, and the price of the bytes.
+	farCost = 3 * time.Millisecond
+	// runningCost is how much longer a step takes for each running request, over
+	// the first ten steps of an answer.
+	runningCost = 400 * time.Microsecond
+	// defaultWork is the time of a plain answer before one was measured.
+	defaultWork = 20 * time.Millisecond
+	// oldWeightsFrom is when requests on older weights begin to lose credit, and
+	// oldWeightsCost the part of the goal that this is worth.
+	oldWeightsFrom = 1300 * time.Millisecond
+	oldWeightsCost = 0.5
+)
+
+// place returns the target with the shortest expected time to the first part of
+// an answer, and that time. It answers the load pattern in which some engines are
+// full while others have room: the work on its way from all hosts counts.
+func (s *State) place(r *request) (*target, time.Duration) {
+	var best *target
+	var least time.Duration
+	for _, t := range s.byService[r.service] {
+		if !s.usable(t, r) {
+			continue
+		}
+		cost := s.expected(r, t)
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best, least
+}
+
+// expected is the time until r's answer begins at t, with penalties for what is worse than time.
+func (s *State) expected(r *request, t *target) time.Duration {
+	load := t.own
+	load.add(t.others, 1)
+	var cost time.Duration
+	if t.service.Engine != nil && r.prompt != nil {
+		cost = s.expectedPrompt(r, t, load)
+	} else {
+		cost = s.expectedPlain(t, load)
+	}
+	if t.DataCentre != s.cfg.DataCentre {
+		cost += farCost
+	}
+	return cost + time.Duration(t.failing*float64(r.goal()))
+}
+
+func (s *State) expectedPlain(t *target, load work) time.Duration {
+	each := defaultWork
+	if mean := s.workTime[t.Service]; mean > 0 {
+		each = time.Duration(mean * float64(time.Second))
+	}
+	slots := max(1, t.Slots)
+	busy := float64(load.Requests) / float64(slots)
+	cost := time.Duration(busy * float64(runningCost))
+	if waiting := load.Requests + 1 - slots; waiting > 0 {
+		cost += each * time.Duration(waiting) / time.Duration(slots)
+	}
+	return cost
+}
+
+// expectedPrompt sums up the time to read what is before r and r itself, to
+// import what stores hold, and to wait for memory and a slot.
+func (s *State) expectedPrompt(r *request, t *target, load work) time.Duration {
+	plan := s.importable(r, t.Weights[r.prompt.Model])
+	cost := time.Duration(float64(load.Unread+r.prompt.Tokens-plan.tokens) / readRate * float64(time.Second))
+	cost += plan.time + time.Duration(load.Requests)*runningCost
+	engine := t.service.Engine
+	if over := load.Memory + r.prompt.Tokens + r.prompt.MaxOutput - engine.MemoryTokens; over > 0 && engine.MemoryTokens > 0 {
+		cost += time.Duration(float64(holdTime) * float64(over) / float64(engine.MemoryTokens))
+	}
+	if waiting := load.Requests + 1 - engine.Slots; waiting > 0 {
+		cost += holdTime * time.Duration(waiting) / time.Duration(max(1, engine.Slots))
+	}
+	if s.outdated(t, r.prompt.Model) && s.now.Sub(s.namedAt[r.prompt.Model]) > oldWeightsFrom {
+		cost += time.Duration(oldWeightsCost * float64(r.goal()))
+	}
+	return cost
+}
+
+func (s *State) outdated(t *target, model string) bool { return t.Weights[model] < s.wanted[model] }
+
+// importPlan is what an engine can import of a prompt.
+type importPlan struct {
+	tokens int
+	time   time.Duration
+}
+
+// transferTime is how long a store needs to send tokens to an engine.
+func transferTime(st *descriptor.Store, tokens, tokenBytes int) time.Duration {
+	if st.LinkMbps <= 0 {
+		return st.FirstByte
+	}
+	const bitsPerMegabit = 1e6
+	seconds := float64(tokens) * float64(tokenBytes) * 8 / (st.LinkMbps * bitsPerMegabit)
+	return st.FirstByte + time.Duration(seconds*float64(time.Second))
+}
--- /dev/null
+++ b/internal/relay/executor/executor.go
@@ -0,0 +1,109 @@
+// Package executor runs the reducer and hands its effects to whoever carries them out.
+package executor
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/internal/relay/meter"
+	"cardamomscale.example/cardamomscale/internal/relay/timer"
+)
+
+// queuedEffects is how many effects wait for the surroundings: far more than one
+// event has.
+const queuedEffects = 1024
+
+// Config configures an Executor.
+type Config struct {
+	State  *decider.State
+	Clock  timer.Clock
+	Logger hclog.Logger
+	Meter  *meter.Meter
+}
+
+// Executor serializes events. It is safe for concurrent use.
+type Executor struct {
+	cfg Config
+	mu  sync.Mutex
+	// surroundings receives the effects that concern no request.
+	surroundings chan decider.Effect
+}
+
+// New returns an Executor.
+func New(cfg Config) *Executor {
+	return &Executor{cfg: cfg, surroundings: make(chan decider.Effect, queuedEffects)}
+}
+
+// Effects returns the effects that concern no request.
+func (e *Executor) Effects() <-chan decider.Effect { return e.surroundings }
+
+// Post reduces an event and returns the effect that concerns the event's own
+// request, which is a Send, a Refuse or nil.
+func (e *Executor) Post(ev decider.Event) decider.Effect {
+	e.mu.Lock()
+	effects := e.cfg.State.Reduce(ev, e.cfg.Clock.Now())
+	e.mu.Unlock()
+	e.cfg.Meter.Event(ev)
+	var own decider.Effect
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case decider.Send, decider.Refuse:
+			own = effect
+		case decider.Note:
+			e.log(effect)
+		default:
+			e.queue(effect)
+		}
+		e.cfg.Meter.Effect(effect)
+	}
+	return own
+}
+
+func (e *Executor) log(n decider.Note) {
+	fields := n.Fields
+	if n.Request != "" {
+		fields = append([]any{"request-id", n.Request}, fields...)
+	}
+	e.cfg.Logger.Info(n.Event, fields...)
+}
+
+// queue never blocks: an effect that finds no room is repeated by a later tick.
+func (e *Executor) queue(effect decider.Effect) {
+	select {
+	case e.surroundings <- effect:
+	default:
+		e.cfg.Logger.Warn("effect dropped, too many wait")
+	}
+}
+
+// Ready reports whether the host can serve callers.
+func (e *Executor) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Ready()
+}
+
+// Peers returns the addresses of the other hosts.
+func (e *Executor) Peers() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Peers()
+}
+
+// Stores returns the addresses of the stores.
+func (e *Executor) Stores() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Stores()
+}
+
+// Limits returns what callers may send, or nil before the first configuration.
+func (e *Executor) Limits() *descriptor.Limits {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Limits()
+}
--- /dev/null
+++ b/internal/relay/follower/follower.go
@@ -0,0 +1,328 @@
+// Package follower follows what the platform and the stores hold and turns it
+// into events.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/platform/caller"
+	"cardamomscale.example/cardamomscale/platform/decoder"
+)
+
+const (
+	// configWait is how long a watch of the configuration waits: each answer
+	// confirms the version in force, which keys need within seconds.
+	configWait = time.Second
+	// objectWait is how long other watches wait; the platform allows 30 s.
+	objectWait = 25 * time.Second
+	// batchPause lets changes gather before the next watch.
+	batchPause = 60 * time.Millisecond
+	// retryPause and retryMost bound the pause after a failed call.
+	retryPause = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// lapseGrace is how long after an outage removals count as lapsed entries,
+	// which may come back: by the platform's terms.
+	lapseGrace = 2 * time.Second
+	// partWait is how long a store may hold back an answer without changes; the
+	// platform allows 1 s.
+	partWait = time.Second
+)
+
+// Config configures a Follower.
+type Config struct {
+	Caller *caller.Caller
+	Clock  timer.Clock
+	Logger hclog.Logger
+	Post   func(decider.Event)
+	// Stores returns the stores to follow.
+	Stores func() []netip.AddrPort
+}
+
+// Follower follows the platform and the stores until it is stopped.
+type Follower struct{ cfg Config }
+
+// New returns a Follower.
+func New(cfg Config) *Follower { return &Follower{cfg: cfg} }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
+		w := &watch{Follower: f, kind: kind, known: map[string]caller.Object{}}
+		g.Go(func() error { return w.run(ctx) })
+	}
+	g.Go(func() error { return f.followStores(ctx) })
+	return g.Wait()
+}
+
+// sleep waits for about d, and returns false when ctx ends.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watch follows the objects of one kind.
+type watch struct {
+	*Follower
+	kind  string
+	known map[string]caller.Object
+	// lost is true while calls fail; back is when they last began to succeed.
+	lost bool
+	back time.Time
+}
+
+func (w *watch) run(ctx context.Context) error {
+	revision := int64(0)
+	pause := retryPause
+	for ctx.Err() == nil {
+		next, err := w.step(ctx, revision)
+		if err == nil {
+			w.regained()
+			revision, pause = next, retryPause
+			continue
+		}
+		if caller.KindOf(err) == caller.KindCompacted {
+			w.cfg.Logger.Info("changes are gone, listing anew", "kind", w.kind, "after", revision)
+			revision = 0
+			continue
+		}
+		w.failed(ctx, err)
+		if !sleep(ctx, pause) {
+			break
+		}
+		pause = min(2*pause, retryMost)
+	}
+	return nil
+}
+
+func (w *watch) failed(ctx context.Context, err error) {
+	if !w.lost && ctx.Err() == nil {
+		w.lost = true
+		w.cfg.Logger.Warn("platform lost", "kind", w.kind, "error", err.Error())
+	}
+}
+
+func (w *watch) regained() {
+	if w.lost {
+		w.lost = false
+		w.back = w.cfg.Clock.Now()
+		w.cfg.Logger.Info("platform regained", "kind", w.kind)
+	}
+}
+
+// step lists all objects if revision is 0, and waits for changes otherwise.
+func (w *watch) step(ctx context.Context, revision int64) (int64, error) {
+	asked := w.cfg.Clock.Now()
+	if revision == 0 {
+		all, err := w.cfg.Caller.List(ctx, w.kind)
+		if err != nil {
+			return 0, err
+		}
+		clear(w.known)
+		w.take(all.Objects)
+		w.tell(all.Objects, true, asked)
+		return all.Revision, nil
+	}
+	changes, err := w.cfg.Caller.Watch(ctx, w.kind, revision, w.wait())
+	if err != nil {
+		return 0, err
+	}
+	w.take(changes.Objects)
+	w.tell(changes.Objects, false, asked)
+	if len(changes.Objects) > 0 {
+		sleep(ctx, batchPause)
+	}
+	return max(revision, changes.Revision), nil
+}
+
+func (w *watch) wait() time.Duration {
+	if w.kind == caller.KindConfig {
+		return configWait
+	}
+	return objectWait
+}
+
+func (w *watch) take(objects []caller.Object) {
+	for _, o := range objects {
+		if o.Removed {
+			delete(w.known, o.Name)
+		} else {
+			w.known[o.Name] = o
+		}
+	}
+}
+
+// tell turns objects into the event of their kind.
+func (w *watch) tell(objects []caller.Object, whole bool, asked time.Time) {
+	switch w.kind {
+	case caller.KindConfig:
+		w.tellConfig(objects, asked)
+	case caller.KindTargets:
+		w.tellTargets(objects, whole)
+	case caller.KindEvacuations:
+		if whole || len(objects) > 0 {
+			w.tellEvacuations()
+		}
+	case caller.KindWeights:
+		w.tellWeights(objects)
+	case caller.KindHosts:
+		if whole || len(objects) > 0 {
+			w.tellHosts()
+		}
+	}
+}
+
+func (w *watch) tellConfig(objects []caller.Object, asked time.Time) {
+	for _, o := range objects {
+		if o.Name != caller.ConfigName || o.Removed {
+			continue
+		}
+		cfg, err := decoder.Config(o.Spec)
+		if err != nil {
+			w.cfg.Logger.Error("configuration ignored", "revision", o.Revision, "error", err.Error())
+			return
+		}
+		w.cfg.Post(decider.ConfigListed{Config: cfg, AsOf: asked})
+	}
+	w.cfg.Post(decider.ConfigConfirmed{AsOf: asked})
+}
+
+func (w *watch) tellTargets(objects []caller.Object, whole bool) {
+	ev := decider.TargetsListed{Whole: whole, Lapsing: w.cfg.Clock.Now().Sub(w.back) < lapseGrace}
+	for _, o := range objects {
+		if o.Removed {
+			ev.Removed = append(ev.Removed, o.Name)
+			continue
+		}
+		t, err := decoder.Target(o.Name, o.Spec)
+		if err != nil {
+			w.cfg.Logger.Warn("entry ignored", "target", o.Name, "revision", o.Revision, "error", err.Error())
+			continue
+		}
+		ev.Targets = append(ev.Targets, t)
+	}
+	if whole || len(objects) > 0 {
+		w.cfg.Post(ev)
+	}
+}
+
+func (w *watch) tellEvacuations() {
+	var ev decider.EvacuationsListed
+	for name := range w.known {
+		ev.DataCentres = append(ev.DataCentres, name)
+	}
+	w.cfg.Post(ev)
+}
+
+func (w *watch) tellWeights(objects []caller.Object) {
+	for _, o := range objects {
+		if o.Removed {
+			continue
+		}
+		model, version, err := decoder.NamedWeights(o.Spec)
+		if err != nil {
+			w.cfg.Logger.Warn("named weights ignored", "name", o.Name, "error", err.Error())
+			continue
+		}
+		w.cfg.Post(decider.WeightsNamed{Model: model, Version: version})
+	}
+}
+
+func (w *watch) tellHosts() {
+	ev := decider.HostsListed{Hosts: make(map[string]netip.AddrPort, len(w.known))}
+	for name, o := range w.known {
+		addr, err := decoder.Host(o.Spec)
+		if err != nil {
+			w.cfg.Logger.Warn("host ignored", "host", name, "error", err.Error())
+			continue
+		}
+		ev.Hosts[name] = addr
+	}
+	w.cfg.Post(ev)
+}
+
+// Register enters this host into the list of hosts, and repeats it until it is there.
+func (f *Follower) Register(ctx context.Context, host string, addr netip.AddrPort) {
+	spec := decoder.HostSpec(addr)
+	for {
+		_, err := f.cfg.Caller.Create(ctx, caller.KindHosts, host, spec)
+		if caller.KindOf(err) == caller.KindConflict {
+			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, host, 0, spec)
+		}
+		if err == nil {
+			f.cfg.Logger.Info("host registered", "host", host, "address", addr.String())
+			return
+		}
+		f.cfg.Logger.Warn("host not registered", "error", err.Error())
+		if !sleep(ctx, retryMost) {
+			return
+		}
+	}
+}
+
+// followStores starts one follower for each store that the configuration names.
+func (f *Follower) followStores(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	following := map[netip.AddrPort]bool{}
+	for {
+		for _, addr := range f.cfg.Stores() {
+			if !following[addr] {
+				following[addr] = true
+				g.Go(func() error { return f.followStore(ctx, addr) })
+			}
+		}
+		if !sleep(ctx, retryMost) {
+			return g.Wait()
+		}
+	}
+}
+
+func (f *Follower) followStore(ctx context.Context, addr netip.AddrPort) error {
+	var last descriptor.PartChanges
+	listed := false
+	pause := retryPause
+	for ctx.Err() == nil {
+		changes, err := f.askStore(ctx, addr, listed, last.Next)
+		if err != nil {
+			if caller.KindOf(err) != caller.KindUnavailable && ctx.Err() == nil {
+				f.cfg.Post(decider.StoreLost{Store: addr})
+			}
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		whole := !listed
+		if listed && (changes.Lost || changes.Boot != last.Boot) {
+			listed = false
+			continue
+		}
+		listed, pause, last = true, retryPause, changes
+		f.cfg.Post(decider.PartsChanged{Store: addr, Changes: changes, Whole: whole})
+		if len(changes.Changes) > 0 {
+			sleep(ctx, batchPause)
+		}
+	}
+	return nil
+}
+
+func (f *Follower) askStore(ctx context.Context, addr netip.AddrPort, listed bool, since int64) (descriptor.PartChanges, error) {
+	if !listed {
+		return f.cfg.Caller.PartList(ctx, addr)
+	}
+	return f.cfg.Caller.PartChanges(ctx, addr, since, partWait)
+}
--- /dev/null
+++ b/internal/relay/forwarder/forwarder.go
@@ -0,0 +1,258 @@
+// Package forwarder carries one request to one target and its answer back, each
+// request at most once.
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/platform/translator"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+// KindInvalid reports a faulty Config.
+const KindInvalid Kind = "invalid"
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+const (
+	// asideBody is the body size from which a request is written beside the
+	// reading of its answer, which may come before the body is read.
+	asideBody = 4 << 10
+	// maxStrays bounds the answers to other requests that are skipped on one connection.
+	maxStrays = 3
+	// maxStrayBytes bounds the body of such an answer.
+	maxStrayBytes = 1 << 20
+)
+
+// Config configures a Forwarder.
+type Config struct {
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Now is the clock of the deadlines of requests.
+	Now func() time.Time
+}
+
+// Forwarder keeps connections to targets. It is safe for concurrent use.
+type Forwarder struct {
+	cfg Config
+	pool
+}
+
+// New returns a Forwarder, or an Error of KindInvalid.
+func New(cfg Config) (*Forwarder, error) {
+	if cfg.Dial == nil || cfg.Now == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new forwarder", Kind: KindInvalid, Err: errors.New("dialer and clock are needed")}}
+	}
+	return &Forwarder{cfg: cfg, pool: newPool(cfg.Now)}, nil
+}
+
+// Failure says why there is no answer to pass on.
+type Failure struct {
+	Reason  decider.FailureReason
+	Detail  string
+	NotRun  bool
+	Weights int
+	Load    *descriptor.Load
+}
+
+// Reply is an answer whose body is still to be read.
+type Reply struct {
+	translator.Answer
+	Body io.ReadCloser
+	conn *conn
+	f    *Forwarder
+	addr netip.AddrPort
+	stop func() bool
+	// written is closed when the request has been written; nil if it was written before.
+	written chan struct{}
+}
+
+// Open sends a request to its target and returns the head of the answer. The
+// request ends when ctx ends.
+func (f *Forwarder) Open(ctx context.Context, send decider.Send, req *translator.Request, body []byte, lastEvent string) (*Reply, *Failure) {
+	left := send.Deadline.Sub(f.cfg.Now())
+	if left <= 0 {
+		return nil, &Failure{Reason: decider.FailureDeadline, NotRun: true, Detail: "no time left"}
+	}
+	c, err := f.connect(ctx, send)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, &Failure{Reason: decider.FailureDeadline, NotRun: true, Detail: "the caller left or the time was over before a connection stood"}
+		}
+		return nil, &Failure{Reason: decider.FailureUnreachable, NotRun: true, Detail: err.Error()}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // The reader sees the end.
+	r := &Reply{conn: c, f: f, addr: send.Address, stop: stop}
+	placement := translator.Placement{
+		Target: send.Target, Left: send.Deadline.Sub(f.cfg.Now()), Team: send.Team, Salt: send.Salt, Urgency: send.Urgency,
+		Weights: send.Weights, Sources: send.Sources, Sinks: send.Sinks, SourceUntil: send.SourceUntil, LastEvent: lastEvent,
+	}
+	head := translator.AppendRequest(make([]byte, 0, 1024), req, &placement, len(body))
+	if err := r.write(head, body); err != nil {
+		r.Abort()
+		return nil, f.broken(ctx, "write", err)
+	}
+	return f.readHead(ctx, r, req)
+}
+
+// connect returns an idle connection, or a new one. Requests that may run once
+// only take an idle one that was used just now, since a target may close others at any moment.
+func (f *Forwarder) connect(ctx context.Context, send decider.Send) (*conn, error) {
+	longest := idleLimit
+	if !send.Repeatable {
+		longest = freshLimit
+	}
+	if c := f.take(send.Address, longest); c != nil {
+		return c, nil
+	}
+	raw, err := f.cfg.Dial(ctx, "tcp", send.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// write sends the head and the body, a long body beside the reading of the answer.
+func (r *Reply) write(head, body []byte) error {
+	if len(body) < asideBody {
+		_, err := r.conn.Write(append(head, body...))
+		return err
+	}
+	r.written = make(chan struct{})
+	go func() {
+		defer close(r.written)
+		buffers := net.Buffers{head, body}
+		_, _ = buffers.WriteTo(r.conn) // A failure shows in the answer, or in its absence.
+	}()
+	return nil
+}
+
+// readHead reads the head of the answer to req and skips answers to other requests.
+func (f *Forwarder) readHead(ctx context.Context, r *Reply, req *translator.Request) (*Reply, *Failure) {
+	for range maxStrays {
+		resp, err := readResponse(r.conn.r, req.Method)
+		if err != nil {
+			r.Abort()
+			return nil, f.broken(ctx, "read answer", err)
+		}
+		answer := translator.ReadAnswer(resp)
+		if answer.ID != "" && answer.ID != req.ID {
+			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes || answer.Close {
+				r.Abort()
+				return nil, f.broken(ctx, "skip an answer to another request", err)
+			}
+			continue
+		}
+		r.Answer, r.Body = answer, resp.Body
+		if failure := r.verdict(); failure != nil {
+			r.drain()
+			return nil, failure
+		}
+		return r, nil
+	}
+	r.Abort()
+	return nil, f.broken(ctx, "read answer", errors.New("only answers to other requests"))
+}
+
+// readResponse reads the next final response.
+func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
+// verdict returns why the answer must not be passed on, or nil.
+func (r *Reply) verdict() *Failure {
+	failure := &Failure{Weights: r.Weights, Load: r.Load, NotRun: r.NotRun, Detail: fmt.Sprintf("status %d", r.Status)}
+	switch {
+	case r.Misdirected:
+		failure.Reason = decider.FailureMisdirected
+	case r.NotRun:
+		failure.Reason = decider.FailureRefused
+	case r.Success() && (!r.Sealed || r.Answer.ID == "" || r.Encoded):
+		failure.Reason, failure.Detail = decider.FailureBroken, "a success without its seal, its request or its own bytes"
+	case promises(r.Status):
+		// The status would promise to the caller that nothing ran.
+		failure.Reason = decider.FailureBroken
+	default:
+		return nil
+	}
+	return failure
+}
+
+// promises reports whether a status tells a caller that its request never runs.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return status < http.StatusOK
+}
+
+func (f *Forwarder) broken(ctx context.Context, op string, err error) *Failure {
+	reason := decider.FailureBroken
+	if ctx.Err() != nil {
+		reason = decider.FailureDeadline
+	}
+	return &Failure{Reason: reason, Detail: fmt.Sprintf("%s: %v", op, err)}
+}
+
+// Abort closes the connection, which ends the request at the target.
+func (r *Reply) Abort() {
+	r.stop()
+	_ = r.conn.Close() // Nothing more is expected of it.
+}
+
+// drain reads a short rest of the body and keeps the connection, or closes it.
+func (r *Reply) drain() {
+	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
+		r.Abort()
+		return
+	}
+	r.Finish()
+}
+
+// Finish keeps the connection for another request, after the body was read to its end.
+func (r *Reply) Finish() {
+	if !r.stop() || !r.wasWritten() || r.Close || r.conn.r.Buffered() > 0 {
+		_ = r.conn.Close() // It is of no further use.
+		return
+	}
+	limit := unstatedKeep
+	if r.KeepAlive > 0 {
+		limit = r.KeepAlive * 4 / 5 // The target may count from an earlier moment.
+	}
+	r.f.put(r.addr, r.conn, limit)
+}
+
+func (r *Reply) wasWritten() bool {
+	if r.written == nil {
+		return true
+	}
+	select {
+	case <-r.written:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/relay/gossiper/gossiper.go
@@ -0,0 +1,86 @@
+// Package gossiper carries messages between hosts in datagrams.
+package gossiper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+// KindListen reports an address that can't be used.
+const KindListen Kind = "listen"
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+// Config configures a Gossiper.
+type Config struct {
+	Address netip.AddrPort
+	Logger  hclog.Logger
+	Post    func(decider.Event)
+	// Peers returns the addresses of the other hosts.
+	Peers func() []netip.AddrPort
+}
+
+// maxDatagram is the largest datagram of UDP over IPv4.
+const maxDatagram = 65507
+
+// Gossiper sends and receives messages.
+type Gossiper struct {
+	cfg  Config
+	conn *net.UDPConn
+}
+
+// New returns a Gossiper that listens, or an Error of KindListen.
+func New(cfg Config) (*Gossiper, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Address))
+	if err != nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "listen", Kind: KindListen, Err: err}}
+	}
+	return &Gossiper{cfg: cfg, conn: conn}, nil
+}
+
+// Run receives messages until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() }) // The reader sees the end.
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			g.cfg.Logger.Warn("message not received", "error", err.Error())
+			continue
+		}
+		var m decider.Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			g.cfg.Logger.Warn("message not understood", "from", from.String(), "error", err.Error())
+			continue
+		}
+		g.cfg.Post(decider.PeerSaid{Message: m})
+	}
+}
+
+// Tell sends a message to all peers. What is lost is told again by the next message.
+func (g *Gossiper) Tell(m decider.Message) {
+	raw, err := cbor.Marshal(m)
+	if err != nil {
+		g.cfg.Logger.Error("message not encoded", "error", err.Error())
+		return
+	}
+	for _, peer := range g.cfg.Peers() {
+		_, _ = g.conn.WriteToUDPAddrPort(raw, peer) // See above.
+	}
+}
--- /dev/null
+++ b/internal/relay/meter/meter.go
@@ -0,0 +1,112 @@
+// Package meter counts what the relay does and serves the figures.
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+)
+
+// Config configures a Meter.
+type Config struct {
+	// LinesDropped tells how many lines of the log were dropped.
+	LinesDropped func() int64
+}
+
+// Meter holds the counters and histograms. It is safe for concurrent use.
+type Meter struct {
+	registry *prometheus.Registry
+	requests prometheus.Counter
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	effects  *prometheus.CounterVec
+	first    prometheus.Histogram
+}
+
+// firstBounds are seconds around the goals of the deployments' routes.
+var firstBounds = []float64{.01, .025, .05, .1, .15, .2, .3, .4, .6, 1, 2, 5, 15}
+
+// New returns a Meter.
+func New(cfg Config) *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounter(prometheus.CounterOpts{Name: "cardamom_requests_total", Help: "Requests read."}),
+		answers:  vec("cardamom_answers_total", "Whole answers of targets, by status.", "status"),
+		refusals: vec("cardamom_refusals_total", "Requests ended by the relay, by kind.", "kind"),
+		failures: vec("cardamom_attempt_failures_total", "Attempts without a whole answer, by reason.", "reason"),
+		effects:  vec("cardamom_calls_total", "Calls to surroundings, by kind.", "kind"),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cardamom_first_part_seconds", Help: "Time from the request to the first part of its answer.", Buckets: firstBounds,
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.answers, m.refusals, m.failures, m.effects, m.first)
+	if cfg.LinesDropped != nil {
+		m.registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Name: "cardamom_log_lines_dropped_total", Help: "Lines of the log that were dropped."},
+			func() float64 { return float64(cfg.LinesDropped()) },
+		))
+	}
+	return m
+}
+
+func vec(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+}
+
+// Handler serves the figures as text.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// First takes in the time to the first part of an answer, in seconds.
+func (m *Meter) First(seconds float64) { m.first.Observe(seconds) }
+
+// Event counts an event.
+func (m *Meter) Event(ev decider.Event) {
+	switch ev := ev.(type) {
+	case decider.RequestArrived:
+		m.requests.Inc()
+	case decider.AttemptDone:
+		m.answers.WithLabelValues(statusClass(ev.Status)).Inc()
+	case decider.AttemptFailed:
+		m.failures.WithLabelValues(string(ev.Reason)).Inc()
+	}
+}
+
+// Effect counts an effect.
+func (m *Meter) Effect(effect decider.Effect) {
+	switch effect := effect.(type) {
+	case decider.Refuse:
+		m.refusals.WithLabelValues(string(effect.Kind)).Inc()
+	case decider.Send:
+		m.effects.WithLabelValues("send").Inc()
+	case decider.Tell:
+		m.effects.WithLabelValues("tell").Inc()
+	case decider.RenewLease, decider.ReadLease:
+		m.effects.WithLabelValues("lease").Inc()
+	case decider.GiveOrder:
+		m.effects.WithLabelValues("order").Inc()
+	case decider.ReadReport:
+		m.effects.WithLabelValues("report").Inc()
+	case decider.Probe:
+		m.effects.WithLabelValues("probe").Inc()
+	case decider.FreeParts, decider.ListParts:
+		m.effects.WithLabelValues("store").Inc()
+	}
+}
+
+func statusClass(status int) string {
+	switch status / 100 {
+	case 2:
+		return "2xx"
+	case 3:
+		return "3xx"
+	case 4:
+		return "4xx"
+	}
+	return "5xx"
+}
--- /dev/null
+++ b/internal/relay/runner/runner.go
@@ -0,0 +1,199 @@
+// Package runner puts the relay's parts together and runs them until they stop together.
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/internal/relay/dialer"
+	"cardamomscale.example/cardamomscale/internal/relay/executor"
+	"cardamomscale.example/cardamomscale/internal/relay/follower"
+	"cardamomscale.example/cardamomscale/internal/relay/forwarder"
+	"cardamomscale.example/cardamomscale/internal/relay/gossiper"
+	"cardamomscale.example/cardamomscale/internal/relay/meter"
+	"cardamomscale.example/cardamomscale/internal/relay/server"
+	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/platform/caller"
+)
+
+// Kind classifies failures of this package.
+type Kind string
+
+const (
+	// KindInvalid reports a faulty Config.
+	KindInvalid Kind = "invalid"
+	// KindListen reports an address that can't be used.
+	KindListen Kind = "listen"
+)
+
+// Error is the error type of this package.
+type Error struct{ failer.Detail[Kind] }
+
+const (
+	// tickEvery is the pause between ticks of the reducer.
+	tickEvery = 50 * time.Millisecond
+	// callTimeout bounds a call to the platform, an engine or a store.
+	callTimeout = time.Second
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than callers keep idle connections on any deployment.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's head; the configuration's limit is lower.
+	maxHeaderBytes = 64 << 10
+	// leaveAfter is how long a stopping host still takes connections: until the
+	// balancer has seen two times that it isn't ready.
+	leaveAfter = 2500 * time.Millisecond
+	// stopReserve is the part of the grace period that is left for the end.
+	stopReserve = 500 * time.Millisecond
+	// callWorkers is how many calls for the reducer run at once.
+	callWorkers = 16
+)
+
+// Config configures a Runner.
+type Config struct {
+	Settings descriptor.Settings
+	Clock    timer.Clock
+	Logger   hclog.Logger
+	// Boot is different in each process of a host, and rises.
+	Boot int64
+	Seed uint64
+	// Metrics is where figures are served; not served if it is invalid.
+	Metrics netip.AddrPort
+	// LinesDropped tells how many lines of the log were dropped.
+	LinesDropped func() int64
+}
+
+// Runner is one relay.
+type Runner struct {
+	cfg       Config
+	executor  *executor.Executor
+	meter     *meter.Meter
+	caller    *caller.Caller
+	forwarder *forwarder.Forwarder
+	follower  *follower.Follower
+	gossiper  *gossiper.Gossiper
+	server    *server.Server
+	// calls bounds the calls that run for the reducer.
+	calls chan struct{}
+}
+
+// New returns a Runner, or an Error.
+func New(cfg Config) (*Runner, error) {
+	if cfg.Clock == nil || cfg.Logger == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new runner", Kind: KindInvalid, Err: errors.New("clock and logger are needed")}}
+	}
+	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{LinesDropped: cfg.LinesDropped}), calls: make(chan struct{}, callWorkers)}
+	state := decider.New(decider.Config{
+		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
+		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack,
+		LeaseTerm: cfg.Settings.LeaseTerm, RevokeAfter: cfg.Settings.RevokeAfter,
+	})
+	r.executor = executor.New(executor.Config{State: state, Clock: cfg.Clock, Logger: cfg.Logger, Meter: r.meter})
+	dial := dialer.New(dialer.Config{})
+	var err error
+	if r.caller, err = caller.New(caller.Config{Platform: cfg.Settings.Platform, Dial: dial.Dial, Timeout: callTimeout}); err != nil {
+		return nil, err
+	}
+	if r.forwarder, err = forwarder.New(forwarder.Config{Dial: dial.Dial, Now: cfg.Clock.Now}); err != nil {
+		return nil, err
+	}
+	r.follower = follower.New(follower.Config{
+		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores,
+	})
+	r.gossiper, err = gossiper.New(gossiper.Config{
+		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post, Peers: r.executor.Peers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.server = server.New(server.Config{Decider: r.executor, Forwarder: r.forwarder, Clock: cfg.Clock, Meter: r.meter})
+	return r, nil
+}
+
+func (r *Runner) gossipAddress() netip.AddrPort {
+	return netip.AddrPortFrom(r.cfg.Settings.Address, r.cfg.Settings.FirstPort)
+}
+
+func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
+
+// Run serves until ctx ends, and then leaves in good order.
+func (r *Runner) Run(ctx context.Context) error {
+	// The parts go on while the host leaves.
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, running := errgroup.WithContext(running)
+	g.Go(func() error { return r.follower.Run(running) })
+	g.Go(func() error { return r.gossiper.Run(running) })
+	g.Go(func() error { return r.carryOut(running) })
+	g.Go(func() error { r.follower.Register(running, r.cfg.Settings.Host, r.gossipAddress()); return nil })
+	callers := &http.Server{
+		Handler: r.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
+	}
+	servers := []*http.Server{callers, {Handler: http.HandlerFunc(r.ready), ReadHeaderTimeout: headerTimeout}}
+	addrs := []netip.AddrPort{r.cfg.Settings.Callers, r.cfg.Settings.Ready}
+	if r.cfg.Metrics.IsValid() {
+		servers = append(servers, &http.Server{Handler: r.meter.Handler(), ReadHeaderTimeout: headerTimeout})
+		addrs = append(addrs, r.cfg.Metrics)
+	}
+	for i, srv := range servers {
+		l, err := net.Listen("tcp4", addrs[i].String())
+		if err != nil {
+			return &Error{failer.Detail[Kind]{Op: "listen", Kind: KindListen, Err: err}}
+		}
+		g.Go(func() error { return serve(srv, l) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-running.Done():
+		}
+		r.leave(callers)
+		for _, srv := range servers {
+			_ = srv.Close() // What is still open has had its time.
+		}
+		end()
+		return nil
+	})
+	err := g.Wait()
+	r.forwarder.CloseIdle()
+	r.caller.Close()
+	return err
+}
+
+func serve(srv *http.Server, l net.Listener) error {
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return &Error{failer.Detail[Kind]{Op: "serve", Kind: KindListen, Err: err}}
+	}
+	return nil
+}
+
+// leave tells the balancer and the peers, and lets requests finish.
+func (r *Runner) leave(callers *http.Server) {
+	r.cfg.Logger.Info("leaving")
+	began := time.Now()
+	r.post(decider.StopAsked{})
+	r.server.Leave()
+	time.Sleep(leaveAfter)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.cfg.Settings.GracePeriod-stopReserve))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		r.cfg.Logger.Warn("requests cut at the end of the grace period", "error", err.Error())
+	}
+}
+
+func (r *Runner) ready(w http.ResponseWriter, _ *http.Request) {
+	if !r.executor.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
