--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -176,7 +176,11 @@
 		}
 	}
 	if m.Lease > s.lease.Revision {
-		s.lease.Revision, s.leaseSeen = m.Lease, s.now
+		// Who isn't told to hold the lease at this revision doesn't hold it, this host included.
+		s.lease, s.leaseSeen = Lease{Revision: m.Lease}, s.now
+		if m.Holder {
+			s.lease.Holder, s.lease.Boot = m.Host, m.Boot
+		}
 	}
 	if m.Holder {
 		clear(s.ordered)
--- /dev/null
+++ b/internal/relay/decider/world_test.go
@@ -0,0 +1,135 @@
+package decider
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+const (
+	model  = "model-1"
+	key    = "key-1"
+	leaseT = 3 * time.Second
+)
+
+// host is one host's State with a clock of its own.
+type host struct {
+	*State
+	t   *testing.T
+	at  time.Time
+	num int64
+}
+
+func address(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:8080", n))
+}
+
+func storeAddress(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("172.20.0.%d:8746", n))
+}
+
+// testConfig has engines, a plain service, one fast and one large store.
+func testConfig(version int64) *descriptor.Config {
+	return &descriptor.Config{
+		Version: version, Teams: true,
+		Keys: map[string]*descriptor.Team{key: {Name: "team-1", Priority: -1}, "key-2": {Name: "team-2", Priority: -1, Isolated: true}},
+		Routes: []descriptor.Route{
+			{Name: "long", Host: "h", Prefix: "/long/", Kind: descriptor.KindStream, Timeout: 5 * time.Second, Goal: 300 * time.Millisecond, Priority: 1, Attempts: 1, Shares: []descriptor.Share{{Service: "engines", Weight: 1}}},
+			{Name: "short", Host: "h", Prefix: "/short/", Kind: descriptor.KindStream, Timeout: 15 * time.Second, Goal: 200 * time.Millisecond, Attempts: 2, Resumable: true, Shares: []descriptor.Share{{Service: "engines", Weight: 1}}},
+			{Name: "pay", Host: "h", Prefix: "/pay/", Kind: descriptor.KindUnsafe, Goal: 100 * time.Millisecond, Attempts: 1, Shares: []descriptor.Share{{Service: "plain", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: descriptor.KindSafe, Goal: 100 * time.Millisecond, Attempts: 2, Shares: []descriptor.Share{{Service: "plain", Weight: 1}}},
+		},
+		Services: map[string]*descriptor.Service{
+			"engines": {Name: "engines", MaxConnections: 300, ColdRate: 13, Engine: &descriptor.Engine{Slots: 48, MemoryTokens: 63375, TokenBytes: 192512, LinkMbps: 1.5e6}},
+			"plain":   {Name: "plain", Health: "/healthz", MaxConnections: 110},
+			"fast":    {Name: "fast", Store: &descriptor.Store{Address: storeAddress(1), DataCentre: "a", Tokens: 176859, LinkMbps: 2e6, FirstByte: 500 * time.Microsecond, Managed: true}},
+			"large":   {Name: "large", Store: &descriptor.Store{Address: storeAddress(2), DataCentre: "a", Tokens: 2100206, LinkMbps: 590000, FirstByte: 6 * time.Millisecond, Managed: true}},
+		},
+	}
+}
+
+func engine(n int, version int) descriptor.Target {
+	return descriptor.Target{
+		ID: fmt.Sprintf("engine-%d", n), Service: "engines", Address: address(n), DataCentre: "a", Slots: 48,
+		Born: time.UnixMilli(1), Weights: map[string]int{model: version},
+	}
+}
+
+func plain(n int) descriptor.Target {
+	return descriptor.Target{ID: fmt.Sprintf("plain-%d", n), Service: "plain", Address: address(100 + n), DataCentre: "a", Slots: 6, Born: time.UnixMilli(1)}
+}
+
+// newHost returns a host with engines of version 1 and plain targets.
+func newHost(t *testing.T, name string, engines, plains int) *host {
+	t.Helper()
+	h := &host{t: t, at: time.Unix(1000, 0)}
+	h.State = New(Config{
+		Host: name, DataCentre: "a", Regions: map[string]string{"a": "r"}, Boot: 1, Seed: 7,
+		RetryRatio: 0.2, RetrySlack: 56, LeaseTerm: leaseT, RevokeAfter: 5 * time.Second,
+	})
+	h.do(ConfigListed{Config: testConfig(1), AsOf: h.at})
+	var list []descriptor.Target
+	for n := range engines {
+		list = append(list, engine(n+1, 1))
+	}
+	for n := range plains {
+		list = append(list, plain(n+1))
+	}
+	h.do(TargetsListed{Targets: list, Whole: true})
+	h.do(WeightsNamed{Model: model, Version: 1})
+	return h
+}
+
+func (h *host) do(ev Event) []Effect { return h.Reduce(ev, h.at) }
+
+func (h *host) pass(d time.Duration) { h.at = h.at.Add(d) }
+
+// ask brings a request and returns its number and the effect on it.
+func (h *host) ask(path, key string, prompt *descriptor.Prompt) (int64, Effect) {
+	h.num++
+	h.do(ConfigConfirmed{AsOf: h.at})
+	effects := h.do(RequestArrived{Number: h.num, ID: fmt.Sprint("request-", h.num), Host: "h", Path: path, Key: key, Deadline: 5 * time.Second, Prompt: prompt})
+	return h.num, own(effects)
+}
+
+// own returns the effect on a request, or nil.
+func own(effects []Effect) Effect {
+	for _, e := range effects {
+		switch e.(type) {
+		case Send, Refuse:
+			return e
+		}
+	}
+	return nil
+}
+
+// all returns the effects of one type.
+func all[E Effect](effects []Effect) []E {
+	var list []E
+	for _, e := range effects {
+		if e, ok := e.(E); ok {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// longPrompt is a prompt with two shared parts.
+func longPrompt(subject string) *descriptor.Prompt {
+	return &descriptor.Prompt{
+		Model: model, Tokens: 9190, MaxOutput: 13,
+		Parts: []descriptor.Part{{ID: "start", Tokens: 2520}, {ID: subject, Tokens: 5000}, {ID: "own", Tokens: 1670}},
+	}
+}
+
+// hold lets a store hold parts of version 1.
+func (h *host) hold(store netip.AddrPort, parts ...descriptor.Part) {
+	changes := descriptor.PartChanges{Boot: 1, Next: 1}
+	for _, p := range parts {
+		changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: model + ":1", Part: p.ID, Tokens: p.Tokens})
+	}
+	h.do(PartsChanged{Store: store, Changes: changes, Whole: true})
+}
