--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// shortPrompt is a prompt that fits into one piece.
+func shortPrompt(subject string) *descriptor.Prompt {
+	return &descriptor.Prompt{
+		Model: model, Tokens: 827, MaxOutput: 73,
+		Parts: []descriptor.Part{{ID: "opening", Tokens: 119}, {ID: subject, Tokens: 531}, {ID: "own", Tokens: 177}},
+	}
+}
+
 // hold lets a store hold parts of version 1.
 func (h *host) hold(store netip.AddrPort, parts ...descriptor.Part) {
 	changes := descriptor.PartChanges{Boot: 1, Next: 1}
