--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -46,7 +46,9 @@
 	weights int
 	// begun is true when the caller has a part of the answer.
 	begun bool
-	tried map[string]bool
+	// answered is true when a target's own error is kept for the caller.
+	answered bool
+	tried    map[string]bool
 	// offers counts the attempts, runs those that may have run.
 	offers, runs int
 }
@@ -196,6 +198,11 @@
 func (s *State) refuse(r *request, kind RefusalKind, retryAfter time.Duration) {
 	s.release(r)
 	delete(s.byNumber, r.number)
+	if r.answered {
+		s.note("done with an error of a target", r.id, "kind", string(kind), "offers", r.offers, "after", s.now.Sub(r.arrived))
+		s.emit(Deliver{Number: r.number})
+		return
+	}
 	spread := time.Duration(s.rng.Float64() * retrySpread * float64(retryAfter))
 	out := Refuse{Number: r.number, Kind: kind, NotRun: r.runs == 0, RetryAfter: retryAfter + spread}
 	s.note("refused", r.id, "kind", string(kind), "not-run", out.NotRun, "offers", r.offers, "waited", s.now.Sub(r.arrived), "retry-after", out.RetryAfter,
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -59,6 +59,9 @@
 	RetryAfter time.Duration
 }
 
+// Deliver ends a request with the answer that was kept for its caller.
+type Deliver struct{ Number int64 }
+
 // Note is one line of the log.
 type Note struct {
 	Event string
@@ -111,6 +114,7 @@
 
 func (Send) isEffect()       {}
 func (Refuse) isEffect()     {}
+func (Deliver) isEffect()    {}
 func (Note) isEffect()       {}
 func (Tell) isEffect()       {}
 func (RenewLease) isEffect() {}
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -53,6 +53,9 @@
 	FailureMisdirected FailureReason = "misdirected"
 	// FailureBroken means that the answer was cut, faulty or missing.
 	FailureBroken FailureReason = "broken"
+	// FailureAnswered means that the target answered with an error of its own; the
+	// answer is kept for the caller.
+	FailureAnswered FailureReason = "answered-with-an-error"
 	// FailureDeadline means that the time of the caller or the route was over.
 	FailureDeadline FailureReason = "deadline"
 )
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -95,6 +95,7 @@
 	t := r.target
 	s.release(r)
 	r.begun = r.begun || ev.Begun
+	r.answered = r.answered || ev.Reason == FailureAnswered
 	if !ev.NotRun {
 		r.runs++
 	}
@@ -148,7 +149,7 @@
 			t.unsure = true
 			s.emit(ReadReport{Target: t.ID, Address: t.Address})
 		}
-	case FailureBroken:
+	case FailureBroken, FailureAnswered:
 		t.failing += failingWeight * (1 - t.failing)
 	}
 }
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -99,7 +99,7 @@
 func own(effects []Effect) Effect {
 	for _, e := range effects {
 		switch e.(type) {
-		case Send, Refuse:
+		case Send, Refuse, Deliver:
 			return e
 		}
 	}
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -42,7 +42,7 @@
 func (e *Executor) Effects() <-chan decider.Effect { return e.surroundings }
 
 // Post reduces an event and returns the effect that concerns the event's own
-// request, which is a Send, a Refuse or nil.
+// request, which is a Send, a Refuse, a Deliver or nil.
 func (e *Executor) Post(ev decider.Event) decider.Effect {
 	e.mu.Lock()
 	effects := e.cfg.State.Reduce(ev, e.cfg.Clock.Now())
@@ -51,7 +51,7 @@
 	var own decider.Effect
 	for _, effect := range effects {
 		switch effect := effect.(type) {
-		case decider.Send, decider.Refuse:
+		case decider.Send, decider.Refuse, decider.Deliver:
 			own = effect
 		case decider.Note:
 			e.log(effect)
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -107,6 +107,8 @@
 	began  time.Time
 	// headed is true when the caller has the head of an answer.
 	headed bool
+	// kept is a target's own error, for the case that nobody does better.
+	kept *kept
 	// lastEvent is the last event of a stream that the caller has.
 	lastEvent string
 }
@@ -124,6 +126,9 @@
 		case decider.Refuse:
 			x.refuse(e)
 			return
+		case decider.Deliver:
+			x.pass(x.kept.reply, x.kept.body)
+			return
 		case decider.Send:
 			failed := x.attempt(caller, e)
 			if failed == nil {
@@ -153,7 +158,7 @@
 	if send.Stream && reply.Success() {
 		return x.stream(ctx, reply, send)
 	}
-	return x.whole(ctx, reply)
+	return x.whole(ctx, reply, send.Repeatable)
 }
 
 func (x *exchange) failed(f *forwarder.Failure) *decider.AttemptFailed {
@@ -176,8 +181,15 @@
 // errLong reports an answer that is too long to be held.
 var errLong = errors.New("the answer is too long")
 
-// whole passes an answer on after all of it has come.
-func (x *exchange) whole(ctx context.Context, reply *forwarder.Reply) *decider.AttemptFailed {
+// kept is a whole answer that is held back while another target tries.
+type kept struct {
+	reply *forwarder.Reply
+	body  []byte
+}
+
+// whole passes an answer on after all of it has come. The error of a target is
+// kept at first if another target may do better.
+func (x *exchange) whole(ctx context.Context, reply *forwarder.Reply, repeatable bool) *decider.AttemptFailed {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxWhole+1))
 	if err == nil && len(body) > maxWhole {
 		err = errLong
@@ -191,11 +203,20 @@
 		// A resumed stream must not go on with another kind of answer.
 		return x.failed(&forwarder.Failure{Reason: decider.FailureBroken, Detail: "no stream to go on with", Weights: reply.Weights})
 	}
+	if repeatable && reply.Status >= http.StatusInternalServerError {
+		x.kept = &kept{reply: reply, body: body}
+		return x.failed(&forwarder.Failure{Reason: decider.FailureAnswered, Detail: http.StatusText(reply.Status), Weights: reply.Weights, Load: reply.Load})
+	}
 	x.reportBegun(reply)
 	x.post(decider.AttemptDone{Number: x.number, Status: reply.Status, Load: reply.Load})
+	x.pass(reply, body)
+	return nil
+}
+
+// pass writes a whole answer.
+func (x *exchange) pass(reply *forwarder.Reply, body []byte) {
 	x.head(reply)
 	_, _ = x.w.Write(body) // The answer is ready; whether the caller still waits changes nothing.
-	return nil
 }
 
 // reportBegun reports the first part of an answer.
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -42,7 +42,7 @@
 				begun = true
 				x.reportBegun(reply)
 			}
-			if werr := x.pass(reply, flush, buf[:ready]); werr != nil {
+			if werr := x.passEvents(reply, flush, buf[:ready]); werr != nil {
 				reply.Abort()
 				x.post(decider.CallerLeft{Number: x.number})
 				panic(http.ErrAbortHandler)
@@ -72,7 +72,7 @@
 	return nil
 }
 
-func (x *exchange) pass(reply *forwarder.Reply, flush *http.ResponseController, events []byte) error {
+func (x *exchange) passEvents(reply *forwarder.Reply, flush *http.ResponseController, events []byte) error {
 	if !x.headed {
 		x.head(reply)
 	}
