Leave a store alone whose imports come late

Each host learns by how much a store's imports are later than those of the best store, reads its parts anew from 100 ms on, and forgets by half in 0.7 s. Test: TestSlowStoreIsLeftAlone.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"net/netip"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -40,9 +41,13 @@
 	arrived  time.Time
 	deadline time.Time
 	// target has the request now, with work on account; nil between attempts.
-	target  *target
-	work    work
-	sent    time.Time
+	target *target
+	work   work
+	sent   time.Time
+	// predicted is the expected time from sent to the first part of the answer.
+	predicted time.Duration
+	// sources are the stores that parts are imported from.
+	sources []netip.AddrPort
 	weights int
 	// begun is true when the caller has a part of the answer.
 	begun bool
@@ -154,7 +159,7 @@
 func (s *State) send(r *request, t *target, predicted time.Duration) {
 	r.target = t
 	r.offers++
-	r.sent = s.now
+	r.sent, r.predicted, r.sources = s.now, predicted, nil
 	out := Send{
 		Number: r.number, Target: t.ID, Address: t.Address, Service: t.Service, Deadline: r.deadline,
 		Urgency: r.urgency(), Repeatable: r.route.Repeatable(), Stream: r.route.Kind == descriptor.KindStream,
--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -22,6 +23,13 @@
 	storeFull = 0.97
 	// smallPart is the share of a fast store that a part may take.
 	smallPart = 0.02
+	// slowStore is the delay from which a store's parts are read anew: about the
+	// time to read a long part.
+	slowStore = 100 * time.Millisecond
+	// delayWeight is the weight of one import in a store's delay, delayHalf the
+	// time in which the delay of a store that isn't used halves, so that it is tried again.
+	delayWeight = 0.25
+	delayHalf   = 700 * time.Millisecond
 	// freeBatch bounds the parts of one call that frees them.
 	freeBatch = 400
 	// freeAfter is how long all engines must have newer weights before parts of
@@ -53,6 +61,9 @@
 	alive bool
 	held  map[partKey]int
 	used  int
+	// delay is how much longer than expected imports from the store have taken, as of delayAt.
+	delay   time.Duration
+	delayAt time.Time
 }
 
 func newDirectory() directory { return directory{saving: map[partKey]time.Time{}} }
@@ -141,17 +152,54 @@
 	return salt
 }
 
-// holder returns a store that holds a part in whole, the fastest first.
+// holder returns a store that holds a part in whole, the fastest first. It answers
+// the load pattern in which a store's link is slow or full: its parts are read anew
+// until it has caught up.
 func (s *State) holder(key partKey, tokens int) *store {
 	var best *store
 	for _, st := range s.stores {
-		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) {
+		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) && s.delayOf(st) < slowStore {
 			best = st
 		}
 	}
 	return best
 }
 
+// delayOf is how much longer imports from st take than those of the store that is least delayed.
+func (s *State) delayOf(st *store) time.Duration {
+	least := st.aged(s.now)
+	for _, other := range s.stores {
+		if other.alive {
+			least = min(least, other.aged(s.now))
+		}
+	}
+	return st.aged(s.now) - least
+}
+
+func (st *store) aged(now time.Time) time.Duration {
+	halves := float64(now.Sub(st.delayAt)) / float64(delayHalf)
+	return time.Duration(float64(st.delay) * math.Exp2(-halves))
+}
+
+// learnDelay takes in how much later than predicted an answer began that imported
+// parts from stores.
+func (s *State) learnDelay(r *request) {
+	late := max(0, s.now.Sub(r.sent)-r.predicted)
+	for _, addr := range r.sources {
+		st := s.storeAt(addr)
+		if st == nil {
+			continue
+		}
+		before := s.delayOf(st)
+		st.delay = st.aged(s.now) + time.Duration(delayWeight*float64(late-st.aged(s.now)))
+		st.delayAt = s.now
+		if now := s.delayOf(st); (now >= slowStore) != (before >= slowStore) {
+			s.note("store's delay", r.id, "store", addr, "delay", now, "before", before, "slow", now >= slowStore)
+		}
+	}
+	r.sources = nil
+}
+
 // importable returns what an engine with a version can import of r's prompt: the
 // leading shared parts that stores hold.
 func (s *State) importable(r *request, version int) importPlan {
@@ -190,9 +238,15 @@
 		key := partKey{out.Salt, part.ID}
 		if st := s.holder(key, part.Tokens); st != nil {
 			out.Sources[i] = st.Address
+			if !slices.Contains(r.sources, st.Address) {
+				r.sources = append(r.sources, st.Address)
+			}
 			continue
 		}
-		if st := s.home(key, part.Tokens, i); st != nil && s.now.After(s.saving[key]) {
+		if s.held(key) || !s.now.After(s.saving[key]) {
+			continue
+		}
+		if st := s.home(key, part.Tokens, i); st != nil {
 			out.Sinks[i] = st.Address
 			s.saving[key] = s.now.Add(saveTime)
 		}
@@ -202,6 +256,11 @@
 	}
 }
 
+// held reports whether any store holds a part, also one that is slow.
+func (s *State) held(key partKey) bool {
+	return slices.ContainsFunc(s.stores, func(st *store) bool { return st.alive && st.held[key] > 0 })
+}
+
 // home returns the store that a part is saved to. All hosts choose the same one,
 // so that parts aren't kept twice: small parts and those that start a prompt go
 // to the fast stores, the others to the large ones.
--- /dev/null
+++ b/internal/relay/decider/caching_test.go
@@ -0,0 +1,101 @@
+package decider
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+// serve brings a request whose answer begins after a while, and returns what was sent.
+func (h *host) serve(path string, prompt *descriptor.Prompt, after time.Duration) Send {
+	n, effect := h.ask(path, key, prompt)
+	send, ok := effect.(Send)
+	if !ok {
+		h.t.Fatalf("refused: %+v", effect)
+	}
+	h.pass(after)
+	h.do(AnswerBegan{Number: n})
+	h.do(AttemptDone{Number: n, Status: 200})
+	return send
+}
+
+// TestPartsAreSavedOnceAndImportedAfter: the first reader of a part saves it, all
+// hosts to the same store, and it is a source only once the store holds it in whole.
+func TestPartsAreSavedOnceAndImportedAfter(t *testing.T) {
+	a, b := newHost(t, "a", 2, 0), newHost(t, "b", 2, 0)
+	for _, h := range []*host{a, b} {
+		h.hold(storeAddress(1))
+		h.hold(storeAddress(2))
+	}
+	first, other := a.serve("/long/", longPrompt("s"), 100*time.Millisecond), b.serve("/long/", longPrompt("s"), 100*time.Millisecond)
+	assert.Equal(t, first.Sinks[0], storeAddress(1), "the start of prompts goes to the fast store")
+	assert.Equal(t, first.Sinks[1], storeAddress(2), "long parts go to the large store")
+	assert.Assert(t, !first.Sinks[2].IsValid(), "a part that nobody shares is saved")
+	assert.DeepEqual(t, first.Sinks, other.Sinks, cmpAddress)
+	again := a.serve("/long/", longPrompt("s"), 100*time.Millisecond)
+	assert.Assert(t, !again.Sources[1].IsValid() && !again.Sinks[1].IsValid(), "a part that is being saved is named")
+	a.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	assert.Equal(t, a.serve("/long/", longPrompt("s"), 100*time.Millisecond).Sources[1], storeAddress(2))
+	a.do(PartsChanged{Store: storeAddress(2), Changes: descriptor.PartChanges{Boot: 2, Next: 1}})
+	assert.Assert(t, !a.serve("/long/", longPrompt("s"), 100*time.Millisecond).Sources[1].IsValid(), "a store that restarted is a source")
+}
+
+// TestSlowStoreIsLeftAlone replays a store whose link has slowed down: after a few
+// late imports its parts are read anew, and it is tried again after a while.
+func TestSlowStoreIsLeftAlone(t *testing.T) {
+	h := newHost(t, "a", 4, 0)
+	h.hold(storeAddress(1), descriptor.Part{ID: "start", Tokens: 2520})
+	h.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	late := 0
+	for range 20 {
+		send := h.serve("/long/", longPrompt("s"), 100*time.Millisecond)
+		if send.Sources[1].IsValid() {
+			late++
+			h.pass(300 * time.Millisecond)
+			h.learnLate(storeAddress(2), 800*time.Millisecond)
+		}
+	}
+	assert.Assert(t, late <= 8, "%d of 20 requests imported from the slow store", late)
+	h.pass(5 * time.Second)
+	assert.Equal(t, h.serve("/long/", longPrompt("s"), 50*time.Millisecond).Sources[1], storeAddress(2))
+}
+
+// TestTeamsAndVersionsHaveSaltsOfTheirOwn keeps parts of isolated teams and other weights apart.
+func TestTeamsAndVersionsHaveSaltsOfTheirOwn(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	_, shared := h.ask("/short/", key, shortPrompt("s"))
+	_, isolated := h.ask("/short/", "key-2", shortPrompt("s"))
+	assert.Assert(t, shared.(Send).Salt != isolated.(Send).Salt)
+	h.do(ReportSeen{Target: "engine-1", Report: reportOf(2)})
+	_, newer := h.ask("/short/", key, shortPrompt("s"))
+	assert.Assert(t, newer.(Send).Salt != shared.(Send).Salt)
+	assert.Equal(t, newer.(Send).Weights, 2)
+}
+
+// TestOutdatedPartsAreFreedLate: parts of older weights are freed only when all
+// engines have had newer ones for longer than any fetch.
+func TestOutdatedPartsAreFreedLate(t *testing.T) {
+	p := &platform{}
+	h := newHost(t, "a", 2, 0)
+	p.run(time.Second, h)
+	h.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	h.do(WeightsNamed{Model: model, Version: 2})
+	freed := func(d time.Duration) []FreeParts {
+		var list []FreeParts
+		for end := h.at.Add(d); h.at.Before(end); {
+			h.pass(50 * time.Millisecond)
+			list = append(list, all[FreeParts](p.settle(h, h.do(Tick{})))...)
+		}
+		return list
+	}
+	h.do(ReportSeen{Target: "engine-1", Report: reportOf(2)})
+	assert.Equal(t, len(freed(5*time.Second)), 0, "freed while an engine has the older weights")
+	h.do(ReportSeen{Target: "engine-2", Report: reportOf(2)})
+	assert.Equal(t, len(freed(fetchTime)), 0, "freed while a fetch may run")
+	list := freed(2 * time.Second)
+	assert.Equal(t, len(list), 1)
+	assert.DeepEqual(t, list[0].Parts, []string{"s"})
+}
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -53,6 +53,7 @@
 		s.note("answer began", r.id, "target", r.target.ID, "after", s.now.Sub(r.arrived), "at-target", s.now.Sub(r.sent))
 	}
 	r.begun = true
+	s.learnDelay(r)
 	r.target.own.Unread -= r.work.Unread
 	r.work.Unread = 0
 	s.succeeded(r.target)
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
@@ -146,3 +148,12 @@
 func reportOf(version int) descriptor.Report {
 	return descriptor.Report{Weights: map[string]int{model: version}}
 }
+
+// cmpAddress compares addresses by value.
+var cmpAddress = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+// learnLate tells a store's imports to have been late.
+func (h *host) learnLate(store netip.AddrPort, late time.Duration) {
+	h.now = h.at
+	h.learnDelay(&request{sent: h.at.Add(-late), sources: []netip.AddrPort{store}})
+}
