--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -179,6 +179,7 @@
 		"own", t.own.Requests, "others", t.others.Requests, "unread", t.own.Unread+t.others.Unread, "memory", t.own.Memory+t.others.Memory,
 		"weights", out.Weights, "read", r.work.Unread)
 	s.emit(out)
+	s.tellNews()
 }
 
 // urgency is the team's rank if it has one, else the route's.
@@ -197,6 +198,7 @@
 	r.target.own.add(r.work, -1)
 	r.work = work{}
 	r.target = nil
+	s.tellNews()
 }
 
 // refuse ends r without an answer of a target.
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -6,10 +6,11 @@
 )
 
 const (
-	// tellEvery is the pause between messages to peers at a few hosts; it grows
-	// with their number so that each host gets about tellRate messages a second.
-	tellEvery = 100 * time.Millisecond
-	tellRate  = 100
+	// tellEvery is the pause between messages without news.
+	tellEvery = 250 * time.Millisecond
+	// tellRate is how many messages a second a host gets from all peers at most:
+	// one costs about 20 us of a core.
+	tellRate = 400
 	// peerTimeout is how long a silent peer's work counts.
 	peerTimeout = 1500 * time.Millisecond
 	// peerForget is how long a silent host counts when limits are shared.
@@ -49,9 +50,11 @@
 type peers struct {
 	hosts map[string]netip.AddrPort
 	heard map[string]*peer
-	// told counts this host's messages; nextTell is when the next is due.
+	// told counts this host's messages; lastTell is when the last was sent, and
+	// unsaid is true when there are news since.
 	told     uint64
-	nextTell time.Time
+	lastTell time.Time
+	unsaid   bool
 	// ordered are targets that the holder has under order, until when.
 	ordered map[string]time.Time
 }
@@ -95,13 +98,23 @@
 	return n
 }
 
+// tellPeers tells peers now and then without news.
 func (s *State) tellPeers() {
-	pause := max(tellEvery, time.Second*time.Duration(len(s.hosts))/tellRate)
-	if s.now.Before(s.nextTell) {
-		return
-	}
-	s.nextTell = s.now.Add(pause)
 	s.forgetSilent()
+	if s.unsaid || s.now.Sub(s.lastTell) >= tellEvery {
+		s.tellNews()
+	}
+}
+
+// tellNews tells peers of work that was sent or ended. It answers the load pattern
+// in which all hosts choose the target that was free at their last message: each
+// choice is known to the others within milliseconds.
+func (s *State) tellNews() {
+	s.unsaid = true
+	if s.now.Sub(s.lastTell) < time.Second*time.Duration(len(s.hosts))/tellRate {
+		return // A later event or tick tells it.
+	}
+	s.unsaid, s.lastTell = false, s.now
 	s.emit(Tell{Message: s.message()})
 }
 
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -56,6 +56,7 @@
 	s.learnDelay(r)
 	r.target.own.Unread -= r.work.Unread
 	r.work.Unread = 0
+	s.tellNews()
 	s.succeeded(r.target)
 	if r.prompt != nil {
 		s.learnWeights(r.target, r.prompt.Model, ev.Weights)
