Free the parts of weights that no engine has any more, not only when all are current

Change: the oldest version that an engine has, or had when it left the list within 10 s, bounds what is kept.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -48,6 +48,7 @@
 	predicted time.Duration
 	// sources are the stores that parts are imported from.
 	sources []netip.AddrPort
+	reading reading
 	weights int
 	// begun is true when the caller has a part of the answer.
 	begun bool
@@ -177,7 +178,7 @@
 	}
 	s.note("sent", r.id, "route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.offers, "predicted", predicted,
 		"own", t.own.Requests, "others", t.others.Requests, "unread", t.own.Unread+t.others.Unread, "memory", t.own.Memory+t.others.Memory,
-		"weights", out.Weights, "read", r.work.Unread)
+		"weights", out.Weights, "read", r.work.Unread, "read-slow", r.reading.slow, "read-saving", r.reading.saving, "read-unknown", r.reading.unknown)
 	s.emit(out)
 	s.tellNews()
 }
--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,7 +17,7 @@
 const (
 	// fetchTime bounds a fetch: a longer one costs more than reading the prompt,
 	// and frees of outdated parts wait for its end.
-	fetchTime = 1500 * time.Millisecond
+	fetchTime = time.Second
 	// saveTime is how long a part counts as being saved before it is saved again.
 	saveTime = 1500 * time.Millisecond
 	// storeFull is the share of a store's memory from which nothing is saved there.
@@ -32,9 +33,9 @@
 	delayHalf   = 700 * time.Millisecond
 	// freeBatch bounds the parts of one call that frees them.
 	freeBatch = 400
-	// freeAfter is how long all engines must have newer weights before parts of
-	// older ones are freed: longer than any fetch.
-	freeAfter = fetchTime + time.Second
+	// freeAfter is how long no engine must have had a version before its parts are
+	// freed: longer than any fetch.
+	freeAfter = fetchTime + 500*time.Millisecond
 )
 
 // partKey names a part under its salt.
@@ -48,8 +49,13 @@
 	// skew is the targets' clock less this host's; known once a store told its clock.
 	skew      time.Duration
 	skewKnown bool
-	// currentSince is when all engines were first seen to have their named weights.
-	currentSince time.Time
+	// lowest holds the oldest version of each model that an engine has.
+	lowest map[string]lowestVersion
+}
+
+type lowestVersion struct {
+	version int
+	since   time.Time
 }
 
 // store is what is known of one store.
@@ -66,7 +72,9 @@
 	delayAt time.Time
 }
 
-func newDirectory() directory { return directory{saving: map[partKey]time.Time{}} }
+func newDirectory() directory {
+	return directory{saving: map[partKey]time.Time{}, lowest: map[string]lowestVersion{}}
+}
 
 // noteStores takes over the stores of the configuration.
 func (s *State) noteStores() {
@@ -152,6 +160,17 @@
 	return salt
 }
 
+// saltVersion returns the model and version of a salt; version 0 for a foreign one.
+func saltVersion(salt string) (string, int) {
+	model, rest, _ := strings.Cut(salt, ":")
+	number, _, _ := strings.Cut(rest, ":")
+	version, err := strconv.Atoi(number)
+	if err != nil {
+		return "", 0 // Not a salt of this project: its parts are nobody's here.
+	}
+	return model, version
+}
+
 // holder returns a store that holds a part in whole, the fastest first. It answers
 // the load pattern in which a store's link is slow or full: its parts are read anew
 // until it has caught up.
@@ -223,6 +242,10 @@
 	return 0
 }
 
+// reading counts the shared tokens that an engine reads, by why they aren't
+// imported: their store is slow, they are on their way to a store, or no store has them.
+type reading struct{ slow, saving, unknown int }
+
 // planCache says where t imports r's shared parts from and saves them to.
 func (s *State) planCache(r *request, t *target, out *Send) {
 	version := t.Weights[r.prompt.Model]
@@ -232,6 +255,7 @@
 	plan := s.importable(r, version)
 	r.work.Unread = max(0, r.prompt.Tokens-plan.tokens)
 	r.work.Memory = r.prompt.Tokens + r.prompt.MaxOutput
+	r.reading = reading{}
 	out.Sources = make([]netip.AddrPort, len(r.prompt.Parts))
 	out.Sinks = make([]netip.AddrPort, len(r.prompt.Parts))
 	for i, part := range r.prompt.Shared() {
@@ -243,12 +267,17 @@
 			}
 			continue
 		}
-		if s.held(key) || !s.now.After(s.saving[key]) {
-			continue
-		}
-		if st := s.home(key, part.Tokens, i); st != nil {
-			out.Sinks[i] = st.Address
-			s.saving[key] = s.now.Add(saveTime)
+		switch {
+		case s.held(key):
+			r.reading.slow += part.Tokens
+		case !s.now.After(s.saving[key]):
+			r.reading.saving += part.Tokens
+		default:
+			r.reading.unknown += part.Tokens
+			if st := s.home(key, part.Tokens, i); st != nil {
+				out.Sinks[i] = st.Address
+				s.saving[key] = s.now.Add(saveTime)
+			}
 		}
 	}
 	if s.skewKnown {
@@ -296,37 +325,57 @@
 	return (st.FirstByte == fastest) == fits
 }
 
-// freeOutdated frees the parts of older weights once all engines have had newer
-// ones for longer than a fetch takes. No engine reads such parts any more: each
-// request names the only version that may run it.
+// freeOutdated frees the parts of versions that no engine has had any more for
+// longer than a fetch takes. No engine reads such parts again: each request names
+// the only version that may run it.
 func (s *State) freeOutdated() {
-	if !s.allCurrent() {
-		s.currentSince = time.Time{}
-		return
+	for model, lowest := range s.lowestVersions() {
+		if known := s.lowest[model]; known.version != lowest {
+			s.lowest[model] = lowestVersion{lowest, s.now}
+			continue
+		}
+		if s.now.Sub(s.lowest[model].since) < freeAfter {
+			continue
+		}
+		for _, st := range s.stores {
+			s.freeFrom(st, model, lowest)
+		}
 	}
-	if s.currentSince.IsZero() {
-		s.currentSince = s.now
+}
+
+// lowestVersions returns the oldest version of each model that an engine has, or
+// had when it left the list not long ago.
+func (s *State) lowestVersions() map[string]int {
+	lowest := map[string]int{}
+	count := func(weights map[string]int) {
+		for model, version := range weights {
+			if known, ok := lowest[model]; !ok || version < known {
+				lowest[model] = version
+			}
+		}
 	}
-	if s.now.Sub(s.currentSince) < freeAfter {
-		return
+	for _, t := range s.targets {
+		count(t.Weights)
 	}
-	for _, st := range s.stores {
-		s.freeFrom(st)
+	for id, d := range s.departed {
+		if s.now.After(d.until) {
+			delete(s.departed, id)
+			continue
+		}
+		count(d.weights)
 	}
+	return lowest
 }
 
-func (s *State) freeFrom(st *store) {
+// freeFrom frees the parts of a store that were made by older versions of a model.
+func (s *State) freeFrom(st *store, model string, lowest int) {
 	if !st.alive {
 		return
 	}
 	bySalt := map[string][]string{}
 	for key := range st.held {
-		model, rest, _ := strings.Cut(key.salt, ":")
-		var version int
-		if n, err := fmt.Sscanf(rest, "%d", &version); n != 1 || err != nil {
-			continue // Not a salt of this project.
-		}
-		if version < s.wanted[model] && len(bySalt[key.salt]) < freeBatch {
+		of, version := saltVersion(key.salt)
+		if of == model && version < lowest && len(bySalt[key.salt]) < freeBatch {
 			bySalt[key.salt] = append(bySalt[key.salt], key.part)
 		}
 	}
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -21,6 +21,9 @@
 	coldAfterDown = 1300 * time.Millisecond
 	// confirmMargin is kept from the time when a revoked key must be out of use.
 	confirmMargin = 700 * time.Millisecond
+	// departedFor is how long hosts that are cut off from the platform may go on to
+	// use a target that left the list.
+	departedFor = 10 * time.Second
 	// weightsMargin covers the wait of a request at its engine, and the time until
 	// the named version was heard of.
 	weightsMargin = time.Second
@@ -38,6 +41,8 @@
 	// byService lists the targets of each service in the order of their IDs.
 	byService map[string][]*target
 	evacuated map[string]bool
+	// departed holds the weights of targets that left the list lately.
+	departed map[string]departure
 	// wanted maps models to their named versions, namedAt to when these were heard of.
 	wanted  map[string]int
 	namedAt map[string]time.Time
@@ -45,6 +50,12 @@
 	workTime map[string]float64
 }
 
+// departure is what a target had that left the list, and until when it counts.
+type departure struct {
+	weights map[string]int
+	until   time.Time
+}
+
 // work is what a target has to do for one or several hosts.
 type work struct {
 	// Requests counts requests, Unread prompt tokens that are still to be read,
@@ -87,7 +98,8 @@
 func newFleet() fleet {
 	return fleet{
 		targets: map[string]*target{}, byService: map[string][]*target{}, evacuated: map[string]bool{},
-		wanted: map[string]int{}, namedAt: map[string]time.Time{}, workTime: map[string]float64{},
+		departed: map[string]departure{},
+		wanted:   map[string]int{}, namedAt: map[string]time.Time{}, workTime: map[string]float64{},
 	}
 }
 
@@ -205,10 +217,12 @@
 }
 
 func (s *State) removeTarget(id, why string) {
-	if s.targets[id] == nil {
+	t := s.targets[id]
+	if t == nil {
 		return
 	}
 	delete(s.targets, id)
+	s.departed[id] = departure{t.Weights, s.now.Add(departedFor)}
 	delete(s.jobs, id)
 	s.note("target removed", "", "target", id, "why", why)
 }
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -215,8 +215,6 @@
 	return "", 0
 }
 
-func (s *State) allCurrent() bool { return len(s.wanted) > 0 && s.outdatedEngines() == 0 }
-
 // advanceOrders starts and continues orders while this process holds the lease.
 func (s *State) advanceOrders() {
 	if !s.holding() {
