Let few hosts use a cold target, and plan imports once a version

Five hosts, by rendezvous, use one now. The plan of imports was made for each of 90 engines over 18 stores at each request.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -177,13 +177,16 @@
 func (s *State) holder(key partKey, tokens int) *store {
 	var best *store
 	for _, st := range s.stores {
-		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) && s.delayOf(st) < slowStore {
+		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) && !s.slow(st) {
 			best = st
 		}
 	}
 	return best
 }
 
+// slow reports whether st's imports come too late.
+func (s *State) slow(st *store) bool { return st.delay >= slowStore && s.delayOf(st) >= slowStore }
+
 // delayOf is how much longer imports from st take than those of the store that is least delayed.
 func (s *State) delayOf(st *store) time.Duration {
 	least := st.aged(s.now)
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -21,6 +21,9 @@
 	coldAfterDown = 1300 * time.Millisecond
 	// confirmMargin is kept from the time when a revoked key must be out of use.
 	confirmMargin = 700 * time.Millisecond
+	// coldUsers is the number of hosts that use one cold target: each may save up
+	// one request beyond the rate, and the platform allows five.
+	coldUsers = 5
 	// departedFor is how long hosts that are cut off from the platform may go on to
 	// use a target that left the list.
 	departedFor = 10 * time.Second
@@ -289,9 +292,13 @@
 func (s *State) cold(t *target) bool { return t.service.ColdRate > 0 && s.now.Before(t.coldUntil) }
 
 // coldRoom reports whether this host may send one more request to the cold
-// target t: every host has an equal share of the rate and saves up one request.
+// target t: a few hosts have an equal share of the rate each, and save up one
+// request, so that the sum over all hosts stays in the target's bounds.
 func (s *State) coldRoom(t *target) bool {
-	rate := t.service.ColdRate / float64(s.hostCount())
+	if s.rankFor(t.ID) >= coldUsers {
+		return false
+	}
+	rate := t.service.ColdRate / float64(min(coldUsers, s.hostCount()))
 	if s.now.After(t.coldAt) {
 		t.coldTokens = min(1, t.coldTokens+rate*s.now.Sub(t.coldAt).Seconds())
 		t.coldAt = s.now
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -118,6 +120,19 @@
 	s.emit(Tell{Message: s.message()})
 }
 
+// rankFor is this host's place among the hosts that were heard lately, in an order
+// that differs from one name to another.
+func (s *State) rankFor(name string) int {
+	own := xxh3.HashString(s.cfg.Host + "|" + name)
+	n := 0
+	for host := range s.hosts {
+		if p := s.heard[host]; host != s.cfg.Host && p != nil && s.now.Sub(p.at) < peerForget && xxh3.HashString(host+"|"+name) < own {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *State) message() Message {
 	s.told++
 	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told, Work: map[string]work{}, Weights: map[string]map[string]int{}, Leaving: s.stopping}
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -36,11 +36,12 @@
 func (s *State) place(r *request) (*target, time.Duration) {
 	var best *target
 	var least time.Duration
+	plans := map[int]importPlan{}
 	for _, t := range s.byService[r.service] {
 		if !s.usable(t, r) {
 			continue
 		}
-		cost := s.expected(r, t)
+		cost := s.expected(r, t, plans)
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -48,13 +49,20 @@
 	return best, least
 }
 
-// expected is the time until r's answer begins at t, with penalties for what is worse than time.
-func (s *State) expected(r *request, t *target) time.Duration {
+// expected is the time until r's answer begins at t, with penalties for what is
+// worse than time. It adds the import plan of t's version to plans.
+func (s *State) expected(r *request, t *target, plans map[int]importPlan) time.Duration {
 	load := t.own
 	load.add(t.others, 1)
 	var cost time.Duration
 	if t.service.Engine != nil && r.prompt != nil {
-		cost = s.expectedPrompt(r, t, load)
+		version := t.Weights[r.prompt.Model]
+		plan, ok := plans[version]
+		if !ok {
+			plan = s.importable(r, version)
+			plans[version] = plan
+		}
+		cost = s.expectedPrompt(r, t, load, plan)
 	} else {
 		cost = s.expectedPlain(t, load)
 	}
@@ -80,8 +88,7 @@
 
 // expectedPrompt sums up the time to read what is before r and r itself, to
 // import what stores hold, and to wait for memory and a slot.
-func (s *State) expectedPrompt(r *request, t *target, load work) time.Duration {
-	plan := s.importable(r, t.Weights[r.prompt.Model])
+func (s *State) expectedPrompt(r *request, t *target, load work, plan importPlan) time.Duration {
 	cost := time.Duration(load.Unread+r.prompt.Tokens-plan.tokens) * readToken
 	cost += firstStep + plan.time + time.Duration(load.Requests)*runningCost
 	engine := t.service.Engine
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -308,7 +308,9 @@
 		}
 		whole := !listed
 		if listed && (changes.Lost || changes.Boot != last.Boot) {
+			f.cfg.Logger.Info("store is listed anew", "store", addr.String(), "lost", changes.Lost, "boot", changes.Boot, "before", last.Boot, "since", last.Next, "next", changes.Next)
 			listed = false
+			sleep(ctx, batchPause)
 			continue
 		}
 		listed, pause, last = true, retryPause, changes
