--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -49,6 +49,8 @@
 	// skew is the targets' clock less this host's; known once a store told its clock.
 	skew      time.Duration
 	skewKnown bool
+	// relayed is when a store's changes were last passed on to this host.
+	relayed map[netip.AddrPort]time.Time
 	// lowest holds the oldest version of each model that an engine has.
 	lowest map[string]lowestVersion
 }
@@ -73,7 +75,7 @@
 }
 
 func newDirectory() directory {
-	return directory{saving: map[partKey]time.Time{}, lowest: map[string]lowestVersion{}}
+	return directory{saving: map[partKey]time.Time{}, lowest: map[string]lowestVersion{}, relayed: map[netip.AddrPort]time.Time{}}
 }
 
 // noteStores takes over the stores of the configuration.
@@ -110,6 +112,12 @@
 	if st == nil {
 		return
 	}
+	s.takeParts(st, ev)
+	s.relay(ev)
+}
+
+// takeParts takes changes over into what is known of a store.
+func (s *State) takeParts(st *store, ev PartsChanged) {
 	if !ev.Changes.Clock.IsZero() {
 		s.skew, s.skewKnown = ev.Changes.Clock.Sub(s.now), true
 	}
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -79,6 +79,8 @@
 		s.onStoreLost(ev)
 	case PeerSaid:
 		s.onPeerSaid(ev)
+	case PartsTold:
+		s.onPartsTold(ev)
 	case HostsListed:
 		s.onHostsListed(ev)
 	case Tick:
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -183,6 +183,7 @@
 func (StoreLost) isEvent()         {}
 func (HostsListed) isEvent()       {}
 func (PeerSaid) isEvent()          {}
+func (PartsTold) isEvent()         {}
 func (LeaseSeen) isEvent()         {}
 func (ReportSeen) isEvent()        {}
 func (OrderAnswered) isEvent()     {}
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -101,6 +101,13 @@
 	return e.cfg.State.Stores()
 }
 
+// Follows reports whether this host asks a store itself what changed there.
+func (e *Executor) Follows(store netip.AddrPort) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Follows(store)
+}
+
 // Limits returns what callers may send, or nil before the first configuration.
 func (e *Executor) Limits() *descriptor.Limits {
 	e.mu.Lock()
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -45,6 +45,8 @@
 	Post   func(decider.Event)
 	// Stores returns the stores to follow.
 	Stores func() []netip.AddrPort
+	// Follows reports whether a store is asked directly once it has been listed.
+	Follows func(store netip.AddrPort) bool
 }
 
 // Follower follows the platform and the stores until it is stopped.
@@ -294,9 +296,15 @@
 
 func (f *Follower) followStore(ctx context.Context, addr netip.AddrPort) error {
 	var last descriptor.PartChanges
-	listed := false
+	listed, told := false, false
 	pause := retryPause
 	for ctx.Err() == nil {
+		if told && !f.cfg.Follows(addr) {
+			// Changes come from other hosts; a gap ends with a new list.
+			listed = false
+			sleep(ctx, retryMost)
+			continue
+		}
 		changes, err := f.askStore(ctx, addr, listed, last.Next)
 		if err != nil {
 			if caller.KindOf(err) != caller.KindUnavailable && ctx.Err() == nil {
@@ -313,7 +321,7 @@
 			sleep(ctx, batchPause)
 			continue
 		}
-		listed, pause, last = true, retryPause, changes
+		listed, told, pause, last = true, true, retryPause, changes
 		f.cfg.Post(decider.PartsChanged{Store: addr, Changes: changes, Whole: whole})
 		if len(changes.Changes) > 0 {
 			sleep(ctx, batchPause)
--- a/internal/relay/gossiper/gossiper.go
+++ b/internal/relay/gossiper/gossiper.go
@@ -64,23 +64,41 @@
 			g.cfg.Logger.Warn("message not received", "error", err.Error())
 			continue
 		}
-		var m decider.Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+		var d datagram
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
 			g.cfg.Logger.Warn("message not understood", "from", from.String(), "error", err.Error())
 			continue
 		}
-		g.cfg.Post(decider.PeerSaid{Message: m})
+		switch {
+		case d.Parts != nil:
+			g.cfg.Post(*d.Parts)
+		case d.Message != nil:
+			g.cfg.Post(decider.PeerSaid{Message: *d.Message})
+		}
 	}
 }
 
+// datagram is one of the kinds of messages.
+type datagram struct {
+	Message *decider.Message   `cbor:"1,keyasint,omitempty"`
+	Parts   *decider.PartsTold `cbor:"2,keyasint,omitempty"`
+}
+
 // Tell sends a message to all peers. What is lost is told again by the next message.
-func (g *Gossiper) Tell(m decider.Message) {
-	raw, err := cbor.Marshal(m)
+func (g *Gossiper) Tell(m decider.Message) { g.send(g.cfg.Peers(), datagram{Message: &m}) }
+
+// TellParts sends changes of a store to some hosts.
+func (g *Gossiper) TellParts(to []netip.AddrPort, parts decider.PartsTold) {
+	g.send(to, datagram{Parts: &parts})
+}
+
+func (g *Gossiper) send(to []netip.AddrPort, d datagram) {
+	raw, err := cbor.Marshal(d)
 	if err != nil {
 		g.cfg.Logger.Error("message not encoded", "error", err.Error())
 		return
 	}
-	for _, peer := range g.cfg.Peers() {
-		_, _ = g.conn.WriteToUDPAddrPort(raw, peer) // See above.
+	for _, peer := range to {
+		_, _ = g.conn.WriteToUDPAddrPort(raw, peer) // A lost message is repeated, or its absence noticed.
 	}
 }
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -31,8 +31,12 @@
 
 // start carries out an effect, beside others if it is a call.
 func (r *Runner) start(ctx context.Context, effect decider.Effect) {
-	if tell, ok := effect.(decider.Tell); ok {
-		r.gossiper.Tell(tell.Message)
+	switch e := effect.(type) {
+	case decider.Tell:
+		r.gossiper.Tell(e.Message)
+		return
+	case decider.TellParts:
+		r.gossiper.TellParts(e.To, e.Parts)
 		return
 	}
 	go func() {
