Divide large deployments into neighbourhoods of hosts and engines

Cause: sixty hosts hear of each other's choices 150 ms late at the rate that a host can take, and choose the same engines. Hosts of a data centre are divided into parts of about eight with their share of its engines; within a part choices are told at once, beyond it each second, and engines of other parts take what a part can't. Tests: replayer.TestNeighbourhoods, TestDarkEngines, TestBurst.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -87,7 +87,7 @@
 		s.onTick()
 	case StopAsked:
 		s.stopping = true
-		s.emit(Tell{Message: s.message()})
+		s.tellAll()
 	default:
 		s.reduceSurroundings(ev)
 	}
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -71,8 +71,11 @@
 	Fields []any
 }
 
-// Tell sends a message to all peers.
-type Tell struct{ Message Message }
+// Tell sends a message to peers.
+type Tell struct {
+	To      []netip.AddrPort
+	Message Message
+}
 
 // RenewLease writes the lease of orders at a revision; 0 creates it.
 type RenewLease struct{ Revision int64 }
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -115,8 +115,8 @@
 // StoreLost reports that a store doesn't answer.
 type StoreLost struct{ Store netip.AddrPort }
 
-// HostsListed brings the addresses of all registered hosts.
-type HostsListed struct{ Hosts map[string]netip.AddrPort }
+// HostsListed brings all registered hosts.
+type HostsListed struct{ Hosts map[string]descriptor.Host }
 
 // PeerSaid brings another host's message.
 type PeerSaid struct{ Message Message }
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -243,6 +243,7 @@
 			return 1
 		})
 	}
+	s.divide()
 }
 
 func (s *State) onEvacuationsListed(ev EvacuationsListed) {
@@ -327,7 +328,7 @@
 	t.downs++
 	t.probeAt = s.now.Add(min(longestDown, firstDown<<min(t.downs-1, 4)))
 	s.note("target down", "", "target", t.ID, "why", why, "downs", t.downs)
-	s.emit(Tell{Message: s.message()})
+	s.tellAll()
 }
 
 // probeDown asks targets that are down whether they answer again.
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -16,10 +15,10 @@
 func TestColdTargetsKeepTheirBound(t *testing.T) {
 	for _, n := range []int{1, 8, 60} {
 		hosts := make([]*host, n)
-		names := map[string]netip.AddrPort{}
+		names := map[string]descriptor.Host{}
 		for i := range hosts {
 			hosts[i] = newHost(t, fmt.Sprint("host-", i), 1, 0)
-			names[hosts[i].cfg.Host] = address(1)
+			names[hosts[i].cfg.Host] = descriptor.Host{Address: address(1), DataCentre: "a"}
 		}
 		for _, h := range hosts {
 			h.do(HostsListed{Hosts: names})
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -25,7 +25,7 @@
 	// leaseRetry is the pause after a failed call, leaseReread the pause between
 	// reads while no peer tells of the holder.
 	leaseRetry  = 300 * time.Millisecond
-	leaseReread = 1500 * time.Millisecond
+	leaseReread = 2 * time.Second
 	// callPatience is how long a call for the lease or a report may take.
 	callPatience = 1500 * time.Millisecond
 	// reportPause is the pause between reports of an engine under order, and
@@ -265,7 +265,7 @@
 		s.note("order begun", "", "target", t.ID, "model", model, "version", version, "running", t.own.Requests+t.others.Requests, "window", window)
 	}
 	if started {
-		s.emit(Tell{Message: s.message()})
+		s.tellAll()
 		for id, j := range s.jobs {
 			s.advanceJob(s.targets[id], j)
 		}
@@ -309,7 +309,7 @@
 	case ev.Report.Weights[j.model] >= j.version:
 		delete(s.jobs, t.ID)
 		s.note("order done", "", "target", t.ID, "version", j.version, "since-named", s.now.Sub(s.namedAt[j.model]))
-		s.emit(Tell{Message: s.message()})
+		s.tellAll()
 	case ev.Report.Busy || s.now.Sub(j.ordered) < reportLag || !s.holding():
 		j.next = s.now.Add(reportPause)
 	default:
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -1,10 +1,11 @@
 package decider
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
 const (
@@ -13,8 +14,12 @@
 	// tellRate is how many messages a second a host gets from all peers at most:
 	// one costs about 20 us of a core.
 	tellRate = 400
+	// tellAllEvery is the pause between messages to hosts that aren't near, and
+	// alarmEvery the least pause when there is news for all.
+	tellAllEvery = time.Second
+	alarmEvery   = 30 * time.Millisecond
 	// peerTimeout is how long a silent peer's work counts.
-	peerTimeout = 1500 * time.Millisecond
+	peerTimeout = 3500 * time.Millisecond
 	// peerForget is how long a silent host counts when limits are shared.
 	peerForget = 30 * time.Second
 	// rebootSilence is how long a peer must have been silent before a process with
@@ -50,13 +55,17 @@
 
 // peers holds what other hosts told.
 type peers struct {
-	hosts map[string]netip.AddrPort
+	hosts map[string]descriptor.Host
+	neighbourhood
 	heard map[string]*peer
 	// told counts this host's messages; lastTell is when the last was sent, and
 	// unsaid is true when there are news since.
 	told     uint64
 	lastTell time.Time
 	unsaid   bool
+	// lastTellAll and alarm are the same for messages to all peers.
+	lastTellAll time.Time
+	alarm       bool
 	// ordered are targets that the holder has under order, until when.
 	ordered map[string]time.Time
 }
@@ -69,25 +78,15 @@
 }
 
 func newPeers() peers {
-	return peers{hosts: map[string]netip.AddrPort{}, heard: map[string]*peer{}, ordered: map[string]time.Time{}}
+	return peers{hosts: map[string]descriptor.Host{}, heard: map[string]*peer{}, ordered: map[string]time.Time{}}
 }
 
 func (s *State) onHostsListed(ev HostsListed) {
 	s.hosts = ev.Hosts
+	s.divide()
 	s.note("hosts listed", "", "hosts", len(ev.Hosts))
 }
 
-// Peers returns the addresses of the other hosts.
-func (s *State) Peers() []netip.AddrPort {
-	list := make([]netip.AddrPort, 0, len(s.hosts))
-	for host, addr := range s.hosts {
-		if host != s.cfg.Host {
-			list = append(list, addr)
-		}
-	}
-	return list
-}
-
 // hostCount is the number of hosts among which limits are shared: all that were
 // heard lately, and those that are registered but were never heard.
 func (s *State) hostCount() int {
@@ -106,18 +105,31 @@
 	if s.unsaid || s.now.Sub(s.lastTell) >= tellEvery {
 		s.tellNews()
 	}
+	if s.alarm || s.now.Sub(s.lastTellAll) >= tellAllEvery {
+		s.tellAll()
+	}
 }
 
-// tellNews tells peers of work that was sent or ended. It answers the load pattern
-// in which all hosts choose the target that was free at their last message: each
-// choice is known to the others within milliseconds.
+// tellNews tells the near peers of work that was sent or ended. It answers the load
+// pattern in which all hosts choose the target that was free at their last
+// message: each choice is known to the others within milliseconds.
 func (s *State) tellNews() {
 	s.unsaid = true
-	if s.now.Sub(s.lastTell) < time.Second*time.Duration(len(s.hosts))/tellRate {
+	if s.now.Sub(s.lastTell) < time.Second*time.Duration(len(s.mates)+1)/tellRate {
 		return // A later event or tick tells it.
 	}
 	s.unsaid, s.lastTell = false, s.now
-	s.emit(Tell{Message: s.message()})
+	s.emit(Tell{To: s.mates, Message: s.message()})
+}
+
+// tellAll tells all peers.
+func (s *State) tellAll() {
+	s.alarm = true
+	if s.now.Sub(s.lastTellAll) < alarmEvery {
+		return // A later tick tells it.
+	}
+	s.alarm, s.lastTellAll = false, s.now
+	s.emit(Tell{To: s.everyone, Message: s.message()})
 }
 
 // rankFor is this host's place among the hosts that were heard lately, in an order
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -19,6 +19,9 @@
 	// farCost is what a target of another data centre must be faster to be
 	// chosen: the way there and back, and the price of the bytes.
 	farCost = 3 * time.Millisecond
+	// distantCost is what a target outside the neighbourhood must be faster to be
+	// chosen: its load is known a second late.
+	distantCost = 40 * time.Millisecond
 	// runningCost is how much longer a step takes for each running request, over
 	// the first ten steps of an answer.
 	runningCost = 400 * time.Microsecond
@@ -69,6 +72,9 @@
 	if t.DataCentre != s.cfg.DataCentre {
 		cost += farCost
 	}
+	if s.distant[t.ID] {
+		cost += distantCost
+	}
 	return cost + time.Duration(t.failing*float64(r.goal()))
 }
 
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -84,7 +84,7 @@
 	}
 	var to []netip.AddrPort
 	for i := own + directFollowers; i < len(list); i += directFollowers {
-		to = append(to, s.hosts[list[i].host])
+		to = append(to, s.hosts[list[i].host].Address)
 	}
 	return to
 }
--- a/internal/relay/decider/relaying_test.go
+++ b/internal/relay/decider/relaying_test.go
@@ -16,11 +16,11 @@
 func TestStoresAreAskedByFewHosts(t *testing.T) {
 	const n = 60
 	hosts := map[netip.AddrPort]*host{}
-	names := map[string]netip.AddrPort{}
+	names := map[string]descriptor.Host{}
 	for i := range n {
 		h := newHost(t, fmt.Sprint("host-", i), 1, 0)
 		hosts[address(i+1)] = h
-		names[h.cfg.Host] = address(i + 1)
+		names[h.cfg.Host] = descriptor.Host{Address: address(i + 1), DataCentre: "a"}
 	}
 	for _, h := range hosts {
 		h.do(HostsListed{Hosts: names})
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -235,6 +235,13 @@
 	After int64
 }
 
+// Host is another host of this project.
+type Host struct {
+	// Address is where it takes messages.
+	Address    netip.AddrPort
+	DataCentre string
+}
+
 // Settings is what a process is told at its start.
 type Settings struct {
 	Host       string
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -87,13 +87,6 @@
 	return e.cfg.State.Ready()
 }
 
-// Peers returns the addresses of the other hosts.
-func (e *Executor) Peers() []netip.AddrPort {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.cfg.State.Peers()
-}
-
 // Stores returns the addresses of the stores.
 func (e *Executor) Stores() []netip.AddrPort {
 	e.mu.Lock()
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -246,28 +246,28 @@
 }
 
 func (w *watch) tellHosts() {
-	ev := decider.HostsListed{Hosts: make(map[string]netip.AddrPort, len(w.known))}
+	ev := decider.HostsListed{Hosts: make(map[string]descriptor.Host, len(w.known))}
 	for name, o := range w.known {
-		addr, err := decoder.Host(o.Spec)
+		host, err := decoder.Host(o.Spec)
 		if err != nil {
 			w.cfg.Logger.Warn("host ignored", "host", name, "error", err.Error())
 			continue
 		}
-		ev.Hosts[name] = addr
+		ev.Hosts[name] = host
 	}
 	w.cfg.Post(ev)
 }
 
 // Register enters this host into the list of hosts, and repeats it until it is there.
-func (f *Follower) Register(ctx context.Context, host string, addr netip.AddrPort) {
-	spec := decoder.HostSpec(addr)
+func (f *Follower) Register(ctx context.Context, name string, host descriptor.Host) {
+	spec := decoder.HostSpec(host)
 	for {
-		_, err := f.cfg.Caller.Create(ctx, caller.KindHosts, host, spec)
+		_, err := f.cfg.Caller.Create(ctx, caller.KindHosts, name, spec)
 		if caller.KindOf(err) == caller.KindConflict {
-			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, host, 0, spec)
+			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, name, 0, spec)
 		}
 		if err == nil {
-			f.cfg.Logger.Info("host registered", "host", host, "address", addr.String())
+			f.cfg.Logger.Info("host registered", "host", name, "address", host.Address.String())
 			return
 		}
 		f.cfg.Logger.Warn("host not registered", "error", err.Error())
--- a/internal/relay/gossiper/gossiper.go
+++ b/internal/relay/gossiper/gossiper.go
@@ -28,8 +28,6 @@
 	Address netip.AddrPort
 	Logger  hclog.Logger
 	Post    func(decider.Event)
-	// Peers returns the addresses of the other hosts.
-	Peers func() []netip.AddrPort
 }
 
 // maxDatagram is the largest datagram of UDP over IPv4.
@@ -84,8 +82,8 @@
 	Parts   *decider.PartsTold `cbor:"2,keyasint,omitempty"`
 }
 
-// Tell sends a message to all peers. What is lost is told again by the next message.
-func (g *Gossiper) Tell(m decider.Message) { g.send(g.cfg.Peers(), datagram{Message: &m}) }
+// Tell sends a message to some hosts. What is lost is told again by the next message.
+func (g *Gossiper) Tell(to []netip.AddrPort, m decider.Message) { g.send(to, datagram{Message: &m}) }
 
 // TellParts sends changes of a store to some hosts.
 func (g *Gossiper) TellParts(to []netip.AddrPort, parts decider.PartsTold) {
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -125,21 +125,23 @@
 
 // Replayer is one replay.
 type Replayer struct {
-	cfg     Config
-	rng     *rand.Rand
-	now     time.Time
-	start   time.Time
-	agenda  agenda
-	order   int
-	hosts   []*host
-	engines map[string]*engine
-	stores  map[netip.AddrPort]*store
-	named   time.Time
-	version int
-	burst   float64
-	lease   decider.Lease
-	result  Result
-	numbers int64
+	cfg    Config
+	rng    *rand.Rand
+	now    time.Time
+	start  time.Time
+	agenda agenda
+	order  int
+	hosts  []*host
+	// byAddress finds a host by its address for messages.
+	byAddress map[netip.AddrPort]*host
+	engines   map[string]*engine
+	stores    map[netip.AddrPort]*store
+	named     time.Time
+	version   int
+	burst     float64
+	lease     decider.Lease
+	result    Result
+	numbers   int64
 	// open holds the requests that have no final answer yet.
 	open map[int64]*request
 }
@@ -157,7 +159,7 @@
 	}
 	r := &Replayer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
-		engines: map[string]*engine{}, version: 1, burst: 1, open: map[int64]*request{},
+		engines: map[string]*engine{}, version: 1, burst: 1, open: map[int64]*request{}, byAddress: map[netip.AddrPort]*host{},
 	}
 	config := r.config()
 	var list []descriptor.Target
@@ -169,9 +171,10 @@
 		list = append(list, d)
 		r.engines[d.ID] = &engine{replay: r, id: d.ID, version: 1, cached: map[string]time.Time{}}
 	}
-	hosts := map[string]netip.AddrPort{}
+	hosts := map[string]descriptor.Host{}
 	for n := range cfg.Hosts {
-		hosts[fmt.Sprintf("host-%02d", n+1)] = netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7000", n+1))
+		addr := netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7000", n+1))
+		hosts[fmt.Sprintf("host-%02d", n+1)] = descriptor.Host{Address: addr, DataCentre: "a"}
 	}
 	r.newStores(config)
 	for n := range cfg.Hosts {
@@ -181,6 +184,7 @@
 			RetryRatio: 0.2, RetrySlack: 56, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 		})
 		r.hosts = append(r.hosts, h)
+		r.byAddress[hosts[h.name].Address] = h
 		r.tell(h, decider.ConfigListed{Config: config, AsOf: r.now})
 		r.tell(h, decider.TargetsListed{Targets: list, Whole: true})
 		r.tell(h, decider.WeightsNamed{Model: modelName, Version: 1})
@@ -304,10 +308,9 @@
 func (r *Replayer) carryOut(h *host, effect decider.Effect) {
 	switch e := effect.(type) {
 	case decider.Tell:
-		for _, peer := range r.hosts {
-			if peer != h {
-				r.after(r.cfg.MessageDelay, func() { r.tell(peer, decider.PeerSaid{Message: e.Message}) })
-			}
+		for _, addr := range e.To {
+			peer := r.byAddress[addr]
+			r.after(r.cfg.MessageDelay, func() { r.tell(peer, decider.PeerSaid{Message: e.Message}) })
 		}
 	case decider.ReadLease:
 		r.after(storeDelay, func() {
--- a/internal/relay/replayer/replayer_test.go
+++ b/internal/relay/replayer/replayer_test.go
@@ -39,3 +39,45 @@
 	late := play(t, cfg)
 	assert.Assert(t, prompt.Share() > late.Share()+0.03, "%.3f with prompt messages, %.3f with late ones", prompt.Share(), late.Share())
 }
+
+// grown is the load of a grown deployment: three times the farm shop's.
+func grown() Config {
+	cfg := farmShop()
+	cfg.Hosts, cfg.Engines, cfg.LongRate, cfg.ShortRate, cfg.Subjects, cfg.Length = 24, 36, 210, 102, 2514, 6*time.Second
+	return cfg
+}
+
+// TestNeighbourhoods replays a deployment of three neighbourhoods: hosts that hear
+// of each other's choices at once only within their own serve as well as few hosts do.
+func TestNeighbourhoods(t *testing.T) {
+	result := play(t, grown())
+	assert.Assert(t, result.Share() > 0.9, "in time %.3f", result.Share())
+}
+
+// TestDarkEngines replays engines that go dark under load: those that were running
+// there are lost, others are offered elsewhere.
+func TestDarkEngines(t *testing.T) {
+	cfg := farmShop()
+	cfg.Troubles = []Trouble{{Kind: TroubleDark, At: 4 * time.Second, For: 5 * time.Second, Count: 3}}
+	result := play(t, cfg)
+	assert.Assert(t, result.Share() > 0.75, "in time %.3f", result.Share())
+}
+
+// TestNewWeightsUnderLoad replays two changes of the weights, the second before the first is in place.
+func TestNewWeightsUnderLoad(t *testing.T) {
+	cfg := farmShop()
+	cfg.Length = 20 * time.Second
+	cfg.Troubles = []Trouble{{Kind: TroubleWeights, At: 5 * time.Second, Count: 2}, {Kind: TroubleWeights, At: 9 * time.Second, Count: 3}}
+	result := play(t, cfg)
+	assert.Assert(t, result.Share() > 0.7, "in time %.3f", result.Share())
+	assert.Assert(t, result.Orders >= cfg.Engines && result.Orders <= 2*cfg.Engines+2, "%d orders", result.Orders)
+}
+
+// TestBurst replays twice the arrivals for a while: what can't be served in time is
+// refused at once, and the rest is served in time.
+func TestBurst(t *testing.T) {
+	cfg := farmShop()
+	cfg.Troubles = []Trouble{{Kind: TroubleBurst, At: 3 * time.Second, For: 5 * time.Second, Factor: 2}}
+	result := play(t, cfg)
+	assert.Assert(t, result.Late*3 < result.InTime, "late %d, in time %d", result.Late, result.InTime)
+}
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -33,7 +33,7 @@
 func (r *Runner) start(ctx context.Context, effect decider.Effect) {
 	switch e := effect.(type) {
 	case decider.Tell:
-		r.gossiper.Tell(e.Message)
+		r.gossiper.Tell(e.To, e.Message)
 		return
 	case decider.TellParts:
 		r.gossiper.TellParts(e.To, e.Parts)
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -112,7 +112,7 @@
 		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, Follows: r.executor.Follows,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
-		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post, Peers: r.executor.Peers,
+		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post,
 	})
 	if err != nil {
 		return nil, err
@@ -125,6 +125,12 @@
 	return netip.AddrPortFrom(r.cfg.Settings.Address, r.cfg.Settings.FirstPort)
 }
 
+// register enters this host into the list of hosts.
+func (r *Runner) register(ctx context.Context) {
+	host := descriptor.Host{Address: r.gossipAddress(), DataCentre: r.cfg.Settings.DataCentre}
+	r.follower.Register(ctx, r.cfg.Settings.Host, host)
+}
+
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
 
 // Run serves until ctx ends, and then leaves in good order.
@@ -136,7 +142,7 @@
 	g.Go(func() error { return r.follower.Run(running) })
 	g.Go(func() error { return r.gossiper.Run(running) })
 	g.Go(func() error { return r.carryOut(running) })
-	g.Go(func() error { r.follower.Register(running, r.cfg.Settings.Host, r.gossipAddress()); return nil })
+	g.Go(func() error { r.register(running); return nil })
 	callers := &http.Server{
 		Handler: r.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
