Draw distant engines at their mean load, and shed by the wait and the error of predictions

Ruled out: own share of links, slots, dark engines. Shedding looked at the predicted time with the prompt's own size in it, and not at the error of predictions.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -15,10 +16,16 @@
 	soonRetry = 250 * time.Millisecond
 	// retrySpread spreads the return of callers that were refused together.
 	retrySpread = 0.3
-	// shedAt is the predicted time to the answer, in goals, from which a request
-	// is refused: an answer that late earns its caller little and makes the ones
-	// behind it late too.
-	shedAt = 1.5
+	// shedAt is the wait at a target, in goals, from which a request is refused: its
+	// answer would be late, and would make those behind it late too. The request's
+	// own size doesn't count, so that long prompts aren't refused for being long.
+	shedAt = 0.6
+	// shedSmallAt is the same for prompts of one piece, which delay others little.
+	shedSmallAt = 3
+	// errorWeight is the weight of one answer in the mean error of predictions, and
+	// errorHalf the time in which that halves without answers.
+	errorWeight = 0.1
+	errorHalf   = time.Second
 	// defaultGoal applies to routes without a goal.
 	defaultGoal = time.Second
 )
@@ -26,6 +33,7 @@
 // requests holds the requests that this host serves.
 type requests struct {
 	byNumber map[int64]*request
+	late     lateness
 }
 
 func newRequests() requests { return requests{byNumber: map[int64]*request{}} }
@@ -138,7 +146,7 @@
 		s.refuse(r, RefusalNoTarget, soonRetry)
 		return
 	}
-	if tooLate := s.shed(r, predicted); tooLate > 0 {
+	if tooLate := s.shed(r, best, predicted); tooLate > 0 {
 		s.refuse(r, RefusalOverload, tooLate)
 		return
 	}
@@ -146,14 +154,35 @@
 }
 
 // shed answers the load pattern in which more prompts arrive than the engines can
-// read: each one that is let in makes those behind it late. It returns when the
-// caller should come back, or 0 if r is to be served.
-func (s *State) shed(r *request, predicted time.Duration) time.Duration {
-	limit := time.Duration(shedAt * float64(r.goal()))
-	if predicted <= limit && s.now.Add(predicted).Before(r.deadline) {
+// read: each one that is let in makes those behind it late. How much later than
+// predicted answers come counts as wait. It returns when the caller should come
+// back, or 0 if r is to be served.
+func (s *State) shed(r *request, t *target, predicted time.Duration) time.Duration {
+	at := shedAt
+	if r.prompt == nil || s.unread(r, t) <= pieceTokens {
+		at = shedSmallAt
+	}
+	limit := time.Duration(at * float64(r.goal()))
+	wait := predicted - s.ownTime(r, t) + s.late.aged(s.now)
+	if wait <= limit && s.now.Add(predicted).Before(r.deadline) {
 		return 0
 	}
-	return predicted - limit + soonRetry
+	return wait - limit + soonRetry
+}
+
+// lateness is the mean time by which answers to prompts come later than predicted.
+type lateness struct {
+	mean time.Duration
+	at   time.Time
+}
+
+func (l *lateness) aged(now time.Time) time.Duration {
+	return time.Duration(float64(l.mean) * math.Exp2(-float64(now.Sub(l.at))/float64(errorHalf)))
+}
+
+func (l *lateness) learn(late time.Duration, now time.Time) {
+	mean := l.aged(now)
+	l.mean, l.at = max(0, mean+time.Duration(errorWeight*float64(late-mean))), now
 }
 
 // send hands r to a target and puts its work on account.
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -11,6 +12,8 @@
 	// piece of 1,024 tokens takes 9.3 ms, the step of the others 6.1 ms and the
 	// attention to what is before it about 3 ms, by the deployments' sheets.
 	readToken = 18 * time.Microsecond
+	// pieceTokens is how many prompt tokens an engine reads in one step.
+	pieceTokens = 1024
 	// firstStep is the time from a prompt's last piece to its first token.
 	firstStep = 8 * time.Millisecond
 	// holdTime is about how long a request occupies an engine's memory: the time
@@ -40,23 +43,53 @@
 	var best *target
 	var least time.Duration
 	plans := map[int]importPlan{}
+	var far distantTargets
 	for _, t := range s.byService[r.service] {
 		if !s.usable(t, r) {
 			continue
 		}
-		cost := s.expected(r, t, plans)
-		if best == nil || cost < least {
+		load := t.own
+		load.add(t.others, 1)
+		if s.distant[t.ID] {
+			far.add(t, load, s.rng)
+			continue
+		}
+		if cost := s.expected(r, t, load, plans); best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	if t := far.pick; t != nil {
+		if cost := s.expected(r, t, far.mean(), plans) + distantCost; best == nil || cost < least {
 			best, least = t, cost
 		}
 	}
 	return best, least
 }
 
-// expected is the time until r's answer begins at t, with penalties for what is
-// worse than time. It adds the import plan of t's version to plans.
-func (s *State) expected(r *request, t *target, plans map[int]importPlan) time.Duration {
-	load := t.own
-	load.add(t.others, 1)
+// distantTargets are those outside the neighbourhood. Their loads are known too late
+// to choose by: the one that looks free is what all other hosts choose too. One of
+// them is drawn, and expected to have the mean load of all.
+type distantTargets struct {
+	n    int
+	sum  work
+	pick *target
+}
+
+func (d *distantTargets) add(t *target, load work, rng *rand.Rand) {
+	d.n++
+	d.sum.add(load, 1)
+	if rng.IntN(d.n) == 0 {
+		d.pick = t
+	}
+}
+
+func (d *distantTargets) mean() work {
+	return work{Requests: d.sum.Requests / d.n, Unread: d.sum.Unread / d.n, Memory: d.sum.Memory / d.n}
+}
+
+// expected is the time until r's answer begins at t with a load, with penalties for
+// what is worse than time. It adds the import plan of t's version to plans.
+func (s *State) expected(r *request, t *target, load work, plans map[int]importPlan) time.Duration {
 	var cost time.Duration
 	if t.service.Engine != nil && r.prompt != nil {
 		version := t.Weights[r.prompt.Model]
@@ -72,9 +105,6 @@
 	if t.DataCentre != s.cfg.DataCentre {
 		cost += farCost
 	}
-	if s.distant[t.ID] {
-		cost += distantCost
-	}
 	return cost + time.Duration(t.failing*float64(r.goal()))
 }
 
@@ -110,6 +140,20 @@
 	return cost
 }
 
+// unread is how many tokens of r's prompt t must read.
+func (s *State) unread(r *request, t *target) int {
+	return r.prompt.Tokens - s.importable(r, t.Weights[r.prompt.Model]).tokens
+}
+
+// ownTime is the part of the expected time that r itself takes.
+func (s *State) ownTime(r *request, t *target) time.Duration {
+	if r.prompt == nil {
+		return 0
+	}
+	plan := s.importable(r, t.Weights[r.prompt.Model])
+	return firstStep + plan.time + time.Duration(r.prompt.Tokens-plan.tokens)*readToken
+}
+
 func (s *State) outdated(t *target, model string) bool { return t.Weights[model] < s.wanted[model] }
 
 // importPlan is what an engine can import of a prompt.
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -54,6 +54,9 @@
 	}
 	r.begun = true
 	s.learnDelay(r)
+	if r.prompt != nil {
+		s.late.learn(s.now.Sub(r.sent)-r.predicted, s.now)
+	}
 	r.target.own.Unread -= r.work.Unread
 	r.work.Unread = 0
 	s.tellNews()
