Ask the platform less often what changed

A watch that waited its whole time confirms up to its end, peers tell of theirs, and changes of targets gather for 250 ms.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -20,12 +20,17 @@
 
 const (
 	// configWait is how long a watch of the configuration waits: each answer
-	// confirms the version in force, which keys need within seconds.
-	configWait = time.Second
+	// confirms the version in force, which keys need within seconds. Peers tell of
+	// their confirmations in between.
+	configWait = 2500 * time.Millisecond
+	// waitError is how much sooner than asked the platform may end a wait.
+	waitError = 50 * time.Millisecond
 	// objectWait is how long other watches wait; the platform allows 30 s.
 	objectWait = 25 * time.Second
-	// batchPause lets changes gather before the next watch.
-	batchPause = 60 * time.Millisecond
+	// batchPause lets changes gather before the next watch, or the next question to
+	// a store: well within the seconds in which targets must be left alone.
+	batchPause = 250 * time.Millisecond
+	partPause  = 60 * time.Millisecond
 	// retryPause and retryMost bound the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -145,13 +150,22 @@
 		return 0, err
 	}
 	w.take(changes.Objects)
-	w.tell(changes.Objects, false, asked)
+	w.tell(changes.Objects, false, w.asOf(asked, len(changes.Objects)))
 	if len(changes.Objects) > 0 {
 		sleep(ctx, batchPause)
 	}
 	return max(revision, changes.Revision), nil
 }
 
+// asOf is when the platform's answer was true. A watch that waited in vain for its
+// whole time was answered at the end of it, however late the answer came.
+func (w *watch) asOf(asked time.Time, changes int) time.Time {
+	if end := asked.Add(w.wait() - waitError); changes == 0 && w.cfg.Clock.Now().After(end) {
+		return end
+	}
+	return asked
+}
+
 func (w *watch) wait() time.Duration {
 	if w.kind == caller.KindConfig {
 		return configWait
@@ -318,13 +332,13 @@
 		if listed && (changes.Lost || changes.Boot != last.Boot) {
 			f.cfg.Logger.Info("store is listed anew", "store", addr.String(), "lost", changes.Lost, "boot", changes.Boot, "before", last.Boot, "since", last.Next, "next", changes.Next)
 			listed = false
-			sleep(ctx, batchPause)
+			sleep(ctx, partPause)
 			continue
 		}
 		listed, told, pause, last = true, true, retryPause, changes
 		f.cfg.Post(decider.PartsChanged{Store: addr, Changes: changes, Whole: whole})
 		if len(changes.Changes) > 0 {
-			sleep(ctx, batchPause)
+			sleep(ctx, partPause)
 		}
 	}
 	return nil
