--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -19,7 +19,7 @@
 	// shedAt is the wait at a target, in goals, from which a request is refused: its
 	// answer would be late, and would make those behind it late too. The request's
 	// own size doesn't count, so that long prompts aren't refused for being long.
-	shedAt = 0.6
+	shedAt = 0.7
 	// shedSmallAt is the same for prompts of one piece, which delay others little.
 	shedSmallAt = 3
 	// errorWeight is the weight of one answer in the mean error of predictions, and
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -126,7 +126,7 @@
 		return RefusalDeadline
 	case r.runs > 0 && !r.route.Repeatable():
 		return RefusalFailed
-	case r.begun && !(r.route.Kind == descriptor.KindStream && r.route.Resumable):
+	case r.begun && (r.route.Kind != descriptor.KindStream || !r.route.Resumable):
 		return RefusalFailed
 	case r.runs >= r.route.Attempts || r.offers >= maxOffers:
 		return RefusalAttemptsSpent
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -25,7 +25,7 @@
 	Meter  *meter.Meter
 }
 
-// Executor serializes events. It is safe for concurrent use.
+// Executor serialises events. It is safe for concurrent use.
 type Executor struct {
 	cfg Config
 	mu  sync.Mutex
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -189,7 +189,7 @@
 		failure.Reason = decider.FailureMisdirected
 	case r.NotRun:
 		failure.Reason = decider.FailureRefused
-	case r.Success() && (!r.Sealed || r.Answer.ID == "" || r.Encoded):
+	case r.Success() && (!r.Sealed || r.ID == "" || r.Encoded):
 		failure.Reason, failure.Detail = decider.FailureBroken, "a success without its seal, its request or its own bytes"
 	case promises(r.Status):
 		// The status would promise to the caller that nothing ran.
