--- /dev/null
+++ b/internal/relay/runner/runner_test.go
@@ -0,0 +1,246 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/platform/caller"
+	"cardamomscale.example/cardamomscale/platform/imitator"
+)
+
+const testConfig = `{"version":%d,"routes":[
+{"name":"pay","host":"h","pathPrefix":"/pay/","kind":"unsafe","goalMs":100,"service":"plain","attempts":1},
+{"name":"look","host":"h","pathPrefix":"/look/","kind":"safe","goalMs":100,"service":"plain","attempts":2},
+{"name":"short","host":"h","pathPrefix":"/short/","kind":"stream","timeoutMs":10000,"goalMs":200,"service":"streams","attempts":2,"resumable":true},
+{"name":"long","host":"h","pathPrefix":"/long/","kind":"stream","timeoutMs":10000,"goalMs":200,"service":"streams","attempts":1}],
+"services":[{"name":"plain","healthPath":"/healthz","maxConns":100},{"name":"streams","healthPath":"/healthz","maxConns":100}],
+"limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},"tenants":[{"name":"team","apiKeys":["key"]}]}`
+
+// world is a relay between stand-ins.
+type world struct {
+	t     *testing.T
+	store *imitator.Store
+	relay *Runner
+	url   string
+	ready string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// free returns an address of loopback with a port that is free for TCP and UDP.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newWorld(t *testing.T, targets ...*imitator.Target) *world {
+	t.Helper()
+	w := &world{t: t, store: imitator.NewStore(), done: make(chan error, 1)}
+	platform := httptest.NewServer(w.store)
+	w.store.Put(caller.KindConfig, caller.ConfigName, fmt.Sprintf(testConfig, 1))
+	for _, target := range targets {
+		srv := httptest.NewServer(target)
+		service := "plain"
+		if target.Events > 0 {
+			service = "streams"
+		}
+		w.store.Put(caller.KindTargets, target.ID, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"a","slots":8,"state":"ready","born":1}`, service, srv.Listener.Addr()))
+		t.Cleanup(srv.Close)
+	}
+	w.store.Put(caller.KindTargets, "foreign", `{"service":7}`)
+	callers, ready, gossip := free(t), free(t), free(t)
+	var err error
+	w.relay, err = New(Config{
+		Settings: descriptor.Settings{
+			Host: "host-1", Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Callers: callers, Ready: ready,
+			FirstPort: gossip.Port(), LastPort: gossip.Port(), Platform: platform.Listener.Addr().(*net.TCPAddr).AddrPort(),
+			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
+		},
+		Clock: timer.Boot{}, Logger: hclog.NewNullLogger(), Boot: 1,
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop, w.url, w.ready = stop, "http://"+callers.String(), "http://"+ready.String()+"/v1/readyz"
+	go func() { w.done <- w.relay.Run(ctx) }()
+	t.Cleanup(func() { stop(); platform.CloseClientConnections(); platform.Close() })
+	w.await("ready", func() bool { return w.status(w.ready) == http.StatusOK })
+	return w
+}
+
+// await polls until ok, for a bounded time.
+func (w *world) await(what string, ok func() bool) {
+	w.t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.t.Fatalf("%s: not within 8 s", what)
+}
+
+func (w *world) status(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// ask sends a request and returns status, body and the error of reading it.
+func (w *world) ask(path, id, key, body string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, w.url+path, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	req.Host = "h"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "8000")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token-%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestRequestsThroughTheRelay covers the kinds of answers that a caller gets.
+func TestRequestsThroughTheRelay(t *testing.T) {
+	plain, stream := &imitator.Target{ID: "p"}, &imitator.Target{ID: "s", Events: 5}
+	w := newWorld(t, plain, stream)
+	status, body, err := w.ask("/pay/1", "a", "key", "order")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "answer to a")
+	status, body, err = w.ask("/short/1", "b", "key", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, events(5))
+	for _, c := range []struct {
+		path, key, body string
+		status          int
+	}{
+		{"/none/", "key", "", http.StatusNotFound},
+		{"/pay/../pay//x", "key", "", http.StatusOK}, // The path is not cleaned.
+		{"/pay/", "wrong", "", http.StatusUnauthorized},
+		{"/pay/", "", "", http.StatusUnauthorized},
+		{"/pay/", "key", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
+	} {
+		status, _, err := w.ask(c.path, "c", c.key, c.body)
+		assert.NilError(t, err)
+		assert.Equal(t, status, c.status, c.path)
+	}
+}
+
+// TestResumableStreamGoesOnElsewhere: a target that breaks off in the middle of an
+// event costs the caller nothing, and a stream that may not run twice is cut.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	a, b := &imitator.Target{ID: "a", Events: 9, Cut: 4}, &imitator.Target{ID: "b", Events: 9}
+	w := newWorld(t, a, b)
+	for n := 0; a.Started() == 0; n++ {
+		assert.Assert(t, n < 50, "the target that cuts gets no request")
+		status, body, err := w.ask("/short/1", fmt.Sprint(n), "key", "prompt")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, events(9))
+	}
+}
+
+func TestStreamThatMayNotRunTwiceIsCut(t *testing.T) {
+	a, b := &imitator.Target{ID: "a", Events: 9, Cut: 4}, &imitator.Target{ID: "b", Events: 9, Cut: 4}
+	w := newWorld(t, a, b)
+	_, body, err := w.ask("/long/1", "x", "key", "prompt")
+	assert.Assert(t, err != nil, "a cut stream looks whole: %q", body)
+	assert.Equal(t, a.Runs("x")+b.Runs("x"), 1)
+}
+
+// TestPlatformOutage: the relay serves on with what it knows, for as long as keys
+// may be used without news of them, and again after the outage.
+func TestPlatformOutage(t *testing.T) {
+	w := newWorld(t, &imitator.Target{ID: "p"})
+	w.store.SetDown(true)
+	status, _, err := w.ask("/pay/1", "a", "key", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	w.await("keys end", func() bool {
+		status, _, err := w.ask("/pay/1", "b", "key", "")
+		return err == nil && status == http.StatusServiceUnavailable
+	})
+	w.store.SetDown(false)
+	w.await("served again", func() bool {
+		status, _, err := w.ask("/pay/1", "c", "key", "")
+		return err == nil && status == http.StatusOK
+	})
+}
+
+// TestLeavingCutsNothing stops the relay under load: every request that it read has
+// its whole answer, and none ran twice.
+func TestLeavingCutsNothing(t *testing.T) {
+	target, stream := &imitator.Target{ID: "p", Pause: 30 * time.Millisecond}, &imitator.Target{ID: "s", Events: 20, Pause: 20 * time.Millisecond}
+	w := newWorld(t, target, stream)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var cut []string
+	stopped := make(chan struct{})
+	for n := range 8 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				path, want := "/pay/1", fmt.Sprintf("answer to %d-%d", n, i)
+				if n%2 == 0 {
+					path, want = "/short/1", events(20)
+				}
+				status, body, err := w.ask(path, fmt.Sprintf("%d-%d", n, i), "key", "body")
+				var failed *net.OpError
+				if errors.As(err, &failed) && failed.Op == "dial" {
+					return // No connection stood, as the listener is closed: nothing was sent.
+				}
+				if err != nil || status != http.StatusOK || body != want {
+					mu.Lock()
+					cut = append(cut, fmt.Sprintf("%s: status %d, %d bytes, %v", path, status, len(body), err))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.stop()
+	w.await("not ready", func() bool { return w.status(w.ready) != http.StatusOK })
+	assert.NilError(t, <-w.done)
+	close(stopped)
+	wg.Wait()
+	assert.Equal(t, len(cut), 0, "%s", strings.Join(cut, "\n"))
+}
