Believe in a store's parts for 1.5 s, and write again to one seen anew only after that

The store had come back empty at 25.0 s with its data centre; the host hears of it through others and still believed in the boot before, while a host that asks the store itself had begun to save again. Cause: nothing bounded how old such a belief may be, and a whole list was not passed on. Change: what a store holds is believed for 1.5 s after its last answer; nothing is saved to a store seen anew until no such belief and no fetch by it can be left (2.8 s); lost stores and new boots are passed on at once; stores are asked every 0.5 s. Tests: TestRestartedStoreIsNotReadWhileItIsWritten, TestLostStoreIsToldToHostsThatDontAskIt.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -18,12 +18,21 @@
 	// fetchTime bounds a fetch: a longer one costs more than reading the prompt,
 	// and frees of outdated parts wait for its end.
 	fetchTime = time.Second
+	// trustFor is how long a host believes in what a store held when it last
+	// answered: three times the wait between two answers.
+	trustFor = 1500 * time.Millisecond
+	// saveAfter is how long nothing is saved to a store that was seen anew: no host
+	// that missed its restart may still fetch what is being written again.
+	saveAfter = trustFor + fetchTime + 300*time.Millisecond
+	// relayMargin is how long a message that passes changes on may be on its way.
+	relayMargin = 150 * time.Millisecond
 	// saveTime is how long a part counts as being saved before it is saved again.
 	saveTime = 1500 * time.Millisecond
 	// storeFull is the share of a store's memory from which nothing is saved there.
 	storeFull = 0.97
-	// smallPart is the share of a fast store that a part may take.
-	smallPart = 0.02
+	// smallPart is the size, in tokens, up to which parts go to the fast stores:
+	// that of the sessions of short prompts, by the deployments' sheets.
+	smallPart = 1500
 	// slowStore is the delay from which a store's parts are read anew: about the
 	// time to read a long part.
 	slowStore = 100 * time.Millisecond
@@ -67,8 +76,12 @@
 	boot    int64
 	// alive is true while the store answers and its parts are known.
 	alive bool
-	held  map[partKey]int
-	used  int
+	// confirmed is when the store was last known to hold what is believed, and
+	// bootSeen when its present boot was first seen.
+	confirmed time.Time
+	bootSeen  time.Time
+	held      map[partKey]int
+	used      int
 	// delay is how much longer than expected imports from the store have taken, as of delayAt.
 	delay   time.Duration
 	delayAt time.Time
@@ -125,6 +138,9 @@
 		if st.boot != ev.Changes.Boot || !ev.Whole {
 			s.note("store restarted or changes lost", "", "store", ev.Store, "boot", ev.Changes.Boot, "before", st.boot, "parts", len(st.held))
 		}
+		if st.boot != ev.Changes.Boot {
+			st.bootSeen = s.now
+		}
 		st.boot, st.used = ev.Changes.Boot, 0
 		clear(st.held)
 	}
@@ -132,6 +148,9 @@
 		s.note("store answers", "", "store", ev.Store, "boot", st.boot)
 	}
 	st.alive = true
+	if ev.AsOf.After(st.confirmed) {
+		st.confirmed = ev.AsOf
+	}
 	if ev.Changes.Lost && !ev.Whole {
 		s.emit(ListParts{Store: ev.Store})
 		return
@@ -155,7 +174,10 @@
 func (s *State) onStoreLost(ev StoreLost) {
 	if st := s.storeAt(ev.Store); st != nil && st.alive {
 		st.alive = false
-		s.note("store lost", "", "store", ev.Store, "parts", len(st.held))
+		s.note("store lost", "", "store", ev.Store, "parts", len(st.held), "confirmed", s.now.Sub(st.confirmed))
+		if to := s.receivers(ev.Store.String()); len(to) > 0 {
+			s.emit(TellParts{To: to, Parts: PartsTold{Store: ev.Store, Lost: true}})
+		}
 	}
 }
 
@@ -185,7 +207,7 @@
 func (s *State) holder(key partKey, tokens int) *store {
 	var best *store
 	for _, st := range s.stores {
-		if st.alive && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) && !s.slow(st) {
+		if s.trusted(st) && st.held[key] >= tokens && tokens > 0 && (best == nil || st.FirstByte < best.FirstByte) && !s.slow(st) {
 			best = st
 		}
 	}
@@ -296,9 +318,12 @@
 	}
 }
 
+// trusted reports whether st surely holds what is believed.
+func (s *State) trusted(st *store) bool { return st.alive && s.now.Sub(st.confirmed) < trustFor }
+
 // held reports whether any store holds a part, also one that is slow.
 func (s *State) held(key partKey) bool {
-	return slices.ContainsFunc(s.stores, func(st *store) bool { return st.alive && st.held[key] > 0 })
+	return slices.ContainsFunc(s.stores, func(st *store) bool { return s.trusted(st) && st.held[key] > 0 })
 }
 
 // home returns the store that a part is saved to. All hosts choose the same one,
@@ -308,7 +333,7 @@
 	var best *store
 	var bestRank uint64
 	for _, st := range s.stores {
-		if !st.alive || float64(st.used+tokens) > storeFull*float64(st.Tokens) {
+		if !s.trusted(st) || s.now.Sub(st.bootSeen) < saveAfter || float64(st.used+tokens) > storeFull*float64(st.Tokens) {
 			continue
 		}
 		rank := xxh3.HashString(st.Address.String() + "|" + key.salt + "|" + key.part)
@@ -326,19 +351,16 @@
 
 // preferred reports whether st is of the right kind for a part.
 func (s *State) preferred(st *store, tokens, index int) bool {
-	fastest, fastTokens := st.FirstByte, st.Tokens
+	fastest := st.FirstByte
 	for _, other := range s.stores {
-		if other.FirstByte < fastest {
-			fastest, fastTokens = other.FirstByte, other.Tokens
-		}
+		fastest = min(fastest, other.FirstByte)
 	}
-	fits := index == 0 || float64(tokens) <= smallPart*float64(fastTokens)
-	return (st.FirstByte == fastest) == fits
+	return (st.FirstByte == fastest) == (index == 0 || tokens <= smallPart)
 }
 
-// freeOutdated frees the parts of versions that no engine has had any more for
-// longer than a fetch takes. No engine reads such parts again: each request names
-// the only version that may run it.
+// freeOutdated forgets the parts of versions that no engine has had any more for
+// longer than a fetch takes, and frees them if this host is in office. No engine
+// reads such parts again: each request names the only version that may run it.
 func (s *State) freeOutdated() {
 	for model, lowest := range s.lowestVersions() {
 		if known := s.lowest[model]; known.version != lowest {
@@ -394,6 +416,9 @@
 		for _, part := range parts {
 			s.changePart(st, descriptor.PartChange{Salt: salt, Part: part})
 		}
+		if !s.inOffice() {
+			continue
+		}
 		s.note("outdated parts freed", "", "store", st.Address, "salt", salt, "parts", len(parts))
 		s.emit(FreeParts{Store: st.Address, Boot: st.boot, Salt: salt, Parts: parts})
 	}
--- a/internal/relay/decider/caching_test.go
+++ b/internal/relay/decider/caching_test.go
@@ -105,3 +105,45 @@
 	assert.Equal(t, len(parts), 1)
 	assert.DeepEqual(t, parts[0].Parts, []string{"s"})
 }
+
+// TestRestartedStoreIsNotReadWhileItIsWritten: one host sees at once that a store
+// restarted, another has heard nothing since. Whatever the moment, the first saves
+// nothing there before the second has ended its last fetch.
+func TestRestartedStoreIsNotReadWhileItIsWritten(t *testing.T) {
+	quick, slow := newHost(t, "a", 2, 0), newHost(t, "b", 2, 0)
+	part := descriptor.Part{ID: "s", Tokens: 5000}
+	for _, h := range []*host{quick, slow} {
+		h.silent = true
+		h.hold(storeAddress(1))
+		h.hold(storeAddress(2), part)
+	}
+	quick.do(PartsChanged{Store: storeAddress(2), AsOf: quick.at, Changes: descriptor.PartChanges{Boot: 2, Next: 1}})
+	var lastFetch, firstSave time.Time
+	for range 100 {
+		quick.pass(50 * time.Millisecond)
+		slow.at = quick.at
+		quick.do(PartsChanged{Store: storeAddress(2), AsOf: quick.at, Changes: descriptor.PartChanges{Boot: 2, Next: 1}})
+		if slow.serve("/long/", longPrompt("s"), 0).Sources[1].IsValid() {
+			lastFetch = slow.at
+		}
+		if quick.serve("/long/", longPrompt("s"), 0).Sinks[1] == storeAddress(2) && firstSave.IsZero() {
+			firstSave = quick.at
+		}
+	}
+	assert.Assert(t, !lastFetch.IsZero() && !firstSave.IsZero())
+	assert.Assert(t, firstSave.Sub(lastFetch) > fetchTime, "saved %v after the last fetch was sent", firstSave.Sub(lastFetch))
+}
+
+// TestLostStoreIsToldToHostsThatDontAskIt: hosts that hear of a store through others
+// stop using it as soon as these find it silent, or seen anew.
+func TestLostStoreIsToldToHostsThatDontAskIt(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.silent = true
+	h.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	h.do(PartsTold{Store: storeAddress(2), Lost: true})
+	assert.Assert(t, !h.serve("/long/", longPrompt("s"), 0).Sources[1].IsValid())
+	h.do(PartsTold{Store: storeAddress(2), Boot: 1})
+	assert.Assert(t, h.serve("/long/", longPrompt("s"), 0).Sources[1].IsValid())
+	h.do(PartsTold{Store: storeAddress(2), Boot: 2})
+	assert.Assert(t, !h.serve("/long/", longPrompt("s"), 0).Sources[1].IsValid())
+}
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -129,6 +129,7 @@
 	s.probeDown()
 	s.advanceLease()
 	s.advanceOrders()
+	s.freeOutdated()
 	s.tellPeers()
 }
 
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -110,6 +110,8 @@
 	Store   netip.AddrPort
 	Changes descriptor.PartChanges
 	Whole   bool
+	// AsOf is when the answer was true.
+	AsOf time.Time
 }
 
 // StoreLost reports that a store doesn't answer.
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -229,7 +229,6 @@
 	if s.outdatedEngines() > len(s.jobs) {
 		s.startOrders()
 	}
-	s.freeOutdated()
 }
 
 // startOrders begins with the engines that have the least to finish, and keeps
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -27,6 +27,10 @@
 type PartsTold struct {
 	Store netip.AddrPort `cbor:"1,keyasint"`
 	Boot  int64          `cbor:"2,keyasint"`
+	// Age is how long ago this was true when it was passed on.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Lost is true when the store doesn't answer.
+	Lost bool `cbor:"5,keyasint,omitempty"`
 	// Changes are in the order in which the store told them.
 	Changes []descriptor.PartChange `cbor:"3,keyasint,omitempty"`
 }
@@ -52,12 +56,16 @@
 // don't ask it themselves.
 func (s *State) relay(ev PartsChanged) {
 	to := s.receivers(ev.Store.String())
-	if len(to) == 0 || ev.Whole {
+	if len(to) == 0 {
 		return
 	}
+	if ev.Whole {
+		// Each host lists a store once for itself; a new boot ends what it believes.
+		ev.Changes.Changes = nil
+	}
 	for first := true; first || len(ev.Changes.Changes) > 0; first = false {
 		n := min(relayBatch, len(ev.Changes.Changes))
-		s.emit(TellParts{To: to, Parts: PartsTold{Store: ev.Store, Boot: ev.Changes.Boot, Changes: ev.Changes.Changes[:n]}})
+		s.emit(TellParts{To: to, Parts: PartsTold{Store: ev.Store, Boot: ev.Changes.Boot, Age: s.now.Sub(ev.AsOf), Changes: ev.Changes.Changes[:n]}})
 		ev.Changes.Changes = ev.Changes.Changes[n:]
 	}
 }
@@ -97,8 +105,12 @@
 		return
 	}
 	s.relayed[ev.Store] = s.now
+	if ev.Lost {
+		st.alive = false
+		return
+	}
 	if st.boot == 0 {
 		return // The whole list comes first.
 	}
-	s.takeParts(st, PartsChanged{Store: ev.Store, Changes: descriptor.PartChanges{Boot: ev.Boot, Changes: ev.Changes}})
+	s.takeParts(st, PartsChanged{Store: ev.Store, AsOf: s.now.Add(-ev.Age - relayMargin), Changes: descriptor.PartChanges{Boot: ev.Boot, Changes: ev.Changes}})
 }
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -23,6 +23,17 @@
 	t   *testing.T
 	at  time.Time
 	num int64
+	// silent stores don't confirm at each request what they hold.
+	silent bool
+}
+
+// confirmStores lets all stores that were listed answer that nothing changed.
+func (h *host) confirmStores() {
+	for _, st := range h.stores {
+		if st.boot != 0 {
+			h.do(PartsChanged{Store: st.Address, AsOf: h.at, Changes: descriptor.PartChanges{Boot: st.boot}})
+		}
+	}
 }
 
 func address(n int) netip.AddrPort {
@@ -93,6 +104,9 @@
 func (h *host) ask(path, key string, prompt *descriptor.Prompt) (int64, Effect) {
 	h.num++
 	h.do(ConfigConfirmed{AsOf: h.at})
+	if !h.silent {
+		h.confirmStores()
+	}
 	effects := h.do(RequestArrived{Number: h.num, ID: fmt.Sprint("request-", h.num), Host: "h", Path: path, Key: key, Deadline: 5 * time.Second, Prompt: prompt})
 	return h.num, own(effects)
 }
@@ -141,7 +155,8 @@
 	for _, p := range parts {
 		changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: model + ":1", Part: p.ID, Tokens: p.Tokens})
 	}
-	h.do(PartsChanged{Store: store, Changes: changes, Whole: true})
+	h.do(PartsChanged{Store: store, Changes: changes, Whole: true, AsOf: h.at})
+	h.storeAt(store).bootSeen = h.at.Add(-saveAfter)
 }
 
 // reportOf is the report of an engine with a version of the model.
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -38,8 +38,8 @@
 	// which may come back: by the platform's terms.
 	lapseGrace = 2 * time.Second
 	// partWait is how long a store may hold back an answer without changes; the
-	// platform allows 1 s.
-	partWait = time.Second
+	// platform allows 1 s, and prices less than 200 ms.
+	partWait = 500 * time.Millisecond
 )
 
 // Config configures a Follower.
@@ -319,6 +319,7 @@
 			sleep(ctx, retryMost)
 			continue
 		}
+		asked := f.cfg.Clock.Now()
 		changes, err := f.askStore(ctx, addr, listed, last.Next)
 		if err != nil {
 			if caller.KindOf(err) != caller.KindUnavailable && ctx.Err() == nil {
@@ -336,7 +337,10 @@
 			continue
 		}
 		listed, told, pause, last = true, true, retryPause, changes
-		f.cfg.Post(decider.PartsChanged{Store: addr, Changes: changes, Whole: whole})
+		if end := asked.Add(partWait - waitError); !whole && len(changes.Changes) == 0 && f.cfg.Clock.Now().After(end) {
+			asked = end // The store answered at the end of its wait.
+		}
+		f.cfg.Post(decider.PartsChanged{Store: addr, Changes: changes, Whole: whole, AsOf: asked})
 		if len(changes.Changes) > 0 {
 			sleep(ctx, partPause)
 		}
--- a/internal/relay/replayer/engine.go
+++ b/internal/relay/replayer/engine.go
@@ -189,7 +189,7 @@
 		st.held[[2]string{req.send.Salt, part.ID}] = part.Tokens
 		st.used += part.Tokens
 		for _, h := range r.hosts {
-			r.tell(h, decider.PartsChanged{Store: sink, Changes: descriptor.PartChanges{
+			r.tell(h, decider.PartsChanged{Store: sink, AsOf: r.now, Changes: descriptor.PartChanges{
 				Boot: 1, Changes: []descriptor.PartChange{{Held: true, Salt: req.send.Salt, Part: part.ID, Tokens: part.Tokens}},
 			}})
 		}
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -257,6 +257,9 @@
 
 func (r *Replayer) tick(h *host) {
 	r.tell(h, decider.ConfigConfirmed{AsOf: r.now})
+	for addr := range r.stores {
+		r.tell(h, decider.PartsChanged{Store: addr, AsOf: r.now, Changes: descriptor.PartChanges{Boot: 1}})
+	}
 	r.tell(h, decider.Tick{})
 	r.after(tickEvery, func() { r.tick(h) })
 }
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -134,11 +134,12 @@
 }
 
 func (r *Runner) listParts(ctx context.Context, store netip.AddrPort) {
+	asked := r.cfg.Clock.Now()
 	list, err := r.caller.PartList(ctx, store)
 	if err != nil {
 		r.cfg.Logger.Warn("store not listed", "store", store.String(), "error", err.Error())
 		r.post(decider.StoreLost{Store: store})
 		return
 	}
-	r.post(decider.PartsChanged{Store: store, Changes: list, Whole: true})
+	r.post(decider.PartsChanged{Store: store, Changes: list, Whole: true, AsOf: asked})
 }
