--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -44,7 +44,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(cfg.Out)
-	root.AddCommand(newRun(cfg), newDemo(cfg), newBench(cfg))
+	root.AddCommand(newRun(cfg), newDemo(cfg), newBench(cfg), newReplay(cfg))
 	return root, nil
 }
 
