--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -147,6 +147,7 @@
 		return
 	}
 	if tooLate := s.shed(r, best, predicted); tooLate > 0 {
+		r.predicted = predicted
 		s.refuse(r, RefusalOverload, tooLate)
 		return
 	}
@@ -242,7 +243,7 @@
 	}
 	spread := time.Duration(s.rng.Float64() * retrySpread * float64(retryAfter))
 	out := Refuse{Number: r.number, Kind: kind, NotRun: r.runs == 0, RetryAfter: retryAfter + spread}
-	s.note("refused", r.id, "kind", string(kind), "not-run", out.NotRun, "offers", r.offers, "waited", s.now.Sub(r.arrived), "retry-after", out.RetryAfter,
+	s.note("refused", r.id, "kind", string(kind), "not-run", out.NotRun, "offers", r.offers, "predicted", r.predicted, "lateness", s.late.aged(s.now), "waited", s.now.Sub(r.arrived), "retry-after", out.RetryAfter,
 		"config-age", s.now.Sub(s.confirmed), "usable-targets", s.countUsable(r))
 	s.emit(out)
 }
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -4,6 +4,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -13,6 +14,9 @@
 	"cardamomscale.example/cardamomscale/internal/relay/timer"
 )
 
+// logRounding is the precision of times in the log.
+const logRounding = 100 * time.Microsecond
+
 // queuedEffects is how many effects wait for the surroundings: far more than one
 // event has.
 const queuedEffects = 1024
@@ -64,9 +68,15 @@
 }
 
 func (e *Executor) log(n decider.Note) {
-	fields := n.Fields
+	fields := make([]any, 0, len(n.Fields)+2)
 	if n.Request != "" {
-		fields = append([]any{"request-id", n.Request}, fields...)
+		fields = append(fields, "request-id", n.Request)
+	}
+	for _, field := range n.Fields {
+		if d, ok := field.(time.Duration); ok {
+			field = d.Round(logRounding).String()
+		}
+		fields = append(fields, field)
 	}
 	e.cfg.Logger.Info(n.Event, fields...)
 }
