--- a/internal/relay/dialer/dialer.go
+++ b/internal/relay/dialer/dialer.go
@@ -19,8 +19,9 @@
 }
 
 const (
-	// DefaultConnect is a hundred times the way to another data centre and back.
-	DefaultConnect = 400 * time.Millisecond
+	// DefaultConnect is many times the way to another data centre and back, and
+	// leaves time to offer a request elsewhere within its goal.
+	DefaultConnect = 150 * time.Millisecond
 	// DefaultUnacknowledged covers two retransmissions of a lost packet.
 	DefaultUnacknowledged = 1200 * time.Millisecond
 	// probeIdle and probeEvery time the probes of connections without traffic.
