--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -53,6 +53,8 @@
 	FailureMisdirected FailureReason = "misdirected"
 	// FailureBroken means that the answer was cut, faulty or missing.
 	FailureBroken FailureReason = "broken"
+	// FailureSilent means that the connection died without a sign of the target.
+	FailureSilent FailureReason = "silent"
 	// FailureAnswered means that the target answered with an error of its own; the
 	// answer is kept for the caller.
 	FailureAnswered FailureReason = "answered-with-an-error"
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -88,6 +88,8 @@
 	down    bool
 	downs   int
 	probeAt time.Time
+	// answered is when the target last answered this host.
+	answered time.Time
 	// missing is when the target was first missing from a whole list, or zero.
 	missing time.Time
 	// unsure is true when the target's weights must be read before it is used.
@@ -356,7 +358,7 @@
 		t.probeAt = s.now.Add(min(longestDown, firstDown<<min(t.downs-1, 4)))
 		return
 	}
-	t.down = false
+	t.down, t.answered = false, s.now
 	t.coldUntil = later(t.coldUntil, s.now.Add(coldAfterDown))
 	s.note("target up", "", "target", t.ID, "downs", t.downs)
 }
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -106,3 +106,38 @@
 	_, effect := h.ask("/pay/", key, nil)
 	assert.Equal(t, effect.(Refuse).Kind, RefusalNoTarget)
 }
+
+// TestPeersCantKeepATargetDown: a peer's word makes a host look once, however often
+// the peer repeats it, and a host that has just seen the target answer goes by that.
+func TestPeersCantKeepATargetDown(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	probes := 0
+	for n := range 40 {
+		h.pass(50 * time.Millisecond)
+		h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: uint64(n + 1), Down: []string{"plain-1"}}})
+		for _, p := range all[Probe](h.do(Tick{})) {
+			probes++
+			h.do(ProbeAnswered{Target: p.Target, Alive: true})
+		}
+	}
+	assert.Equal(t, probes, 1)
+	assert.Assert(t, !h.targets["plain-1"].down)
+}
+
+// TestSilentTargetIsLeft: a connection that died without a sign takes its target out
+// of use until it answers a probe; the request may have run.
+func TestSilentTargetIsLeft(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	n, _ := h.ask("/pay/", key, nil)
+	refused := own(h.do(AttemptFailed{Number: n, Reason: FailureSilent})).(Refuse)
+	assert.Assert(t, !refused.NotRun)
+	_, effect := h.ask("/pay/", key, nil)
+	assert.Equal(t, effect.(Refuse).Kind, RefusalNoTarget)
+	h.pass(200 * time.Millisecond)
+	probe := all[Probe](h.do(Tick{}))
+	assert.Equal(t, len(probe), 1)
+	h.do(ProbeAnswered{Target: probe[0].Target, Alive: true})
+	_, effect = h.ask("/pay/", key, nil)
+	_, sent := effect.(Send)
+	assert.Assert(t, sent)
+}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -25,6 +26,8 @@
 	// rebootSilence is how long a peer must have been silent before a process with
 	// a lower boot replaces it: its time of day may have been put back.
 	rebootSilence = 300 * time.Millisecond
+	// doubtAfter is how long a host trusts its own eyes more than a peer's.
+	doubtAfter = 300 * time.Millisecond
 	// messageDelay is added to the age of what peers tell.
 	messageDelay = 200 * time.Millisecond
 )
@@ -75,6 +78,8 @@
 	number uint64
 	at     time.Time
 	work   map[string]work
+	// down are the targets that the peer last said to be down.
+	down []string
 }
 
 func newPeers() peers {
@@ -190,15 +195,20 @@
 	p.number, p.at, p.work = m.Number, s.now, m.Work
 	s.addWork(p.work, 1)
 	for _, id := range m.Down {
-		if t := s.targets[id]; t != nil && !t.down && t.own.Requests == 0 {
-			s.markDownByPeer(t, m.Host)
+		if t := s.targets[id]; t != nil && !slices.Contains(p.down, id) {
+			s.doubt(t, m.Host)
 		}
 	}
+	p.down = m.Down
 	s.takeOverBeliefs(m)
 }
 
-// markDownByPeer lets this host see for itself before it uses t again.
-func (s *State) markDownByPeer(t *target, host string) {
+// doubt lets this host see for itself before it uses t again that a peer found
+// down, unless it has just seen t answer.
+func (s *State) doubt(t *target, host string) {
+	if t.down || t.own.Requests > 0 || s.now.Sub(t.answered) < doubtAfter {
+		return
+	}
 	t.down = true
 	t.probeAt = s.now
 	s.note("target down", "", "target", t.ID, "why", "a peer can't reach it", "peer", host)
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -68,7 +68,7 @@
 
 func (s *State) succeeded(t *target) {
 	t.failing *= 1 - failingWeight
-	t.downs = 0
+	t.downs, t.answered = 0, s.now
 }
 
 func (s *State) onAttemptDone(ev AttemptDone) {
@@ -139,7 +139,7 @@
 // blame takes in what a failure says about its target.
 func (s *State) blame(t *target, r *request, ev AttemptFailed) {
 	switch ev.Reason {
-	case FailureUnreachable:
+	case FailureUnreachable, FailureSilent:
 		s.markDown(t, ev.Detail)
 	case FailureRefused:
 		t.changing = s.now.Add(refusedPause)
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -210,11 +211,18 @@
 }
 
 func (f *Forwarder) broken(ctx context.Context, op string, err error) *Failure {
-	reason := decider.FailureBroken
-	if ctx.Err() != nil {
-		reason = decider.FailureDeadline
+	return &Failure{Reason: ReasonOf(ctx, err), Detail: fmt.Sprintf("%s: %v", op, err)}
+}
+
+// ReasonOf classifies an error of an exchange that was under way.
+func ReasonOf(ctx context.Context, err error) decider.FailureReason {
+	switch {
+	case ctx.Err() != nil:
+		return decider.FailureDeadline
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return decider.FailureSilent
 	}
-	return &Failure{Reason: reason, Detail: fmt.Sprintf("%s: %v", op, err)}
+	return decider.FailureBroken
 }
 
 // Abort closes the connection, which ends the request at the target.
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -168,11 +168,7 @@
 }
 
 func (x *exchange) cut(ctx context.Context, err error) *decider.AttemptFailed {
-	reason := decider.FailureBroken
-	if ctx.Err() != nil {
-		reason = decider.FailureDeadline
-	}
-	return x.failed(&forwarder.Failure{Reason: reason, Detail: "read body: " + err.Error()})
+	return x.failed(&forwarder.Failure{Reason: forwarder.ReasonOf(ctx, err), Detail: "read body: " + err.Error()})
 }
 
 // maxWhole bounds an answer that is held until it is whole.
