Confirm a changed configuration at once, and take the first news after an outage as lapsing

A watch of 0.1 s follows a change now. A test of the follower found that the very first changes after an outage weren't taken as lapsing, so that targets whose entries had lapsed were dropped at once. Tests: TestChangeOfTheConfigurationIsConfirmedSoon, TestRemovalsAfterAnOutageMayComeBack.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -23,6 +23,9 @@
 	// confirms the version in force, which keys need within seconds. Peers tell of
 	// their confirmations in between.
 	configWait = 2500 * time.Millisecond
+	// confirmWait is the wait after a change of the configuration: the change itself
+	// only confirms what was in force when its watch began.
+	confirmWait = 100 * time.Millisecond
 	// waitError is how much sooner than asked the platform may end a wait.
 	waitError = 50 * time.Millisecond
 	// objectWait is how long other watches wait; the platform allows 30 s.
@@ -88,6 +91,8 @@
 	*Follower
 	kind  string
 	known map[string]caller.Object
+	// changed is true when the last answer brought changes.
+	changed bool
 	// lost is true while calls fail; back is when they last began to succeed.
 	lost bool
 	back time.Time
@@ -143,6 +148,7 @@
 		clear(w.known)
 		w.take(all.Objects)
 		w.tell(all.Objects, true, asked)
+		w.changed = true
 		return all.Revision, nil
 	}
 	changes, err := w.cfg.Caller.Watch(ctx, w.kind, revision, w.wait())
@@ -151,7 +157,8 @@
 	}
 	w.take(changes.Objects)
 	w.tell(changes.Objects, false, w.asOf(asked, len(changes.Objects)))
-	if len(changes.Objects) > 0 {
+	w.changed = len(changes.Objects) > 0
+	if w.changed && w.kind != caller.KindConfig {
 		sleep(ctx, batchPause)
 	}
 	return max(revision, changes.Revision), nil
@@ -167,10 +174,13 @@
 }
 
 func (w *watch) wait() time.Duration {
-	if w.kind == caller.KindConfig {
-		return configWait
+	switch {
+	case w.kind != caller.KindConfig:
+		return objectWait
+	case w.changed:
+		return confirmWait
 	}
-	return objectWait
+	return configWait
 }
 
 func (w *watch) take(objects []caller.Object) {
@@ -219,7 +229,7 @@
 }
 
 func (w *watch) tellTargets(objects []caller.Object, whole bool) {
-	ev := decider.TargetsListed{Whole: whole, Lapsing: w.cfg.Clock.Now().Sub(w.back) < lapseGrace}
+	ev := decider.TargetsListed{Whole: whole, Lapsing: w.lost || w.cfg.Clock.Now().Sub(w.back) < lapseGrace}
 	for _, o := range objects {
 		if o.Removed {
 			ev.Removed = append(ev.Removed, o.Name)
