Ask lost stores and the platform less often where there are many hosts

Each failure is passed on now, a refused question pauses for 2 s, and who asks is found among the hosts heard in the last 3.5 s. Changes of targets gather for up to a second, by the number of hosts. Test: TestStoresAreAskedByFewHosts.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -172,12 +172,17 @@
 }
 
 func (s *State) onStoreLost(ev StoreLost) {
-	if st := s.storeAt(ev.Store); st != nil && st.alive {
+	st := s.storeAt(ev.Store)
+	if st == nil {
+		return
+	}
+	if st.alive {
 		st.alive = false
 		s.note("store lost", "", "store", ev.Store, "parts", len(st.held), "confirmed", s.now.Sub(st.confirmed))
-		if to := s.receivers(ev.Store.String()); len(to) > 0 {
-			s.emit(TellParts{To: to, Parts: PartsTold{Store: ev.Store, Lost: true}})
-		}
+	}
+	// Each failure is passed on, so that the others needn't ask the store themselves.
+	if to := s.receivers(ev.Store.String()); len(to) > 0 {
+		s.emit(TellParts{To: to, Parts: PartsTold{Store: ev.Store, Lost: true}})
 	}
 }
 
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -92,6 +92,9 @@
 	s.note("hosts listed", "", "hosts", len(ev.Hosts))
 }
 
+// Hosts returns the number of registered hosts.
+func (s *State) Hosts() int { return len(s.hosts) }
+
 // hostCount is the number of hosts among which limits are shared: all that were
 // heard lately, and those that are registered but were never heard.
 func (s *State) hostCount() int {
@@ -139,11 +142,14 @@
 
 // rankFor is this host's place among the hosts that were heard lately, in an order
 // that differs from one name to another.
-func (s *State) rankFor(name string) int {
+func (s *State) rankFor(name string) int { return s.rankAmong(name, peerForget) }
+
+// rankAmong is the same among the hosts that were heard within a time.
+func (s *State) rankAmong(name string, within time.Duration) int {
 	own := xxh3.HashString(s.cfg.Host + "|" + name)
 	n := 0
 	for host := range s.hosts {
-		if p := s.heard[host]; host != s.cfg.Host && p != nil && s.now.Sub(p.at) < peerForget && xxh3.HashString(host+"|"+name) < own {
+		if p := s.heard[host]; host != s.cfg.Host && p != nil && s.now.Sub(p.at) < within && xxh3.HashString(host+"|"+name) < own {
 			n++
 		}
 	}
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -45,7 +45,7 @@
 
 // Follows reports whether this host asks a store itself what changed there.
 func (s *State) Follows(store netip.AddrPort) bool {
-	if s.rankFor(store.String()) < directFollowers {
+	if s.rankAmong(store.String(), peerTimeout) < directFollowers {
 		return true
 	}
 	heard, ok := s.relayed[store]
@@ -81,7 +81,7 @@
 	}
 	var list []ranked
 	for host := range s.hosts {
-		if p := s.heard[host]; host == s.cfg.Host || p != nil && s.now.Sub(p.at) < peerForget {
+		if p := s.heard[host]; host == s.cfg.Host || p != nil && s.now.Sub(p.at) < peerTimeout {
 			list = append(list, ranked{host, xxh3.HashString(host + "|" + store)})
 		}
 	}
--- a/internal/relay/decider/relaying_test.go
+++ b/internal/relay/decider/relaying_test.go
@@ -52,6 +52,15 @@
 		assert.Assert(t, h.storeAt(store).held[partKey{model + ":1", "s"}] == 5000, "%s doesn't know the part", h.cfg.Host)
 		if told[addr] == 1 {
 			assert.Assert(t, !h.Follows(store))
+			for n := range 10 {
+				h.pass(500 * time.Millisecond)
+				for _, peer := range hosts {
+					h.do(PeerSaid{Message: Message{Host: peer.cfg.Host, Boot: 1, Number: uint64(2 + n)}})
+				}
+				h.do(PartsTold{Store: store, Lost: true})
+				h.do(Tick{})
+				assert.Assert(t, !h.Follows(store), "a host asks a store that others have found lost")
+			}
 			h.pass(relaySilence + time.Second)
 			h.do(Tick{})
 			assert.Assert(t, h.Follows(store), "a host that hears nothing doesn't ask the store")
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -104,6 +104,13 @@
 	return e.cfg.State.Stores()
 }
 
+// Hosts returns the number of registered hosts.
+func (e *Executor) Hosts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Hosts()
+}
+
 // Follows reports whether this host asks a store itself what changed there.
 func (e *Executor) Follows(store netip.AddrPort) bool {
 	e.mu.Lock()
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -30,13 +30,20 @@
 	waitError = 50 * time.Millisecond
 	// objectWait is how long other watches wait; the platform allows 30 s.
 	objectWait = 25 * time.Second
-	// batchPause lets changes gather before the next watch, or the next question to
-	// a store: well within the seconds in which targets must be left alone.
-	batchPause = 250 * time.Millisecond
-	partPause  = 60 * time.Millisecond
+	// Changes gather before the next watch for batchPause and batchEach for each
+	// host, batchMost at most: each host pays for each change, and targets must be
+	// left alone within two seconds.
+	batchPause = 300 * time.Millisecond
+	batchEach  = 12 * time.Millisecond
+	batchMost  = time.Second
+	// partPause lets changes gather before the next question to a store.
+	partPause = 60 * time.Millisecond
 	// retryPause and retryMost bound the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// refusedPause is the pause after a store that answers too many calls at once
+	// refused one: each refusal costs as much as a question.
+	refusedPause = 2 * time.Second
 	// lapseGrace is how long after an outage removals count as lapsed entries,
 	// which may come back: by the platform's terms.
 	lapseGrace = 2 * time.Second
@@ -53,6 +60,8 @@
 	Post   func(decider.Event)
 	// Stores returns the stores to follow.
 	Stores func() []netip.AddrPort
+	// Hosts returns the number of registered hosts.
+	Hosts func() int
 	// Follows reports whether a store is asked directly once it has been listed.
 	Follows func(store netip.AddrPort) bool
 }
@@ -159,7 +168,7 @@
 	w.tell(changes.Objects, false, w.asOf(asked, len(changes.Objects)))
 	w.changed = len(changes.Objects) > 0
 	if w.changed && w.kind != caller.KindConfig {
-		sleep(ctx, batchPause)
+		sleep(ctx, min(batchMost, batchPause+time.Duration(w.cfg.Hosts())*batchEach))
 	}
 	return max(revision, changes.Revision), nil
 }
@@ -332,7 +341,11 @@
 		asked := f.cfg.Clock.Now()
 		changes, err := f.askStore(ctx, addr, listed, last.Next)
 		if err != nil {
-			if caller.KindOf(err) != caller.KindUnavailable && ctx.Err() == nil {
+			if caller.KindOf(err) == caller.KindUnavailable {
+				sleep(ctx, refusedPause)
+				continue
+			}
+			if ctx.Err() == nil {
 				f.cfg.Post(decider.StoreLost{Store: addr})
 			}
 			sleep(ctx, pause)
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -59,6 +59,7 @@
 	h := &heard{}
 	f := New(Config{
 		Caller: c, Clock: timer.Boot{}, Logger: hclog.NewNullLogger(), Post: h.post,
+		Hosts:  func() int { return 1 },
 		Stores: func() []netip.AddrPort { return nil }, Follows: func(netip.AddrPort) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	r.follower = follower.New(follower.Config{
-		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, Follows: r.executor.Follows,
+		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, Hosts: r.executor.Hosts, Follows: r.executor.Follows,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
 		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post,
