--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -22,22 +22,18 @@
 	// Deadline is how long the caller waits; 0 if it didn't say.
 	Deadline time.Duration
 	Prompt   *descriptor.Prompt
-	// Resumes is true when the caller goes on with a stream.
-	Resumes bool
 }
 
 // AnswerBegan reports the first part of a target's answer.
 type AnswerBegan struct {
 	Number  int64
 	Weights int
-	Load    *descriptor.Load
 }
 
 // AttemptDone reports a whole answer.
 type AttemptDone struct {
 	Number int64
 	Status int
-	Load   *descriptor.Load
 }
 
 // FailureReason classifies failed attempts.
@@ -73,7 +69,6 @@
 	Begun bool
 	// Weights is the version that the target told; 0 if it told none.
 	Weights int
-	Load    *descriptor.Load
 }
 
 // CallerLeft reports that the caller closed the connection.
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -40,7 +40,7 @@
 	Number uint64 `cbor:"3,keyasint"`
 	// Work is what the host has on its way to targets.
 	Work map[string]work `cbor:"4,keyasint,omitempty"`
-	// Down lists targets that the host found down since its last message or so.
+	// Down lists the targets that the host finds down.
 	Down []string `cbor:"5,keyasint,omitempty"`
 	// Orders lists the targets that the holder of orders has under order.
 	Orders []string `cbor:"6,keyasint,omitempty"`
@@ -163,7 +163,7 @@
 		if t.own != (work{}) {
 			m.Work[id] = t.own
 		}
-		if t.down && s.now.Sub(t.probeAt) < longestDown {
+		if t.down {
 			m.Down = append(m.Down, id)
 		}
 		if len(t.Weights) > 0 && s.inOffice() {
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -56,10 +56,10 @@
 			{Name: "look", Host: "h", Prefix: "/look/", Kind: descriptor.KindSafe, Goal: 100 * time.Millisecond, Attempts: 2, Shares: []descriptor.Share{{Service: "plain", Weight: 1}}},
 		},
 		Services: map[string]*descriptor.Service{
-			"engines": {Name: "engines", MaxConnections: 300, ColdRate: 13, Engine: &descriptor.Engine{Slots: 48, MemoryTokens: 63375, TokenBytes: 192512, LinkMbps: 1.5e6}},
+			"engines": {Name: "engines", MaxConnections: 300, ColdRate: 13, Engine: &descriptor.Engine{Slots: 48, MemoryTokens: 63375, TokenBytes: 192512}},
 			"plain":   {Name: "plain", Health: "/healthz", MaxConnections: 110},
-			"fast":    {Name: "fast", Store: &descriptor.Store{Address: storeAddress(1), DataCentre: "a", Tokens: 176859, LinkMbps: 2e6, FirstByte: 500 * time.Microsecond, Managed: true}},
-			"large":   {Name: "large", Store: &descriptor.Store{Address: storeAddress(2), DataCentre: "a", Tokens: 2100206, LinkMbps: 590000, FirstByte: 6 * time.Millisecond, Managed: true}},
+			"fast":    {Name: "fast", Store: &descriptor.Store{Address: storeAddress(1), DataCentre: "a", Tokens: 176859, LinkMbps: 2e6, FirstByte: 500 * time.Microsecond}},
+			"large":   {Name: "large", Store: &descriptor.Store{Address: storeAddress(2), DataCentre: "a", Tokens: 2100206, LinkMbps: 590000, FirstByte: 6 * time.Millisecond}},
 		},
 	}
 }
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -76,8 +76,6 @@
 	MemoryTokens int
 	// TokenBytes is the size of one token's cache entry.
 	TokenBytes int
-	// LinkMbps is the bandwidth of one engine's link for cache memory.
-	LinkMbps float64
 }
 
 // Store describes a store of cache parts.
@@ -88,8 +86,6 @@
 	LinkMbps   float64
 	// FirstByte is what each transfer waits in addition.
 	FirstByte time.Duration
-	// Managed stores drop nothing by themselves.
-	Managed bool
 }
 
 // Team holds keys and a rank.
@@ -103,10 +99,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	MaxBodyBytes int
 }
 
 // Config is one version of the operators' configuration.
@@ -187,11 +180,6 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-// Load is a target's own count of its requests.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Report is the state of an engine.
 type Report struct {
 	Weights map[string]int
@@ -199,10 +187,6 @@
 	Busy bool
 	// Orders counts the accepted orders since the engine's start.
 	Orders int64
-	// UsedTokens is the cache memory that can't be freed.
-	UsedTokens int
-	// Clock is the engine's time of day.
-	Clock time.Time
 }
 
 // PartChange says that a store holds a part in whole, or no longer.
@@ -258,11 +242,10 @@
 	MemoryMB            int
 	// GracePeriod is the time from a polite stop to a kill.
 	GracePeriod time.Duration
-	// RetryRatio, RetryWindow and RetrySlack bound the repeats of all hosts: in each
-	// window the ratio of the requests, and the slack in addition.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// RetryRatio and RetrySlack bound the repeats of all hosts in the platform's
+	// window: the ratio of the requests, and the slack in addition.
+	RetryRatio float64
+	RetrySlack float64
 	// LeaseTerm is how long the platform considers a holder of orders to be in office.
 	LeaseTerm time.Duration
 	// RevokeAfter is when a key that was taken away must not be used any more.
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -17,7 +17,6 @@
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
-	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/platform/translator"
 )
 
@@ -67,7 +66,6 @@
 	Detail  string
 	NotRun  bool
 	Weights int
-	Load    *descriptor.Load
 }
 
 // Reply is an answer whose body is still to be read.
@@ -184,7 +182,7 @@
 
 // verdict returns why the answer must not be passed on, or nil.
 func (r *Reply) verdict() *Failure {
-	failure := &Failure{Weights: r.Weights, Load: r.Load, NotRun: r.NotRun, Detail: fmt.Sprintf("status %d", r.Status)}
+	failure := &Failure{Weights: r.Weights, NotRun: r.NotRun, Detail: fmt.Sprintf("status %d", r.Status)}
 	switch {
 	case r.Misdirected:
 		failure.Reason = decider.FailureMisdirected
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -206,13 +206,13 @@
 			{Name: "short", Host: "h", Prefix: "/short/", Kind: descriptor.KindStream, Timeout: 15 * time.Second, Goal: shortGoal, Attempts: 2, Resumable: true, Shares: share},
 		},
 		Services: map[string]*descriptor.Service{
-			"engines": {Name: "engines", MaxConnections: 300, ColdRate: 13, Engine: &descriptor.Engine{Slots: 48, MemoryTokens: 63375, TokenBytes: 192512, LinkMbps: 1.5e6}},
+			"engines": {Name: "engines", MaxConnections: 300, ColdRate: 13, Engine: &descriptor.Engine{Slots: 48, MemoryTokens: 63375, TokenBytes: 192512}},
 		},
 	}
 	add := func(n, tokens int, link float64, first time.Duration) {
 		name := fmt.Sprint("store-", n)
 		cfg.Services[name] = &descriptor.Service{Name: name, Store: &descriptor.Store{
-			Address: netip.MustParseAddrPort(fmt.Sprintf("172.20.0.%d:80", n)), DataCentre: "a", Tokens: tokens, LinkMbps: link, FirstByte: first, Managed: true,
+			Address: netip.MustParseAddrPort(fmt.Sprintf("172.20.0.%d:80", n)), DataCentre: "a", Tokens: tokens, LinkMbps: link, FirstByte: first,
 		}}
 	}
 	for n := 1; n <= 3; n++ {
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -44,12 +44,12 @@
 	tickEvery = 50 * time.Millisecond
 	// callTimeout bounds a call to the platform, an engine or a store.
 	callTimeout = time.Second
-	// headerTimeout bounds the reading of a request's head.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is longer than callers keep idle connections on any deployment.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds a request's head; the configuration's limit is lower.
-	maxHeaderBytes = 64 << 10
+	// headerTimeout, idleTimeout and maxHeaderBytes keep callers from holding
+	// connections for ever. They are far above the configuration's limits, which
+	// callers keep.
+	headerTimeout  = 30 * time.Second
+	idleTimeout    = 5 * time.Minute
+	maxHeaderBytes = 256 << 10
 	// leaveAfter is how long a stopping host still takes connections: until the
 	// balancer has seen two times that it isn't ready.
 	leaveAfter = 2500 * time.Millisecond
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -119,7 +119,7 @@
 func (x *exchange) run(caller context.Context) {
 	effect := x.post(decider.RequestArrived{
 		Number: x.number, ID: x.req.ID, Host: x.req.Host, Path: x.req.Path, Key: x.req.Key,
-		Deadline: x.req.Deadline, Prompt: x.req.Prompt, Resumes: x.req.LastEvent != "",
+		Deadline: x.req.Deadline, Prompt: x.req.Prompt,
 	})
 	for {
 		switch e := effect.(type) {
@@ -163,7 +163,7 @@
 
 func (x *exchange) failed(f *forwarder.Failure) *decider.AttemptFailed {
 	return &decider.AttemptFailed{
-		Number: x.number, Reason: f.Reason, Detail: f.Detail, NotRun: f.NotRun, Begun: x.headed, Weights: f.Weights, Load: f.Load,
+		Number: x.number, Reason: f.Reason, Detail: f.Detail, NotRun: f.NotRun, Begun: x.headed, Weights: f.Weights,
 	}
 }
 
@@ -201,10 +201,10 @@
 	}
 	if repeatable && reply.Status >= http.StatusInternalServerError {
 		x.kept = &kept{reply: reply, body: body}
-		return x.failed(&forwarder.Failure{Reason: decider.FailureAnswered, Detail: http.StatusText(reply.Status), Weights: reply.Weights, Load: reply.Load})
+		return x.failed(&forwarder.Failure{Reason: decider.FailureAnswered, Detail: http.StatusText(reply.Status), Weights: reply.Weights})
 	}
 	x.reportBegun(reply)
-	x.post(decider.AttemptDone{Number: x.number, Status: reply.Status, Load: reply.Load})
+	x.post(decider.AttemptDone{Number: x.number, Status: reply.Status})
 	x.pass(reply, body)
 	return nil
 }
@@ -220,7 +220,7 @@
 	if !x.headed {
 		x.server.cfg.Meter.First(x.server.cfg.Clock.Now().Sub(x.began).Seconds())
 	}
-	x.post(decider.AnswerBegan{Number: x.number, Weights: reply.Weights, Load: reply.Load})
+	x.post(decider.AnswerBegan{Number: x.number, Weights: reply.Weights})
 }
 
 // head copies the target's status and headers.
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -68,7 +68,7 @@
 	if !x.headed {
 		x.head(reply)
 	}
-	x.post(decider.AttemptDone{Number: x.number, Status: reply.Status, Load: reply.Load})
+	x.post(decider.AttemptDone{Number: x.number, Status: reply.Status})
 	return nil
 }
 
