--- a/internal/relay/forwarder/forwarder_test.go
+++ b/internal/relay/forwarder/forwarder_test.go
@@ -255,3 +255,20 @@
 	assert.Assert(t, failure != nil && !failure.NotRun)
 	assert.Assert(t, errors.Is(<-closed, io.EOF))
 }
+
+// TestIdleConnectionsToGoneTargetsAreClosed: a target that is not used any more
+// keeps no connection open for ever.
+func TestIdleConnectionsToGoneTargetsAreClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPool(func() time.Time { return now })
+	gone, other := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	near, far := net.Pipe()
+	p.put(gone, &conn{Conn: near}, time.Second)
+	now = now.Add(time.Minute)
+	spare, _ := net.Pipe()
+	p.put(other, &conn{Conn: spare}, time.Second)
+	_, err := far.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, io.EOF))
+	assert.Equal(t, len(p.idle[gone]), 0)
+	assert.Equal(t, len(p.idle[other]), 1)
+}
--- a/internal/relay/forwarder/pool.go
+++ b/internal/relay/forwarder/pool.go
@@ -20,6 +20,9 @@
 	// freshLimit for others.
 	idleLimit  = 8 * time.Second
 	freshLimit = 250 * time.Millisecond
+	// sweepEvery is the pause between searches for connections that were idle for
+	// too long, also to targets that are gone.
+	sweepEvery = 5 * time.Second
 	// maxIdle bounds the idle connections to one target.
 	maxIdle = 8
 )
@@ -37,6 +40,8 @@
 	now  func() time.Time
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// swept is when idle connections were last searched.
+	swept time.Time
 }
 
 func newPool(now func() time.Time) pool { return pool{now: now, idle: map[netip.AddrPort][]*conn{}} }
@@ -65,18 +70,44 @@
 	c.idleSince = p.now()
 	c.idleUntil = c.idleSince.Add(limit)
 	p.mu.Lock()
+	var old []*conn
 	list := append(p.idle[addr], c)
-	var old *conn
 	if len(list) > maxIdle {
-		old, list = list[0], list[1:]
+		old, list = append(old, list[0]), list[1:]
 	}
 	p.idle[addr] = list
+	old = append(old, p.sweep(c.idleSince)...)
 	p.mu.Unlock()
-	if old != nil {
-		_ = old.Close() // The oldest makes room.
+	for _, c := range old {
+		_ = c.Close() // It makes room, or was idle for too long.
 	}
 }
 
+// sweep takes the connections out that were idle for too long, now and then.
+func (p *pool) sweep(now time.Time) []*conn {
+	if now.Sub(p.swept) < sweepEvery {
+		return nil
+	}
+	p.swept = now
+	var old []*conn
+	for addr, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			if now.After(c.idleUntil) {
+				old = append(old, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = kept
+		}
+	}
+	return old
+}
+
 // CloseIdle closes all idle connections.
 func (p *pool) CloseIdle() {
 	p.mu.Lock()
