Never put a kept error behind a stream that has begun

Found by reading the change: a resumable stream whose first target answered with an error and whose second one began and broke off ended with the kept error written into the stream, as if it were whole (MIXED). It is cut now, as any begun stream. Test: TestKeptErrorIsNotDeliveredIntoAStream, failing before.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -60,7 +60,8 @@
 	weights int
 	// begun is true when the caller has a part of the answer.
 	begun bool
-	// answered is true when a target's own error is kept for the caller.
+	// answered is true when a target's own error is kept for the caller, to whom it
+	// goes unless another answer has begun.
 	answered bool
 	tried    map[string]bool
 	// offers counts the attempts, runs those that may have run.
@@ -236,7 +237,7 @@
 func (s *State) refuse(r *request, kind RefusalKind, retryAfter time.Duration) {
 	s.release(r)
 	delete(s.byNumber, r.number)
-	if r.answered {
+	if r.answered && !r.begun {
 		s.note("done with an error of a target", r.id, "kind", string(kind), "offers", r.offers, "after", s.now.Sub(r.arrived))
 		s.emit(Deliver{Number: r.number})
 		return
--- a/internal/relay/decider/retrying_test.go
+++ b/internal/relay/decider/retrying_test.go
@@ -46,3 +46,18 @@
 	assert.Assert(t, float64(repeats) <= limit, "%d repeats of %d requests, want at most %.0f", repeats, requests, limit)
 	assert.Assert(t, repeats > 100, "only %d repeats", repeats)
 }
+
+// TestKeptErrorIsNotDeliveredIntoAStream: a target's error is kept, another target
+// begins to answer and breaks off. The caller has a part of that answer, so the
+// kept one must not be put behind it.
+func TestKeptErrorIsNotDeliveredIntoAStream(t *testing.T) {
+	h := newHost(t, "a", 3, 0)
+	n, _ := h.ask("/short/", key, shortPrompt("s"))
+	_, sent := own(h.do(AttemptFailed{Number: n, Reason: FailureAnswered})).(Send)
+	assert.Assert(t, sent)
+	h.do(AnswerBegan{Number: n})
+	effect := own(h.do(AttemptFailed{Number: n, Reason: FailureBroken, Begun: true}))
+	refused, ok := effect.(Refuse)
+	assert.Assert(t, ok, "%T ends a request whose caller has a part of another answer", effect)
+	assert.Assert(t, !refused.NotRun)
+}
