Take out what the reducer keeps and nobody reads

Found by reading the change: the message's leaving flag, a request's weights, a store's service and a check around an assignment. Behaviour is the same.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -57,7 +57,6 @@
 	// sources are the stores that parts are imported from.
 	sources []netip.AddrPort
 	reading reading
-	weights int
 	// begun is true when the caller has a part of the answer.
 	begun bool
 	// answered is true when a target's own error is kept for the caller, to whom it
--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -72,8 +72,7 @@
 // store is what is known of one store.
 type store struct {
 	descriptor.Store
-	service string
-	boot    int64
+	boot int64
 	// alive is true while the store answers and its parts are known.
 	alive bool
 	// confirmed is when the store was last known to hold what is believed, and
@@ -94,7 +93,7 @@
 // noteStores takes over the stores of the configuration.
 func (s *State) noteStores() {
 	var list []*store
-	for name, svc := range s.config.Services {
+	for _, svc := range s.config.Services {
 		if svc.Store == nil {
 			continue
 		}
@@ -104,7 +103,7 @@
 			list = append(list, s.stores[i])
 			continue
 		}
-		list = append(list, &store{Store: *svc.Store, service: name, held: map[partKey]int{}})
+		list = append(list, &store{Store: *svc.Store, held: map[partKey]int{}})
 	}
 	slices.SortFunc(list, func(a, b *store) int { return a.Address.Compare(b.Address) })
 	s.stores = list
@@ -287,7 +286,6 @@
 // planCache says where t imports r's shared parts from and saves them to.
 func (s *State) planCache(r *request, t *target, out *Send) {
 	version := t.Weights[r.prompt.Model]
-	r.weights = version
 	out.Weights = version
 	out.Salt = r.salt(version)
 	plan := s.importable(r, version)
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -159,10 +159,7 @@
 	s.leaseCall = time.Time{}
 	if ev.Err {
 		s.leaseNext = s.now.Add(leaseRetry)
-		if s.leaseRead {
-			// A write without an answer may have taken effect.
-			s.leaseRead = false
-		}
+		s.leaseRead = false // A write without an answer may have taken effect.
 		return
 	}
 	s.leaseRead = true
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -52,8 +52,6 @@
 	// Lease is the newest revision of the lease of orders; Holder is true if the sender holds it.
 	Lease  int64 `cbor:"10,keyasint,omitempty"`
 	Holder bool  `cbor:"11,keyasint,omitempty"`
-	// Leaving is true when the sender stops.
-	Leaving bool `cbor:"12,keyasint,omitempty"`
 }
 
 // peers holds what other hosts told.
@@ -158,7 +156,7 @@
 
 func (s *State) message() Message {
 	s.told++
-	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told, Work: map[string]work{}, Weights: map[string]map[string]int{}, Leaving: s.stopping}
+	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told, Work: map[string]work{}, Weights: map[string]map[string]int{}}
 	for id, t := range s.targets {
 		if t.own != (work{}) {
 			m.Work[id] = t.own
