Don't believe the ages of messages that waited for a suspended host

Cause, found by reading: datagrams that wait in the receive buffer while a host is suspended are read after it as if they had just been sent; their ages confirmed the configuration, and with it keys, and what stores hold, by up to the length of the suspension. A full buffer keeps the oldest messages, so newer ones needn't correct it. Ruled out: stamps of the receiver's clock, as the suspension lies between send and receipt. Now a pause of ten ticks between two events shows the suspension, and ages are not believed for a second after it.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -60,8 +60,9 @@
 // order. The time never runs backwards between calls; it goes on while the host
 // is suspended.
 func (s *State) Reduce(ev Event, now time.Time) []Effect {
-	s.now = now
 	s.out = nil
+	s.noticeSuspension(now)
+	s.now = now
 	switch ev := ev.(type) {
 	case RequestArrived:
 		s.onRequestArrived(ev)
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -30,6 +30,12 @@
 	doubtAfter = 300 * time.Millisecond
 	// messageDelay is added to the age of what peers tell.
 	messageDelay = 200 * time.Millisecond
+	// suspendedAfter is the pause between two events that shows a suspended host:
+	// ten ticks.
+	suspendedAfter = 500 * time.Millisecond
+	// backlogTime is how long after a suspension messages may have waited for this
+	// host: far longer than it takes to read a full receive buffer.
+	backlogTime = time.Second
 )
 
 // Message is what a host tells its peers.
@@ -69,6 +75,8 @@
 	alarm       bool
 	// ordered are targets that the holder has under order, until when.
 	ordered map[string]time.Time
+	// woke is when this host last went on after a suspension.
+	woke time.Time
 }
 
 type peer struct {
@@ -218,8 +226,21 @@
 	s.note("target down", "", "target", t.ID, "why", "a peer can't reach it", "peer", host)
 }
 
+// noticeSuspension notes when the host didn't run for a while. Messages that
+// waited for it are older than they say: their ages count from when they were sent.
+func (s *State) noticeSuspension(now time.Time) {
+	if s.now.IsZero() || now.Sub(s.now) < suspendedAfter {
+		return
+	}
+	s.woke = now
+	s.note("host was suspended", "", "for", now.Sub(s.now))
+}
+
+// agesKnown reports whether the ages that messages tell can be believed.
+func (s *State) agesKnown() bool { return s.now.Sub(s.woke) > backlogTime }
+
 func (s *State) takeOverBeliefs(m Message) {
-	if s.config != nil && m.Config == s.config.Version {
+	if s.config != nil && m.Config == s.config.Version && s.agesKnown() {
 		s.confirm(s.now.Add(-m.ConfigAge - messageDelay))
 	}
 	for id, weights := range m.Weights {
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -112,5 +112,9 @@
 	if st.boot == 0 {
 		return // The whole list comes first.
 	}
-	s.takeParts(st, PartsChanged{Store: ev.Store, AsOf: s.now.Add(-ev.Age - relayMargin), Changes: descriptor.PartChanges{Boot: ev.Boot, Changes: ev.Changes}})
+	var asOf time.Time // Unknown: what is believed isn't confirmed.
+	if s.agesKnown() {
+		asOf = s.now.Add(-ev.Age - relayMargin)
+	}
+	s.takeParts(st, PartsChanged{Store: ev.Store, AsOf: asOf, Changes: descriptor.PartChanges{Boot: ev.Boot, Changes: ev.Changes}})
 }
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -98,8 +98,18 @@
 
 func (h *host) do(ev Event) []Effect { return h.Reduce(ev, h.at) }
 
+// pass lets time pass without any event, as for a host that is suspended.
 func (h *host) pass(d time.Duration) { h.at = h.at.Add(d) }
 
+// tick lets time pass with ticks.
+func (h *host) tick(d time.Duration) {
+	const every = 100 * time.Millisecond
+	for ; d > 0; d -= every {
+		h.pass(min(every, d))
+		h.do(Tick{})
+	}
+}
+
 // ask brings a request and returns its number and the effect on it.
 func (h *host) ask(path, key string, prompt *descriptor.Prompt) (int64, Effect) {
 	h.num++
