Let few hosts watch the platform, and pass on what it says

Ruled out: stale reads at a tenth of the price, as a leaving target must be left within seconds. Now two hosts of each data centre watch and tell the others in datagrams; a host that is behind, or hears nothing for 2 s, asks itself. Of several changes of one entry in one answer only the last counts: an entry that went and came back was taken for gone. Tests: TestToldHostsDontAskThePlatform, TestFewHostsWatchThePlatform, TestLastChangeOfAnEntryCounts (failing before).

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -101,7 +101,7 @@
 	case ConfigListed:
 		s.onConfigListed(ev)
 	case ConfigConfirmed:
-		s.confirm(ev.AsOf)
+		s.onConfigConfirmed(ev)
 	case TargetsListed:
 		s.onTargetsListed(ev)
 	case EvacuationsListed:
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -74,14 +74,15 @@
 // CallerLeft reports that the caller closed the connection.
 type CallerLeft struct{ Number int64 }
 
-// ConfigListed brings a version of the configuration, as the platform had it at AsOf.
-type ConfigListed struct {
-	Config *descriptor.Config
-	AsOf   time.Time
-}
+// ConfigListed brings a version of the configuration.
+type ConfigListed struct{ Config *descriptor.Config }
 
-// ConfigConfirmed says that the configuration was the newest one at AsOf.
-type ConfigConfirmed struct{ AsOf time.Time }
+// ConfigConfirmed says that the newest configuration that was listed was the
+// platform's at AsOf. Told is true when another host says so.
+type ConfigConfirmed struct {
+	AsOf time.Time
+	Told bool
+}
 
 // TargetsListed brings targets of the platform's list.
 type TargetsListed struct {
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -121,7 +121,12 @@
 		}
 		s.note("configuration in force", "", "version", ev.Config.Version, "routes", len(ev.Config.Routes), "services", len(ev.Config.Services))
 	}
-	s.confirm(ev.AsOf)
+}
+
+func (s *State) onConfigConfirmed(ev ConfigConfirmed) {
+	if !ev.Told || s.agesKnown() {
+		s.confirm(ev.AsOf)
+	}
 }
 
 func (s *State) confirm(asOf time.Time) {
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -98,9 +98,6 @@
 	s.note("hosts listed", "", "hosts", len(ev.Hosts))
 }
 
-// Hosts returns the number of registered hosts.
-func (s *State) Hosts() int { return len(s.hosts) }
-
 // hostCount is the number of hosts among which limits are shared: all that were
 // heard lately, and those that are registered but were never heard.
 func (s *State) hostCount() int {
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -83,7 +83,8 @@
 		Host: name, DataCentre: "a", Regions: map[string]string{"a": "r"}, Boot: 1, Seed: 7,
 		RetryRatio: 0.2, RetrySlack: 56, LeaseTerm: leaseT, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 	})
-	h.do(ConfigListed{Config: testConfig(1), AsOf: h.at})
+	h.do(ConfigListed{Config: testConfig(1)})
+	h.do(ConfigConfirmed{AsOf: h.at})
 	var list []descriptor.Target
 	for n := range engines {
 		list = append(list, engine(n+1, 1))
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -104,11 +104,18 @@
 	return e.cfg.State.Stores()
 }
 
-// Hosts returns the number of registered hosts.
-func (e *Executor) Hosts() int {
+// Watches reports whether this host watches the platform itself.
+func (e *Executor) Watches() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cfg.State.Hosts()
+	return e.cfg.State.Watches()
+}
+
+// NewsReceivers returns the hosts that are told what the platform says.
+func (e *Executor) NewsReceivers() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.NewsReceivers()
 }
 
 // Follows reports whether this host asks a store itself what changed there.
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,12 +31,9 @@
 	waitError = 50 * time.Millisecond
 	// objectWait is how long other watches wait; the platform allows 30 s.
 	objectWait = 25 * time.Second
-	// Changes gather before the next watch for batchPause and batchEach for each
-	// host, batchMost at most: each host pays for each change, and targets must be
-	// left alone within two seconds.
-	batchPause = 300 * time.Millisecond
-	batchEach  = 12 * time.Millisecond
-	batchMost  = time.Second
+	// batchPause lets changes gather before the next watch: each host that watches
+	// pays for each answer, and targets must be left alone within two seconds.
+	batchPause = 400 * time.Millisecond
 	// partPause lets changes gather before the next question to a store.
 	partPause = 60 * time.Millisecond
 	// retryPause and retryMost bound the pause after a failed call.
@@ -60,25 +58,36 @@
 	Post   func(decider.Event)
 	// Stores returns the stores to follow.
 	Stores func() []netip.AddrPort
-	// Hosts returns the number of registered hosts.
-	Hosts func() int
+	// Watches reports whether this host watches the platform for others too, or is
+	// told by others. Tell passes news on to them.
+	Watches func() bool
+	Tell    func([]News)
 	// Follows reports whether a store is asked directly once it has been listed.
 	Follows func(store netip.AddrPort) bool
 }
 
 // Follower follows the platform and the stores until it is stopped.
-type Follower struct{ cfg Config }
+type Follower struct {
+	cfg     Config
+	watches []*watch
+}
 
 // New returns a Follower.
-func New(cfg Config) *Follower { return &Follower{cfg: cfg} }
+func New(cfg Config) *Follower {
+	f := &Follower{cfg: cfg}
+	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, known: map[string]caller.Object{}, news: make(chan heardNews, newsQueued)})
+	}
+	return f
+}
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
-		w := &watch{Follower: f, kind: kind, known: map[string]caller.Object{}}
+	for _, w := range f.watches {
 		g.Go(func() error { return w.run(ctx) })
 	}
+	g.Go(func() error { return f.pulse(ctx) })
 	g.Go(func() error { return f.followStores(ctx) })
 	return g.Wait()
 }
@@ -100,26 +109,50 @@
 	*Follower
 	kind  string
 	known map[string]caller.Object
+	news  chan heardNews
 	// changed is true when the last answer brought changes.
 	changed bool
-	// lost is true while calls fail; back is when they last began to succeed.
-	lost bool
+	// heard is when another host last told of this kind, and behind is true when it
+	// knows of changes that this host doesn't.
+	heard  time.Time
+	behind bool
+	// back is when calls last began to succeed again.
 	back time.Time
+
+	// mu guards what pulses tell; only the watch itself writes it.
+	mu sync.Mutex
+	// revision is how far the watch is; 0 before the first list.
+	revision int64
+	// lost is true while calls fail.
+	lost bool
+}
+
+// proof says how far an answer of the platform can be believed.
+type proof struct {
+	// asOf is when the answer was true.
+	asOf time.Time
+	// told is true when another host passed the answer on.
+	told bool
+	// lapsing is true just after an outage: what was removed may come back.
+	lapsing bool
 }
 
 func (w *watch) run(ctx context.Context) error {
-	revision := int64(0)
 	pause := retryPause
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, revision)
+		w.takeQueued()
+		if w.informed() {
+			w.listen(ctx)
+			continue
+		}
+		err := w.step(ctx)
 		if err == nil {
-			w.regained()
-			revision, pause = next, retryPause
+			pause = retryPause
 			continue
 		}
 		if caller.KindOf(err) == caller.KindCompacted {
-			w.cfg.Logger.Info("changes are gone, listing anew", "kind", w.kind, "after", revision)
-			revision = 0
+			w.cfg.Logger.Info("changes are gone, listing anew", "kind", w.kind, "after", w.revision)
+			w.moveTo(0)
 			continue
 		}
 		w.failed(ctx, err)
@@ -131,46 +164,83 @@
 	return nil
 }
 
+func (w *watch) moveTo(revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision = revision
+}
+
+func (w *watch) setLost(lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost = lost
+}
+
 func (w *watch) failed(ctx context.Context, err error) {
 	if !w.lost && ctx.Err() == nil {
-		w.lost = true
+		w.setLost(true)
 		w.cfg.Logger.Warn("platform lost", "kind", w.kind, "error", err.Error())
 	}
 }
 
 func (w *watch) regained() {
 	if w.lost {
-		w.lost = false
+		w.setLost(false)
 		w.back = w.cfg.Clock.Now()
 		w.cfg.Logger.Info("platform regained", "kind", w.kind)
 	}
 }
 
-// step lists all objects if revision is 0, and waits for changes otherwise.
-func (w *watch) step(ctx context.Context, revision int64) (int64, error) {
+// step lists all objects if none are known, and waits for changes otherwise.
+func (w *watch) step(ctx context.Context) error {
 	asked := w.cfg.Clock.Now()
-	if revision == 0 {
+	if w.revision == 0 {
 		all, err := w.cfg.Caller.List(ctx, w.kind)
 		if err != nil {
-			return 0, err
+			return err
 		}
+		w.regained()
 		clear(w.known)
 		w.take(all.Objects)
-		w.tell(all.Objects, true, asked)
-		w.changed = true
-		return all.Revision, nil
+		w.tell(all.Objects, true, proof{asOf: asked, lapsing: w.lapsing()})
+		w.moveTo(all.Revision)
+		w.changed, w.behind = true, false
+		return nil
 	}
-	changes, err := w.cfg.Caller.Watch(ctx, w.kind, revision, w.wait())
+	after := w.revision
+	changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, w.wait())
 	if err != nil {
-		return 0, err
+		return err
 	}
-	w.take(changes.Objects)
-	w.tell(changes.Objects, false, w.asOf(asked, len(changes.Objects)))
-	w.changed = len(changes.Objects) > 0
+	p := proof{asOf: w.asOf(asked, len(changes.Objects)), lapsing: w.lapsing()}
+	w.regained()
+	w.pass(after, changes, p)
+	w.advance(changes, p)
+	w.changed, w.behind = len(changes.Objects) > 0, false
 	if w.changed && w.kind != caller.KindConfig {
-		sleep(ctx, min(batchMost, batchPause+time.Duration(w.cfg.Hosts())*batchEach))
+		sleep(ctx, batchPause)
+	}
+	return nil
+}
+
+// lapsing reports whether entries that are found removed now may come back.
+func (w *watch) lapsing() bool { return w.lost || w.cfg.Clock.Now().Sub(w.back) < lapseGrace }
+
+// advance takes changes over. Of several changes of one object only the last counts.
+func (w *watch) advance(changes caller.Objects, p proof) {
+	last := make(map[string]int, len(changes.Objects))
+	for i, o := range changes.Objects {
+		last[o.Name] = i
 	}
-	return max(revision, changes.Revision), nil
+	var objects []caller.Object
+	for i, o := range changes.Objects {
+		if last[o.Name] == i {
+			objects = append(objects, o)
+		}
+	}
+	w.take(objects)
+	w.tell(objects, false, p)
+	w.moveTo(max(w.revision, changes.Revision))
 }
 
 // asOf is when the platform's answer was true. A watch that waited in vain for its
@@ -184,6 +254,10 @@
 
 func (w *watch) wait() time.Duration {
 	switch {
+	case w.behind:
+		return confirmWait
+	case !w.cfg.Watches():
+		return newsSilence
 	case w.kind != caller.KindConfig:
 		return objectWait
 	case w.changed:
@@ -203,12 +277,12 @@
 }
 
 // tell turns objects into the event of their kind.
-func (w *watch) tell(objects []caller.Object, whole bool, asked time.Time) {
+func (w *watch) tell(objects []caller.Object, whole bool, p proof) {
 	switch w.kind {
 	case caller.KindConfig:
-		w.tellConfig(objects, asked)
+		w.tellConfig(objects, p)
 	case caller.KindTargets:
-		w.tellTargets(objects, whole)
+		w.tellTargets(objects, whole, p)
 	case caller.KindEvacuations:
 		if whole || len(objects) > 0 {
 			w.tellEvacuations()
@@ -222,7 +296,7 @@
 	}
 }
 
-func (w *watch) tellConfig(objects []caller.Object, asked time.Time) {
+func (w *watch) tellConfig(objects []caller.Object, p proof) {
 	for _, o := range objects {
 		if o.Name != caller.ConfigName || o.Removed {
 			continue
@@ -232,13 +306,13 @@
 			w.cfg.Logger.Error("configuration ignored", "revision", o.Revision, "error", err.Error())
 			return
 		}
-		w.cfg.Post(decider.ConfigListed{Config: cfg, AsOf: asked})
+		w.cfg.Post(decider.ConfigListed{Config: cfg})
 	}
-	w.cfg.Post(decider.ConfigConfirmed{AsOf: asked})
+	w.cfg.Post(decider.ConfigConfirmed{AsOf: p.asOf, Told: p.told})
 }
 
-func (w *watch) tellTargets(objects []caller.Object, whole bool) {
-	ev := decider.TargetsListed{Whole: whole, Lapsing: w.lost || w.cfg.Clock.Now().Sub(w.back) < lapseGrace}
+func (w *watch) tellTargets(objects []caller.Object, whole bool, p proof) {
+	ev := decider.TargetsListed{Whole: whole, Lapsing: p.lapsing}
 	for _, o := range objects {
 		if o.Removed {
 			ev.Removed = append(ev.Removed, o.Name)
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -49,28 +49,49 @@
 	return none
 }
 
-// follow starts a follower of a stand-in store.
-func follow(t *testing.T, store *imitator.Store) *heard {
-	t.Helper()
+// group is some followers that follow one stand-in store.
+type group struct {
+	t     *testing.T
+	store *imitator.Store
+	addr  netip.AddrPort
+}
+
+func newGroup(t *testing.T, store *imitator.Store) *group {
 	srv := httptest.NewServer(store)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return &group{t, store, srv.Listener.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+// start starts a follower that watches if watches says so, and tells others by tell.
+func (g *group) start(watches func() bool, tell func([]News)) (*Follower, *heard) {
 	dial := (&net.Dialer{}).DialContext
-	c, err := caller.New(caller.Config{Platform: srv.Listener.Addr().(*net.TCPAddr).AddrPort(), Dial: dial, Timeout: time.Second})
-	assert.NilError(t, err)
+	c, err := caller.New(caller.Config{Platform: g.addr, Dial: dial, Timeout: time.Second})
+	assert.NilError(g.t, err)
 	h := &heard{}
 	f := New(Config{
-		Caller: c, Clock: timer.Boot{}, Logger: hclog.NewNullLogger(), Post: h.post,
-		Hosts:  func() int { return 1 },
+		Caller: c, Clock: timer.Boot{}, Logger: hclog.NewNullLogger(), Post: h.post, Watches: watches, Tell: tell,
 		Stores: func() []netip.AddrPort { return nil }, Follows: func(netip.AddrPort) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Run(ctx) }()
-	t.Cleanup(func() {
+	g.t.Cleanup(func() {
 		cancel()
-		assert.NilError(t, <-done)
-		srv.CloseClientConnections()
-		srv.Close()
+		assert.NilError(g.t, <-done)
 	})
+	return f, h
+}
+
+func always() bool { return true }
+func never() bool  { return false }
+
+// follow starts a follower of a stand-in store.
+func follow(t *testing.T, store *imitator.Store) *heard {
+	t.Helper()
+	_, h := newGroup(t, store).start(always, func([]News) {})
 	return h
 }
 
@@ -120,3 +141,79 @@
 	ev := find(t, h, func(ev decider.ConfigConfirmed) bool { return ev.AsOf.After(changed) })
 	assert.Assert(t, ev.AsOf.Sub(changed) < configWait/2, "confirmed as of %v after the change", ev.AsOf.Sub(changed))
 }
+
+// TestLastChangeOfAnEntryCounts: an entry that goes and comes back before the next
+// watch is there.
+func TestLastChangeOfAnEntryCounts(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", entry)
+	h := follow(t, store)
+	find(t, h, func(ev decider.TargetsListed) bool { return ev.Whole })
+	store.Put(caller.KindTargets, "b", entry)
+	find(t, h, func(ev decider.TargetsListed) bool { return len(ev.Targets) == 1 && ev.Targets[0].ID == "b" })
+	store.Remove(caller.KindTargets, "a") // Within the pause after the first change.
+	store.Put(caller.KindTargets, "a", entry)
+	ev := find(t, h, func(ev decider.TargetsListed) bool { return !ev.Whole && ev.Targets[0].ID == "a" })
+	assert.Equal(t, len(ev.Removed), 0, "an entry that is there is told to be gone")
+}
+
+// relays passes news on to followers until it is cut.
+type relays struct {
+	mu  sync.Mutex
+	to  []*Follower
+	cut bool
+}
+
+func (r *relays) tell(news []News) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		return
+	}
+	for _, f := range r.to {
+		f.Take(news)
+	}
+}
+
+func (r *relays) set(cut bool, to ...*Follower) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut, r.to = cut, to
+}
+
+// TestToldHostsDontAskThePlatform replays changes under which each host paid for each
+// answer: a host that is told of all of them makes no calls, closes a gap by
+// itself, and asks again when it isn't told any more.
+func TestToldHostsDontAskThePlatform(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, `{"version":1}`)
+	store.Put(caller.KindTargets, "a", entry)
+	g := newGroup(t, store)
+	var r relays
+	_, watching := g.start(always, r.tell)
+	told, h := g.start(never, func([]News) { t.Error("a host that is told of changes tells of them") })
+	r.set(false, told)
+	find(t, h, func(ev decider.TargetsListed) bool { return ev.Whole })
+	find(t, h, func(ev decider.ConfigConfirmed) bool { return ev.Told })
+	time.Sleep(newsSilence + newsSilence/2) // Its own first watches end.
+	before := store.Calls()
+	for _, name := range []string{"b", "c", "d"} {
+		store.Put(caller.KindTargets, name, entry)
+		find(t, h, func(ev decider.TargetsListed) bool { return len(ev.Targets) > 0 && ev.Targets[len(ev.Targets)-1].ID == name })
+	}
+	store.Remove(caller.KindTargets, "b")
+	find(t, h, func(ev decider.TargetsListed) bool { return len(ev.Removed) == 1 && ev.Removed[0] == "b" })
+	// The watching host has one answer a change, and confirms the configuration.
+	assert.Assert(t, store.Calls()-before <= 4+2, "%d calls for 4 changes", store.Calls()-before)
+
+	r.set(true)
+	store.Put(caller.KindTargets, "e", entry)
+	find(t, watching, func(ev decider.TargetsListed) bool { return len(ev.Targets) > 0 && ev.Targets[0].ID == "e" })
+	r.set(false, told)
+	find(t, h, func(ev decider.TargetsListed) bool { return len(ev.Targets) > 0 && ev.Targets[0].ID == "e" })
+
+	r.set(true)
+	time.Sleep(newsSilence + newsSilence/2)
+	store.Put(caller.KindTargets, "f", entry)
+	find(t, h, func(ev decider.TargetsListed) bool { return len(ev.Targets) > 0 && ev.Targets[0].ID == "f" })
+}
--- a/internal/relay/gossiper/gossiper.go
+++ b/internal/relay/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/follower"
 )
 
 // Kind classifies failures of this package.
@@ -28,6 +29,8 @@
 	Address netip.AddrPort
 	Logger  hclog.Logger
 	Post    func(decider.Event)
+	// TakeNews takes in what another host heard from the platform.
+	TakeNews func([]follower.News)
 }
 
 // maxDatagram is the largest datagram of UDP over IPv4.
@@ -72,6 +75,8 @@
 			g.cfg.Post(*d.Parts)
 		case d.Message != nil:
 			g.cfg.Post(decider.PeerSaid{Message: *d.Message})
+		case d.News != nil:
+			g.cfg.TakeNews(d.News)
 		}
 	}
 }
@@ -80,6 +85,7 @@
 type datagram struct {
 	Message *decider.Message   `cbor:"1,keyasint,omitempty"`
 	Parts   *decider.PartsTold `cbor:"2,keyasint,omitempty"`
+	News    []follower.News    `cbor:"3,keyasint,omitempty"`
 }
 
 // Tell sends a message to some hosts. What is lost is told again by the next message.
@@ -90,6 +96,11 @@
 	g.send(to, datagram{Parts: &parts})
 }
 
+// TellNews passes on to some hosts what the platform said.
+func (g *Gossiper) TellNews(to []netip.AddrPort, news []follower.News) {
+	g.send(to, datagram{News: news})
+}
+
 func (g *Gossiper) send(to []netip.AddrPort, d datagram) {
 	raw, err := cbor.Marshal(d)
 	if err != nil {
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -185,7 +185,8 @@
 		})
 		r.hosts = append(r.hosts, h)
 		r.byAddress[hosts[h.name].Address] = h
-		r.tell(h, decider.ConfigListed{Config: config, AsOf: r.now})
+		r.tell(h, decider.ConfigListed{Config: config})
+		r.tell(h, decider.ConfigConfirmed{AsOf: r.now})
 		r.tell(h, decider.TargetsListed{Targets: list, Whole: true})
 		r.tell(h, decider.WeightsNamed{Model: modelName, Version: 1})
 		r.tell(h, decider.HostsListed{Hosts: hosts})
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -109,10 +109,11 @@
 		return nil, err
 	}
 	r.follower = follower.New(follower.Config{
-		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, Hosts: r.executor.Hosts, Follows: r.executor.Follows,
+		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, Follows: r.executor.Follows,
+		Watches: r.executor.Watches, Tell: r.tellNews,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
-		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post,
+		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post, TakeNews: r.follower.Take,
 	})
 	if err != nil {
 		return nil, err
@@ -133,6 +134,13 @@
 
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
 
+// tellNews passes on what the platform said to the hosts that don't watch it.
+func (r *Runner) tellNews(news []follower.News) {
+	if to := r.executor.NewsReceivers(); len(to) > 0 {
+		r.gossiper.TellNews(to, news)
+	}
+}
+
 // Run serves until ctx ends, and then leaves in good order.
 func (r *Runner) Run(ctx context.Context) error {
 	// The parts go on while the host leaves.
