--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -94,6 +94,8 @@
 	missing time.Time
 	// unsure is true when the target's weights must be read before it is used.
 	unsure bool
+	// weightsAt is when the target was last found to have new weights.
+	weightsAt time.Time
 	// changing is until when the target is left alone for an order.
 	changing time.Time
 	// failing is the recent share of attempts that the target failed.
@@ -322,7 +324,7 @@
 	if t.Weights == nil {
 		t.Weights = map[string]int{}
 	}
-	t.Weights[model] = version
+	t.Weights[model], t.weightsAt = version, s.now
 	s.note("target has new weights", "", "target", t.ID, "model", model, "version", version)
 }
 
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -16,9 +16,16 @@
 	// one costs about 20 us of a core.
 	tellRate = 400
 	// tellAllEvery is the pause between messages to hosts that aren't near, and
-	// alarmEvery the least pause when there is news for all.
+	// alarmEvery the least pause when there is news for all. alarmRate is how many
+	// such messages a second a host sends at most: an eighth of the smallest link, at
+	// 250 bytes each.
 	tellAllEvery = time.Second
 	alarmEvery   = 30 * time.Millisecond
+	alarmRate    = 600
+	// weightsToldFor is how long the holder of orders tells of an engine's new
+	// weights: several messages. Who misses these learns of them from the engine or
+	// the list of targets.
+	weightsToldFor = 700 * time.Millisecond
 	// peerTimeout is how long a silent peer's work counts.
 	peerTimeout = 3500 * time.Millisecond
 	// peerForget is how long a silent host counts when limits are shared.
@@ -44,13 +51,15 @@
 	Boot int64  `cbor:"2,keyasint"`
 	// Number orders the messages of one process.
 	Number uint64 `cbor:"3,keyasint"`
-	// Work is what the host has on its way to targets.
-	Work map[string]work `cbor:"4,keyasint,omitempty"`
+	// Work is what the host has on its way to targets. Messages between the regular
+	// ones leave it out, which WorkKept says.
+	Work     map[string]work `cbor:"4,keyasint,omitempty"`
+	WorkKept bool            `cbor:"12,keyasint,omitempty"`
 	// Down lists the targets that the host finds down.
 	Down []string `cbor:"5,keyasint,omitempty"`
 	// Orders lists the targets that the holder of orders has under order.
 	Orders []string `cbor:"6,keyasint,omitempty"`
-	// Weights are the versions of targets, with their models.
+	// Weights are the versions that targets got lately, with their models.
 	Weights map[string]map[string]int `cbor:"7,keyasint,omitempty"`
 	// Config is the version in force, and ConfigAge how long ago it was confirmed.
 	Config    int64         `cbor:"8,keyasint,omitempty"`
@@ -70,8 +79,10 @@
 	told     uint64
 	lastTell time.Time
 	unsaid   bool
-	// lastTellAll and alarm are the same for messages to all peers.
+	// lastTellAll and alarm are the same for messages to all peers; lastWorkAll is
+	// when these last told this host's work.
 	lastTellAll time.Time
+	lastWorkAll time.Time
 	alarm       bool
 	// ordered are targets that the holder has under order, until when.
 	ordered map[string]time.Time
@@ -130,17 +141,53 @@
 		return // A later event or tick tells it.
 	}
 	s.unsaid, s.lastTell = false, s.now
-	s.emit(Tell{To: s.mates, Message: s.message()})
+	m := s.message()
+	m.Work = s.ownWork()
+	s.emit(Tell{To: s.mates, Message: m})
 }
 
-// tellAll tells all peers.
+// tellAll tells all peers. It answers the load pattern in which many engines change
+// their weights or go down at once: what is told then must not fill the link that
+// answers take too, so it is only what changes, and not more often than
+// the number of peers allows.
 func (s *State) tellAll() {
 	s.alarm = true
-	if s.now.Sub(s.lastTellAll) < alarmEvery {
+	pause := max(alarmEvery, time.Second*time.Duration(len(s.everyone))/alarmRate)
+	if s.now.Sub(s.lastTellAll) < pause {
 		return // A later tick tells it.
 	}
 	s.alarm, s.lastTellAll = false, s.now
-	s.emit(Tell{To: s.everyone, Message: s.message()})
+	m := s.message()
+	if m.WorkKept = s.now.Sub(s.lastWorkAll) < tellAllEvery; !m.WorkKept {
+		s.lastWorkAll = s.now
+		m.Work = s.ownWork()
+	}
+	if s.inOffice() {
+		m.Weights = s.newWeights()
+	}
+	s.emit(Tell{To: s.everyone, Message: m})
+}
+
+// ownWork returns what this host has on its way to targets.
+func (s *State) ownWork() map[string]work {
+	list := map[string]work{}
+	for id, t := range s.targets {
+		if t.own != (work{}) {
+			list[id] = t.own
+		}
+	}
+	return list
+}
+
+// newWeights returns the versions that targets got lately.
+func (s *State) newWeights() map[string]map[string]int {
+	list := map[string]map[string]int{}
+	for id, t := range s.targets {
+		if s.now.Sub(t.weightsAt) < weightsToldFor {
+			list[id] = t.Weights
+		}
+	}
+	return list
 }
 
 // rankFor is this host's place among the hosts that were heard lately, in an order
@@ -159,19 +206,14 @@
 	return n
 }
 
+// message returns what each message tells.
 func (s *State) message() Message {
 	s.told++
-	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told, Work: map[string]work{}, Weights: map[string]map[string]int{}}
+	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.told}
 	for id, t := range s.targets {
-		if t.own != (work{}) {
-			m.Work[id] = t.own
-		}
 		if t.down {
 			m.Down = append(m.Down, id)
 		}
-		if len(t.Weights) > 0 && s.inOffice() {
-			m.Weights[id] = t.Weights
-		}
 	}
 	if s.config != nil {
 		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.confirmed)
@@ -200,9 +242,12 @@
 	if m.Boot != p.boot || m.Number <= p.number {
 		return
 	}
-	s.dropWork(p)
-	p.number, p.at, p.work = m.Number, s.now, m.Work
-	s.addWork(p.work, 1)
+	p.number, p.at = m.Number, s.now
+	if !m.WorkKept {
+		s.dropWork(p)
+		p.work = m.Work
+		s.addWork(p.work, 1)
+	}
 	for _, id := range m.Down {
 		if t := s.targets[id]; t != nil && !slices.Contains(p.down, id) {
 			s.doubt(t, m.Host)
