Let a host repeat in one moment what it may repeat in a window

Now each host counts requests and repeats of the last window. Test, failing before: TestRepeatsOfAWindowMayComeAtOnce. TestRepeatsKeepTheirBudget bounded the repeats of the whole run by one window's slack, which the platform's rule doesn't; it checks each window now, without the earlier windows' requests that the rule would count too.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -52,7 +52,7 @@
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
 		fleet: newFleet(), requests: newRequests(), directory: newDirectory(), peers: newPeers(),
-		retries: retries{}, ordering: newOrdering(),
+		retries: retries{budgets: map[string]*budget{}}, ordering: newOrdering(),
 	}
 }
 
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -10,6 +10,11 @@
 	// budgetShare is the part of the hosts' common budget of repeats that is
 	// used: a host that restarts begins with a new account.
 	budgetShare = 0.7
+	// retryWindow is the window in which the platform counts repeats, by its terms,
+	// and retryParts the number of parts in which they are kept: one more than the
+	// window has, as the newest part is not over.
+	retryWindow = 10 * time.Second
+	retryParts  = 21
 	// maxOffers bounds the targets to which a request is offered.
 	maxOffers = 4
 	// failingWeight is the weight of one attempt in a target's share of failures.
@@ -21,26 +26,61 @@
 )
 
 // retries holds this host's part of the budget of repeats, by service.
-type retries struct{ saved map[string]float64 }
+type retries struct{ budgets map[string]*budget }
 
-// earnRetries adds one request's share to the budget of its service.
-func (s *State) earnRetries(service string) {
-	limit := budgetShare * s.cfg.RetrySlack / float64(s.hostCount())
-	if s.saved == nil {
-		s.saved = map[string]float64{}
+// budget counts the requests and repeats of the last retryWindow in parts of it.
+type budget struct {
+	requests, repeats [retryParts]int
+	// part is the number of the newest part since the start of time.
+	part int64
+}
+
+// advance forgets what is older than the window.
+func (b *budget) advance(now time.Time) {
+	part := now.UnixNano() / int64(retryWindow/(retryParts-1))
+	for n := max(b.part+1, part-retryParts+1); n <= part; n++ {
+		b.requests[n%retryParts], b.repeats[n%retryParts] = 0, 0
 	}
-	saved, ok := s.saved[service]
-	if !ok {
-		saved = limit
+	b.part = max(b.part, part)
+}
+
+func (b *budget) sums() (requests, repeats int) {
+	for i := range retryParts {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
 	}
-	s.saved[service] = min(max(1, limit), saved+budgetShare*s.cfg.RetryRatio)
+	return requests, repeats
+}
+
+// budgetOf returns the budget of a service as of now.
+func (s *State) budgetOf(service string) *budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = &budget{}
+		s.budgets[service] = b
+	}
+	b.advance(s.now)
+	return b
+}
+
+// earnRetries adds one request to the budget of its service.
+func (s *State) earnRetries(service string) {
+	b := s.budgetOf(service)
+	b.requests[b.part%retryParts]++
 }
 
+// spendRetry takes one repeat from the budget, if there is one. It answers the load
+// pattern in which targets refuse or go down all at once: what this host may repeat in a window
+// may all be repeated in one moment of it. The sum over all hosts
+// keeps to the common budget, as each keeps to its part in every window.
 func (s *State) spendRetry(service string) bool {
-	if s.saved[service] < 1 {
+	b := s.budgetOf(service)
+	requests, repeats := b.sums()
+	limit := budgetShare * (s.cfg.RetryRatio*float64(requests) + s.cfg.RetrySlack/float64(s.hostCount()))
+	if float64(repeats+1) > max(1, limit) {
 		return false
 	}
-	s.saved[service]--
+	b.repeats[b.part%retryParts]++
 	return true
 }
 
