Never shed what is left of a begun stream

Cause, found by reading: a resumable stream whose engine broke off was placed anew like a new request, and cut when all engines were busy. Test, failing before: TestBegunStreamIsNotShed.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -146,7 +146,8 @@
 		s.refuse(r, RefusalNoTarget, soonRetry)
 		return
 	}
-	if tooLate := s.shed(r, best, predicted); tooLate > 0 {
+	// Of a begun stream the caller has a part already: what is left is never shed.
+	if tooLate := s.shed(r, best, predicted); tooLate > 0 && !r.begun {
 		r.predicted = predicted
 		s.refuse(r, RefusalOverload, tooLate)
 		return
--- a/internal/relay/decider/retrying_test.go
+++ b/internal/relay/decider/retrying_test.go
@@ -113,3 +113,20 @@
 	assert.Assert(t, ok, "%T ends a request whose caller has a part of another answer", effect)
 	assert.Assert(t, !refused.NotRun)
 }
+
+// TestBegunStreamIsNotShed replays engines that break off streams while all engines
+// are busy: a stream that may go on elsewhere does so, late or not.
+func TestBegunStreamIsNotShed(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	n, _ := h.ask("/short/", key, shortPrompt("s"))
+	h.do(AnswerBegan{Number: n})
+	h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: 1, Work: map[string]work{
+		"engine-1": {Requests: 90, Unread: 100000}, "engine-2": {Requests: 90, Unread: 100000},
+	}}})
+	_, effect := h.ask("/short/", key, shortPrompt("s"))
+	_, shed := effect.(Refuse)
+	assert.Assert(t, shed, "the engines aren't busy enough for this test")
+	effect = own(h.do(AttemptFailed{Number: n, Reason: FailureBroken, Begun: true}))
+	_, sent := effect.(Send)
+	assert.Assert(t, sent, "%T cuts a stream that could go on", effect)
+}
