Free outdated parts also when nobody is in office, and save at once after a host's start

Hosts forgot outdated parts 1.5 s after the last engine had new weights, and only the one in office freed them: nobody was, so the stores stayed full of version 1 until the restart, and saves found no room. After the restart nothing was saved for 2.8 s, and stores were first listed up to 1.2 s late. Now outdated parts stay known until a store tells that they are gone, a store that holds many parts proves that it didn't restart with the host, and stores are listed with the first configuration. Ruled out: lost answers of the list (all 63 hosts had all 12 stores by 1.5 s). Tests, failing before: TestOutdatedPartsAreFreedByTheNextHolder, TestRestartedHostSavesToAFullStore.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -24,6 +24,10 @@
 	// saveAfter is how long nothing is saved to a store that was seen anew: no host
 	// that missed its restart may still fetch what is being written again.
 	saveAfter = trustFor + fetchTime + 300*time.Millisecond
+	// provenParts is how many parts prove to a host that has just started that a store
+	// has not: more than hosts that missed a restart can have saved there
+	// before they notice, at the rates of the deployments' sheets.
+	provenParts = 100
 	// relayMargin is how long a message that passes changes on may be on its way.
 	relayMargin = 150 * time.Millisecond
 	// saveTime is how long a part counts as being saved before it is saved again.
@@ -139,6 +143,9 @@
 		}
 		if st.boot != ev.Changes.Boot {
 			st.bootSeen = s.now
+			if st.boot == 0 && len(ev.Changes.Changes) >= provenParts {
+				st.bootSeen = s.now.Add(-saveAfter)
+			}
 		}
 		st.boot, st.used = ev.Changes.Boot, 0
 		clear(st.held)
@@ -361,9 +368,11 @@
 	return (st.FirstByte == fastest) == (index == 0 || tokens <= smallPart)
 }
 
-// freeOutdated forgets the parts of versions that no engine has had any more for
-// longer than a fetch takes, and frees them if this host is in office. No engine
-// reads such parts again: each request names the only version that may run it.
+// freeOutdated frees the parts of versions that no engine has had any more for
+// longer than a fetch takes, if this host is in office. No engine reads such parts
+// again: each request names the only version that may run it. The other hosts
+// go on knowing them until the stores tell that they are gone, so that whoever is in
+// office next frees what is left.
 func (s *State) freeOutdated() {
 	for model, lowest := range s.lowestVersions() {
 		if known := s.lowest[model]; known.version != lowest {
@@ -405,7 +414,7 @@
 
 // freeFrom frees the parts of a store that were made by older versions of a model.
 func (s *State) freeFrom(st *store, model string, lowest int) {
-	if !st.alive {
+	if !st.alive || !s.inOffice() {
 		return
 	}
 	bySalt := map[string][]string{}
@@ -419,9 +428,6 @@
 		for _, part := range parts {
 			s.changePart(st, descriptor.PartChange{Salt: salt, Part: part})
 		}
-		if !s.inOffice() {
-			continue
-		}
 		s.note("outdated parts freed", "", "store", st.Address, "salt", salt, "parts", len(parts))
 		s.emit(FreeParts{Store: st.Address, Boot: st.boot, Salt: salt, Parts: parts})
 	}
--- a/internal/relay/decider/caching_test.go
+++ b/internal/relay/decider/caching_test.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,6 +107,41 @@
 	assert.DeepEqual(t, parts[0].Parts, []string{"s"})
 }
 
+// TestOutdatedPartsAreFreedByTheNextHolder replays new weights while no host is in
+// office: whoever is next frees the parts, rather than all hosts forgetting them
+// and the stores staying full.
+func TestOutdatedPartsAreFreedByTheNextHolder(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	h.silent = true
+	h.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	h.do(WeightsNamed{Model: model, Version: 2})
+	h.do(ReportSeen{Target: "engine-1", Report: reportOf(2)})
+	h.tick(2 * freeAfter)
+	assert.Equal(t, h.storeAt(storeAddress(2)).used, 5000, "a host forgets parts that nobody freed")
+	h.do(LeaseSeen{Missing: true, Asked: h.at})
+	h.do(LeaseSeen{Lease: Lease{Revision: 2, Holder: "a", Boot: 1}, Written: true, Asked: h.at})
+	freed := all[FreeParts](h.do(Tick{}))
+	assert.Equal(t, len(freed), 1)
+	assert.DeepEqual(t, freed[0].Parts, []string{"s"})
+	assert.Equal(t, len(all[FreeParts](h.do(Tick{}))), 0)
+}
+
+// TestRestartedHostSavesToAFullStore replays a herd of hosts that start anew: a store
+// that holds many parts has not restarted with them, and is written at once.
+func TestRestartedHostSavesToAFullStore(t *testing.T) {
+	for _, held := range []int{provenParts, 3} {
+		h := newHost(t, "a", 1, 0)
+		h.hold(storeAddress(1))
+		changes := descriptor.PartChanges{Boot: 7, Next: 1000}
+		for n := range held {
+			changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: model + ":1", Part: fmt.Sprint(n), Tokens: 500})
+		}
+		h.do(PartsChanged{Store: storeAddress(2), Changes: changes, Whole: true, AsOf: h.at})
+		saved := h.serve("/long/", longPrompt("s"), 0).Sinks[1] == storeAddress(2)
+		assert.Equal(t, saved, held >= provenParts, "a store with %d parts", held)
+	}
+}
+
 // TestRestartedStoreIsNotReadWhileItIsWritten: one host sees at once that a store
 // restarted, another has heard nothing since. Whatever the moment, the first saves
 // nothing there before the second has ended its last fetch.
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -39,6 +39,8 @@
 	// retryPause and retryMost bound the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// firstPause is the pause between looks for the first configuration's stores.
+	firstPause = 20 * time.Millisecond
 	// refusedPause is the pause after a store that answers too many calls at once
 	// refused one: each refusal costs as much as a question.
 	refusedPause = 2 * time.Second
@@ -395,7 +397,11 @@
 				g.Go(func() error { return f.followStore(ctx, addr) })
 			}
 		}
-		if !sleep(ctx, retryMost) {
+		pause := retryMost
+		if len(following) == 0 {
+			pause = firstPause // Until the first configuration prompts are read anew.
+		}
+		if !sleep(ctx, pause) {
 			return g.Wait()
 		}
 	}
