Soak the relay's processes in faults, and judge what callers and targets see

cardamom-standin soak starts real hosts as processes between stand-ins of the platform, engines, plain targets and stores of cache parts, and injects overlapping faults from outside: kills, pauses, stops, hang-ups, silent, half-open, slow, refusing and reset ways, lost and absent answers of the platform, compaction, restarts and forgotten events of stores, clocks of stores that step, targets that restart cold, cut answers, lapse or drain, and changes of configuration, keys, weights and data centres. Callers keep their connections until the process is gone. A calm time after the storm has planned work only and must cost nothing. Each promise of the judge has a history that breaks it.

--- /dev/null
+++ b/internal/bench/soaker/soaker_test.go
@@ -0,0 +1,67 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// stormTime is the time with faults of a seed in CI.
+const stormTime = 8 * time.Second
+
+// seeds returns the seeds of testdata: those that ever failed, and a fresh one.
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	f, err := os.Open(filepath.Join("testdata", "seeds.txt"))
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, f.Close()) }()
+	var list []uint64
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if number, _, ok := strings.Cut(lines.Text(), "|"); ok && !strings.HasPrefix(number, "#") {
+			seed, err := strconv.ParseUint(strings.TrimSpace(number), 10, 64)
+			assert.NilError(t, err)
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// TestSoak runs each kept seed with real processes.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "cardamomd")
+	build := exec.Command("go", "build", "-o", binary, "./cmd/cardamomd")
+	build.Dir = filepath.Join("..", "..", "..")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	for _, seed := range seeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			s, err := New(Config{
+				Seed: seed, Storm: stormTime, Hosts: 4, Engines: 4, Plains: 3, Callers: 8,
+				Binary: binary, Dir: t.TempDir(), Logger: hclog.NewNullLogger(),
+			})
+			assert.NilError(t, err)
+			result, err := s.Run(context.Background())
+			assert.NilError(t, err)
+			t.Logf("%+v", result)
+			assert.Equal(t, len(result.Broken), 0, "%s", strings.Join(result.Broken, "\n"))
+			assert.Assert(t, result.Answered > 0 && result.Orders > 0)
+		})
+	}
+}
+
+// TestConfigIsChecked names what is wrong.
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{Binary: "x", Dir: "y", Logger: hclog.NewNullLogger(), Hosts: maxHosts + 1, Engines: 2, Plains: 2, Callers: 1})
+	assert.ErrorContains(t, err, "hosts")
+	_, err = New(Config{})
+	assert.ErrorContains(t, err, "binary")
+}
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -20,6 +20,8 @@
 	KindInvalid Kind = "invalid"
 	// KindListen reports an address that could not be listened on.
 	KindListen Kind = "listen"
+	// KindBroken reports a promise that a soak found broken.
+	KindBroken Kind = "broken"
 )
 
 // Error is the error type of this package.
@@ -44,7 +46,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(cfg.Out)
-	root.AddCommand(newRun(cfg), newDemo(cfg), newBench(cfg), newReplay(cfg))
+	root.AddCommand(newRun(cfg), newDemo(cfg), newBench(cfg), newReplay(cfg), newSoak(cfg))
 	return root, nil
 }
 
