Change an engine's weights as soon as all that it runs may go on elsewhere

Ruled out: retain, as what a run makes after the change earns nothing; abort at once, as long prompts can't be resumed. Now the holder waits until no host has a request there that can't go on elsewhere, and orders the rest to be broken off; these streams go on at other engines. Tests: TestOrderBreaksOffWhatMayGoOnElsewhere, TestOrderWaitsForWhatOthersRun, TestSecondAttemptIsNotBrokenOff, TestNewWeightsUnderLoad (time under order).

--- a/internal/bench/soaker/judge_test.go
+++ b/internal/bench/soaker/judge_test.go
@@ -99,10 +99,30 @@
 			}
 			return j
 		}},
-		"one holder":       {"", func() *judge { j := newJudge(); j.Ordered(order("a", 1, now)); j.Ordered(order("b", 2, now.Add(leaseTerm))); return j }},
-		"turns":            {"one holder", func() *judge { j := newJudge(); j.Ordered(order("a", 1, now)); j.Ordered(order("b", 2, now.Add(time.Second))); return j }},
-		"same fence":       {"one holder", func() *judge { j := newJudge(); j.Ordered(order("a", 1, now)); j.Ordered(order("b", 1, now.Add(leaseTerm))); return j }},
-		"order of old one": {"one holder", func() *judge { j := newJudge(); j.Ordered(order("a", 2, now)); j.Ordered(order("b", 1, now.Add(leaseTerm))); return j }},
+		"one holder": {"", func() *judge {
+			j := newJudge()
+			j.Ordered(order("a", 1, now))
+			j.Ordered(order("b", 2, now.Add(leaseTerm)))
+			return j
+		}},
+		"turns": {"one holder", func() *judge {
+			j := newJudge()
+			j.Ordered(order("a", 1, now))
+			j.Ordered(order("b", 2, now.Add(time.Second)))
+			return j
+		}},
+		"same fence": {"one holder", func() *judge {
+			j := newJudge()
+			j.Ordered(order("a", 1, now))
+			j.Ordered(order("b", 1, now.Add(leaseTerm)))
+			return j
+		}},
+		"order of old one": {"one holder", func() *judge {
+			j := newJudge()
+			j.Ordered(order("a", 2, now))
+			j.Ordered(order("b", 1, now.Add(leaseTerm)))
+			return j
+		}},
 		"thawed": {"", func() *judge {
 			j := newJudge()
 			j.Ordered(order("a", 2, now))
--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -200,6 +200,9 @@
 		out.Team = r.team.Name
 	}
 	r.work = work{Requests: 1}
+	if !r.movable() {
+		r.work.Bound = 1
+	}
 	if r.prompt != nil {
 		s.planCache(r, t, &out)
 	}
@@ -222,6 +225,11 @@
 	return r.route.Priority
 }
 
+// movable reports whether r may go on elsewhere after the attempt that begins now.
+func (r *request) movable() bool {
+	return r.route.Kind == descriptor.KindStream && r.route.Resumable && r.runs+1 < r.route.Attempts
+}
+
 // release takes r's work off its target.
 func (s *State) release(r *request) {
 	if r.target == nil {
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -66,12 +66,15 @@
 	Requests int `cbor:"1,keyasint,omitempty"`
 	Unread   int `cbor:"2,keyasint,omitempty"`
 	Memory   int `cbor:"3,keyasint,omitempty"`
+	// Bound counts requests that couldn't go on elsewhere if they were broken off.
+	Bound int `cbor:"4,keyasint,omitempty"`
 }
 
 func (w *work) add(o work, sign int) {
 	w.Requests += sign * o.Requests
 	w.Unread += sign * o.Unread
 	w.Memory += sign * o.Memory
+	w.Bound += sign * o.Bound
 }
 
 // target is what is known of a target.
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -32,6 +32,14 @@
 	// reportLag how old a report may be.
 	reportPause = 150 * time.Millisecond
 	reportLag   = 350 * time.Millisecond
+	// orderHeard is how long a host may take to hear of an order and to stop sending
+	// requests to its engine: two of its regular messages in small deployments.
+	orderHeard = 150 * time.Millisecond
+	// boundPause is the pause between looks at what an engine under order still runs,
+	// and boundLongest how long requests that can't go on elsewhere are waited for:
+	// longer than long prompts take under load. The order waits for the rest itself.
+	boundPause   = 50 * time.Millisecond
+	boundLongest = 2 * time.Second
 	// maxReportFailures is when an engine that doesn't report makes room for others.
 	maxReportFailures = 4
 	// minWindow is the least number of engines that change their weights at once;
@@ -75,6 +83,7 @@
 type job struct {
 	model    string
 	version  int
+	begun    time.Time
 	next     time.Time
 	ordered  time.Time
 	failures int
@@ -256,7 +265,7 @@
 			break
 		}
 		model, version := s.lacking(t)
-		s.jobs[t.ID] = &job{model: model, version: version}
+		s.jobs[t.ID] = &job{model: model, version: version, begun: s.now}
 		started = true
 		s.note("order begun", "", "target", t.ID, "model", model, "version", version, "running", t.own.Requests+t.others.Requests, "window", window)
 	}
@@ -308,6 +317,8 @@
 		s.tellAll()
 	case ev.Report.Busy || s.now.Sub(j.ordered) < reportLag || !s.holding():
 		j.next = s.now.Add(reportPause)
+	case !s.mayBreakOff(t, j) && s.now.Sub(j.begun) < boundLongest:
+		j.next = s.now.Add(boundPause)
 	default:
 		s.giveOrder(t, j, ev.Report.Orders)
 	}
@@ -337,13 +348,31 @@
 	}
 }
 
+// mayBreakOff reports whether all that t runs may go on elsewhere. It answers the
+// load pattern in which long streams keep an engine from its new weights for seconds,
+// during which it serves nobody else: those that may be resumed go on at other
+// engines, the others are short and end first. Hosts that don't tell of each request
+// must have told of their work since they can know of the order.
+func (s *State) mayBreakOff(t *target, j *job) bool {
+	if t.own.Bound+t.others.Bound > 0 {
+		return false
+	}
+	for host := range s.hosts {
+		p := s.heard[host]
+		if host != s.cfg.Host && p != nil && s.now.Sub(p.at) < peerTimeout && p.workAt.Sub(j.begun) < orderHeard {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) giveOrder(t *target, j *job, after int64) {
 	j.ordered = s.now
 	j.next = s.now.Add(callPatience)
-	s.note("order given", "", "target", t.ID, "model", j.model, "version", j.version, "fence", s.fence, "after", after, "lease-age", s.now.Sub(s.renewed))
+	s.note("order given", "", "target", t.ID, "model", j.model, "version", j.version, "fence", s.fence, "after", after, "bound", t.own.Bound+t.others.Bound, "break-off", s.mayBreakOff(t, j), "since-begun", s.now.Sub(j.begun), "lease-age", s.now.Sub(s.renewed))
 	s.emit(GiveOrder{
 		Target: t.ID, Address: t.Address, Until: s.renewed.Add(orderWindow),
-		Order: descriptor.Order{Model: j.model, Version: j.version, Holder: s.cfg.Host, Fence: s.fence, After: after},
+		Order: descriptor.Order{Model: j.model, Version: j.version, Holder: s.cfg.Host, Fence: s.fence, After: after, BreakOff: s.mayBreakOff(t, j)},
 	})
 }
 
--- a/internal/relay/decider/ordering_test.go
+++ b/internal/relay/decider/ordering_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
 // platform is a lease object with revisions.
@@ -133,3 +135,95 @@
 	assert.Equal(t, effect.(Send).Target, "engine-1")
 	assert.Equal(t, effect.(Send).Weights, 2)
 }
+
+// holder returns a host in office whose engines lack the named weights.
+func holder(t *testing.T, engines int) *host {
+	h := newHost(t, "a", engines, 0)
+	h.do(HostsListed{Hosts: map[string]descriptor.Host{"a": {Address: address(1), DataCentre: "a"}, "b": {Address: address(2), DataCentre: "a"}}})
+	h.do(LeaseSeen{Missing: true, Asked: h.at})
+	h.do(LeaseSeen{Lease: Lease{Revision: 2, Holder: "a", Boot: 1}, Written: true, Asked: h.at})
+	return h
+}
+
+// orders lets time pass, answers reports, and returns the orders that are given. The
+// peer b tells its work all the while.
+func (h *host) orders(d time.Duration, peer map[string]work) []GiveOrder {
+	var given []GiveOrder
+	const every = 50 * time.Millisecond
+	for ; d > 0; d -= every {
+		h.pass(every)
+		h.num++
+		h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: uint64(h.num), Work: peer}})
+		h.do(LeaseSeen{Lease: Lease{Revision: h.lease.Revision + 1, Holder: "a", Boot: 1}, Written: true, Asked: h.at})
+		for _, read := range all[ReadReport](h.do(Tick{})) {
+			effects := h.do(ReportSeen{Target: read.Target, Report: reportOf(1)})
+			given = append(given, all[GiveOrder](effects)...)
+		}
+	}
+	return given
+}
+
+// TestOrderBreaksOffWhatMayGoOnElsewhere replays new weights under long streams: the
+// order comes as soon as no request is left that couldn't go on at another engine, and
+// breaks the others off, which do.
+func TestOrderBreaksOffWhatMayGoOnElsewhere(t *testing.T) {
+	h := holder(t, 2)
+	moving, effect := h.ask("/short/", key, shortPrompt("s"))
+	from := effect.(Send).Target
+	h.do(AnswerBegan{Number: moving, Weights: 1})
+	var bound int64
+	for {
+		n, effect := h.ask("/long/", key, longPrompt("s"))
+		if effect.(Send).Target == from {
+			bound = n
+			break
+		}
+	}
+	for id := range h.targets {
+		if id != from {
+			h.do(ReportSeen{Target: id, Report: reportOf(2)})
+		}
+	}
+	h.do(WeightsNamed{Model: model, Version: 2})
+	to := func(given []GiveOrder) (orders []GiveOrder) {
+		for _, g := range given {
+			if g.Target == from {
+				orders = append(orders, g)
+			}
+		}
+		return orders
+	}
+	assert.Equal(t, len(to(h.orders(time.Second, nil))), 0, "an order breaks off a prompt that can't go on elsewhere")
+	h.do(AttemptDone{Number: bound, Status: 200})
+	given := to(h.orders(300*time.Millisecond, nil))
+	assert.Equal(t, len(given), 1)
+	assert.Assert(t, given[0].Order.BreakOff)
+	next, ok := own(h.do(AttemptFailed{Number: moving, Reason: FailureBroken, Begun: true})).(Send)
+	assert.Assert(t, ok, "the stream doesn't go on")
+	assert.Assert(t, next.Target != from)
+	assert.Equal(t, h.targets[from].failing, 0.0, "an engine is blamed for an order")
+}
+
+// TestOrderWaitsForWhatOthersRun: what other hosts have at an engine counts too, and
+// an order that can't wait any longer lets the runs finish.
+func TestOrderWaitsForWhatOthersRun(t *testing.T) {
+	h := holder(t, 2)
+	h.do(WeightsNamed{Model: model, Version: 2})
+	busy := map[string]work{"engine-1": {Requests: 1, Bound: 1}, "engine-2": {Requests: 1, Bound: 1}}
+	assert.Equal(t, len(h.orders(boundLongest-100*time.Millisecond, busy)), 0)
+	given := h.orders(500*time.Millisecond, busy)
+	assert.Assert(t, len(given) > 0)
+	for _, g := range given {
+		assert.Assert(t, !g.Order.BreakOff, "an order breaks off what another host runs")
+	}
+}
+
+// TestSecondAttemptIsNotBrokenOff: a stream that has used up its attempts can't go on elsewhere.
+func TestSecondAttemptIsNotBrokenOff(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	n, effect := h.ask("/short/", key, shortPrompt("s"))
+	assert.Equal(t, h.targets[effect.(Send).Target].own.Bound, 0)
+	h.do(AnswerBegan{Number: n, Weights: 1})
+	next := own(h.do(AttemptFailed{Number: n, Reason: FailureBroken, Begun: true})).(Send)
+	assert.Equal(t, h.targets[next.Target].own.Bound, 1)
+}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -95,6 +95,8 @@
 	number uint64
 	at     time.Time
 	work   map[string]work
+	// workAt is when the peer last told its work.
+	workAt time.Time
 	// down are the targets that the peer last said to be down.
 	down []string
 }
@@ -245,7 +247,7 @@
 	p.number, p.at = m.Number, s.now
 	if !m.WorkKept {
 		s.dropWork(p)
-		p.work = m.Work
+		p.work, p.workAt = m.Work, s.now
 		s.addWork(p.work, 1)
 	}
 	for _, id := range m.Down {
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -195,6 +195,9 @@
 			s.emit(ReadReport{Target: t.ID, Address: t.Address})
 		}
 	case FailureBroken, FailureAnswered:
+		if s.underOrder(t) {
+			return // The order breaks off what runs.
+		}
 		t.failing += failingWeight * (1 - t.failing)
 	}
 }
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -217,6 +217,8 @@
 	Fence   int64
 	// After is the number of accepted orders that the engine must have.
 	After int64
+	// BreakOff breaks off what the engine runs; otherwise that is finished first.
+	BreakOff bool
 }
 
 // Host is another host of this project.
--- a/internal/relay/replayer/engine.go
+++ b/internal/relay/replayer/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -24,22 +25,26 @@
 	cacheFor       = time.Second // Parts are soon evicted by others, but for those that start prompts.
 	longOutput     = 13
 	shortOutput    = 73
+	shortSpread    = 0.69
+	mostOutput     = 219
 	bitsPerMegabit = 1e6
 )
 
 // request is one caller's request on its way.
 type request struct {
-	number    int64
-	host      *host
-	path      string
-	prompt    *descriptor.Prompt
-	arrived   time.Time
-	goal      time.Duration
-	send      decider.Send
-	unread    int
-	context   int
-	output    int
-	begun     bool
+	number  int64
+	host    *host
+	path    string
+	prompt  *descriptor.Prompt
+	arrived time.Time
+	goal    time.Duration
+	send    decider.Send
+	unread  int
+	context int
+	output  int
+	begun   bool
+	// counted is true once the request's first part was counted.
+	counted   bool
 	importing time.Time
 	engine    *engine
 }
@@ -51,6 +56,7 @@
 	version int
 	// wanted is the version under order, 0 if none.
 	wanted  int
+	ordered time.Time
 	loading bool
 	orders  int64
 	dark    bool
@@ -90,7 +96,7 @@
 		{ID: fmt.Sprint("start-", subject%4), Tokens: 2520}, {ID: fmt.Sprint("subject-", subject), Tokens: 5000}, {ID: "own", Tokens: 1670},
 	}}
 	if path == "/short/" {
-		req.goal, req.output = shortGoal, shortOutput
+		req.goal, req.output = shortGoal, r.shortOutput()
 		req.prompt = &descriptor.Prompt{Model: modelName, Tokens: 827, MaxOutput: shortOutput, Parts: []descriptor.Part{
 			{ID: fmt.Sprint("opening-", subject%40), Tokens: 119}, {ID: fmt.Sprint("session-", subject), Tokens: 531}, {ID: "own", Tokens: 177},
 		}}
@@ -101,6 +107,12 @@
 	})
 }
 
+// shortOutput draws the length of the answer to a short prompt.
+func (r *Replayer) shortOutput() int {
+	const mean = shortOutput / 1.27 // That of the logarithm, for the spread below.
+	return max(1, min(mostOutput, int(mean*math.Exp(shortSpread*r.rng.NormFloat64()))))
+}
+
 func (r *Replayer) refused(e decider.Refuse) {
 	if r.open[e.Number] != nil {
 		delete(r.open, e.Number)
@@ -275,12 +287,32 @@
 func (e *engine) begin(req *request) {
 	r := e.replay
 	req.begun = true
+	if !req.counted {
+		req.counted = true
+		r.count(req)
+	}
+	r.after(networkDelay, func() { r.tell(req.host, decider.AnswerBegan{Number: req.number, Weights: e.version}) })
+}
+
+// count counts the first part of an answer.
+func (r *Replayer) count(req *request) {
 	if r.now.Add(networkDelay).Sub(req.arrived) <= req.goal {
 		r.result.InTime++
 	} else {
 		r.result.Late++
 	}
-	r.after(networkDelay, func() { r.tell(req.host, decider.AnswerBegan{Number: req.number, Weights: e.version}) })
+}
+
+// breakOff ends all that the engine runs.
+func (e *engine) breakOff() {
+	r := e.replay
+	for _, req := range e.running {
+		req.begun = false
+		r.after(networkDelay, func() {
+			r.tell(req.host, decider.AttemptFailed{Number: req.number, Reason: decider.FailureBroken, Begun: req.counted})
+		})
+	}
+	e.running = nil
 }
 
 func (e *engine) finish(req *request) {
@@ -298,6 +330,7 @@
 	e.loading = true
 	e.replay.after(loadTime, func() {
 		e.version, e.wanted, e.loading = e.wanted, 0, false
+		e.replay.result.UnderOrder += e.replay.now.Sub(e.ordered)
 		clear(e.cached)
 	})
 }
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -82,6 +82,8 @@
 	Discarded int `json:"discarded"`
 	// Orders counts accepted orders.
 	Orders int `json:"orders"`
+	// UnderOrder sums up the time from each accepted order to its end.
+	UnderOrder time.Duration `json:"under-order"`
 }
 
 // Share returns the share of requests that were answered in time.
@@ -368,7 +370,10 @@
 	case e.wanted == 0 && e.orders == o.After:
 		outcome = decider.OrderAccepted
 		e.orders++
-		e.wanted = o.Version
+		e.wanted, e.ordered = o.Version, r.now
+		if o.BreakOff {
+			e.breakOff()
+		}
 		r.result.Orders++
 		e.load()
 	}
--- a/internal/relay/replayer/replayer_test.go
+++ b/internal/relay/replayer/replayer_test.go
@@ -70,6 +70,9 @@
 	cfg.Troubles = []Trouble{{Kind: TroubleWeights, At: 5 * time.Second, Count: 2}, {Kind: TroubleWeights, At: 9 * time.Second, Count: 3}}
 	result := play(t, cfg)
 	assert.Assert(t, result.Share() > 0.7, "in time %.3f", result.Share())
+	each := result.UnderOrder / time.Duration(result.Orders)
+	assert.Assert(t, each < loadTime*3/2, "an engine is under order for %v, %v of it to load", each, loadTime)
+	assert.Assert(t, result.Failed == 0, "%d requests were broken off for good", result.Failed)
 	assert.Assert(t, result.Orders >= cfg.Engines && result.Orders <= 2*cfg.Engines+2, "%d orders", result.Orders)
 }
 
