Start with fewer calls to the platform

Now a host that has listed waits for others' news first, registers by one call after a restart, and asks less often while the platform is away. Test: TestToldHostsDontAskThePlatform counts the calls of a start.

--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -242,6 +242,8 @@
 	FirstPort, LastPort uint16
 	Platform            netip.AddrPort
 	MemoryMB            int
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart bool
 	// GracePeriod is the time from a polite stop to a kill.
 	GracePeriod time.Duration
 	// RetryRatio and RetrySlack bound the repeats of all hosts in the platform's
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -161,11 +161,20 @@
 		if !sleep(ctx, pause) {
 			break
 		}
-		pause = min(2*pause, retryMost)
+		pause = min(2*pause, w.longestPause())
 	}
 	return nil
 }
 
+// longestPause is the longest pause after failed calls. Hosts that others tell of
+// the platform's return needn't ask as often as these.
+func (w *watch) longestPause() time.Duration {
+	if w.cfg.Watches() {
+		return retryMost
+	}
+	return newsSilence
+}
+
 func (w *watch) moveTo(revision int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -206,7 +215,8 @@
 		w.take(all.Objects)
 		w.tell(all.Objects, true, proof{asOf: asked, lapsing: w.lapsing()})
 		w.moveTo(all.Revision)
-		w.changed, w.behind = true, false
+		// Others that watch are about to tell of what comes next.
+		w.changed, w.behind, w.heard = true, false, w.cfg.Clock.Now()
 		return nil
 	}
 	after := w.revision
@@ -367,13 +377,20 @@
 	w.cfg.Post(ev)
 }
 
-// Register enters this host into the list of hosts, and repeats it until it is there.
-func (f *Follower) Register(ctx context.Context, name string, host descriptor.Host) {
+// Register enters this host into the list of hosts, and repeats it until it is
+// there. Known is true if it probably is there from an earlier start.
+func (f *Follower) Register(ctx context.Context, name string, host descriptor.Host, known bool) {
 	spec := decoder.HostSpec(host)
 	for {
-		_, err := f.cfg.Caller.Create(ctx, caller.KindHosts, name, spec)
-		if caller.KindOf(err) == caller.KindConflict {
+		var err error
+		if known {
 			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, name, 0, spec)
+		} else {
+			_, err = f.cfg.Caller.Create(ctx, caller.KindHosts, name, spec)
+		}
+		if kind := caller.KindOf(err); err != nil && (kind == caller.KindConflict || kind == caller.KindMissing) {
+			known = !known
+			continue
 		}
 		if err == nil {
 			f.cfg.Logger.Info("host registered", "host", name, "address", host.Address.String())
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -195,7 +195,8 @@
 	r.set(false, told)
 	find(t, h, func(ev decider.TargetsListed) bool { return ev.Whole })
 	find(t, h, func(ev decider.ConfigConfirmed) bool { return ev.Told })
-	time.Sleep(newsSilence + newsSilence/2) // Its own first watches end.
+	const kinds = 5
+	assert.Assert(t, store.Calls() <= 2*kinds+kinds+1, "%d calls for the lists of two hosts and the watches of one", store.Calls())
 	before := store.Calls()
 	for _, name := range []string{"b", "c", "d"} {
 		store.Put(caller.KindTargets, name, entry)
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -129,7 +129,7 @@
 // register enters this host into the list of hosts.
 func (r *Runner) register(ctx context.Context) {
 	host := descriptor.Host{Address: r.gossipAddress(), DataCentre: r.cfg.Settings.DataCentre}
-	r.follower.Register(ctx, r.cfg.Settings.Host, host)
+	r.follower.Register(ctx, r.cfg.Settings.Host, host, !r.cfg.Settings.FirstStart)
 }
 
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
