Bound the log in the long run, and keep the soak's ports out of the way of connections

Cause of the log: only the queue bounded it; a data centre that is cut off logs a refusal for each request. 500 lines a second at most now, counted and told. Test: TestFloodIsBounded. Ports lie below those of connections now.

--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,8 @@
 	// of them take a host out of rotation.
 	readyEvery  = 250 * time.Millisecond
 	readyMisses = 2
+	// Hosts' ports lie between these, and one is looked for as often as portTries.
+	firstPort, lastPort, portTries = 20000, 32000, 100
 )
 
 // host is one process of the relay.
@@ -44,13 +47,16 @@
 	misses int
 }
 
-// freePort returns an address of loopback whose port is free for TCP and UDP.
+// freePort returns an address of loopback whose port is free for TCP. It lies below
+// those that connections are given, so that none takes it while a host is down.
 func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, newError("listen", KindStart, err)
+	for range portTries {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		if l, err := net.Listen("tcp4", addr.String()); err == nil {
+			return addr, l.Close()
+		}
 	}
-	return l.Addr().(*net.TCPAddr).AddrPort(), l.Close()
+	return netip.AddrPort{}, newError("listen", KindStart, os.ErrExist)
 }
 
 func (w *world) newHost(n int, platform netip.AddrPort) (*host, error) {
--- a/internal/relay/journaler/journaler.go
+++ b/internal/relay/journaler/journaler.go
@@ -7,26 +7,37 @@
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 )
 
 // queueLines is how many lines wait for a slow reader of the log: about a second
 // of a busy host.
 const queueLines = 1024
 
-// Journaler queues lines for a writer and drops them when the queue is full.
+// linesPerSecond bounds the lines in the long run: several times those of a host at
+// the deployments' worst load, three a request.
+const linesPerSecond = 500
+
+// Journaler queues lines for a writer. It drops those that are too many, for the
+// queue or in a second.
 type Journaler struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	limit   *rate.Limiter
 	out     io.Writer
 }
 
 // New returns a Journaler that writes to out once Run runs.
 func New(out io.Writer) *Journaler {
-	return &Journaler{lines: make(chan []byte, queueLines), out: out}
+	return &Journaler{lines: make(chan []byte, queueLines), limit: rate.NewLimiter(linesPerSecond, queueLines), out: out}
 }
 
 // Write queues a line. It never blocks and never fails.
 func (j *Journaler) Write(line []byte) (int, error) {
+	if !j.limit.Allow() {
+		j.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case j.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/relay/journaler/journaler_test.go
+++ b/internal/relay/journaler/journaler_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
+	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 )
 
@@ -33,6 +35,7 @@
 	dropped := j.Dropped()
 	assert.Assert(t, dropped >= 2*queueLines-1, "%d dropped", dropped)
 	close(out.open)
+	j.limit.SetLimit(rate.Inf)
 	for len(j.lines) > 0 {
 		logger.Info("a line after the block") // Keeps the writer going until it told.
 	}
@@ -40,3 +43,24 @@
 	assert.NilError(t, <-done)
 	assert.Assert(t, strings.Contains(out.String(), `"log lines dropped"`))
 }
+
+// TestFloodIsBounded logs without a pause to a reader that takes all: no more lines
+// are written than the bound allows, and the rest is counted.
+func TestFloodIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	j := New(&out)
+	stop, done := make(chan struct{}), make(chan error, 1)
+	go func() { done <- j.Run(stop) }()
+	logger := j.Logger("test")
+	const flood = 50 * queueLines
+	began := time.Now()
+	for n := range flood {
+		logger.Info("line", "number", n)
+	}
+	most := queueLines + int(linesPerSecond*time.Since(began).Seconds()) + 1
+	close(stop)
+	assert.NilError(t, <-done)
+	written := strings.Count(out.String(), `"line"`)
+	assert.Assert(t, written <= most, "%d lines written, %d allowed", written, most)
+	assert.Equal(t, int64(written)+j.Dropped(), int64(flood))
+}
--- a/internal/standin/commander/soak.go
+++ b/internal/standin/commander/soak.go
@@ -55,6 +55,7 @@
 	for _, seed := range s.seeds {
 		result, dir, err := s.runSeed(ctx, uint64(seed))
 		if err != nil {
+			s.run.Logger.Error("the soak could not be run", "seed", seed, "logs", dir)
 			return err
 		}
 		if err := enc.Encode(result); err != nil {
