Let hosts answer to orders with what they still run there

Cause, found by reading: with sixty hosts the holder of orders knows the work of most of them a second late, and waited that long before it could break off what an engine runs. Now hosts answer as soon as they hear of an order, and when their last request there that can't go on elsewhere has ended. Test: TestHostsAnswerToOrders.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -235,10 +235,14 @@
 	if r.target == nil {
 		return
 	}
-	r.target.own.add(r.work, -1)
+	t, bound := r.target, r.work.Bound > 0
+	t.own.add(r.work, -1)
 	r.work = work{}
 	r.target = nil
 	s.tellNews()
+	if bound && s.now.Before(s.ordered[t.ID]) {
+		s.tellOrderer() // The order waits for it.
+	}
 }
 
 // refuse ends r without an answer of a target.
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -32,9 +32,6 @@
 	// reportLag how old a report may be.
 	reportPause = 150 * time.Millisecond
 	reportLag   = 350 * time.Millisecond
-	// orderHeard is how long a host may take to hear of an order and to stop sending
-	// requests to its engine: two of its regular messages in small deployments.
-	orderHeard = 150 * time.Millisecond
 	// boundPause is the pause between looks at what an engine under order still runs,
 	// and boundLongest how long requests that can't go on elsewhere are waited for:
 	// longer than long prompts take under load. The order waits for the rest itself.
@@ -351,15 +348,15 @@
 // mayBreakOff reports whether all that t runs may go on elsewhere. It answers the
 // load pattern in which long streams keep an engine from its new weights for seconds,
 // during which it serves nobody else: those that may be resumed go on at other
-// engines, the others are short and end first. Hosts that don't tell of each request
-// must have told of their work since they can know of the order.
+// engines, the others are short and end first. All hosts must have told what they have
+// there since they heard of the order.
 func (s *State) mayBreakOff(t *target, j *job) bool {
 	if t.own.Bound+t.others.Bound > 0 {
 		return false
 	}
 	for host := range s.hosts {
 		p := s.heard[host]
-		if host != s.cfg.Host && p != nil && s.now.Sub(p.at) < peerTimeout && p.workAt.Sub(j.begun) < orderHeard {
+		if host != s.cfg.Host && p != nil && s.now.Sub(p.at) < peerTimeout && (!p.workAt.After(j.begun) || !slices.Contains(p.avoids, t.ID)) {
 			return false
 		}
 	}
--- a/internal/relay/decider/ordering_test.go
+++ b/internal/relay/decider/ordering_test.go
@@ -1,6 +1,8 @@
 package decider
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,7 +155,7 @@
 	for ; d > 0; d -= every {
 		h.pass(every)
 		h.num++
-		h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: uint64(h.num), Work: peer}})
+		h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: uint64(h.num), Work: peer, Avoids: slices.Collect(maps.Keys(h.jobs))}})
 		h.do(LeaseSeen{Lease: Lease{Revision: h.lease.Revision + 1, Holder: "a", Boot: 1}, Written: true, Asked: h.at})
 		for _, read := range all[ReadReport](h.do(Tick{})) {
 			effects := h.do(ReportSeen{Target: read.Target, Report: reportOf(1)})
@@ -227,3 +229,26 @@
 	next := own(h.do(AttemptFailed{Number: n, Reason: FailureBroken, Begun: true})).(Send)
 	assert.Equal(t, h.targets[next.Target].own.Bound, 1)
 }
+
+// TestHostsAnswerToOrders replays a deployment in which most hosts tell of their work
+// once a second: they tell the holder of orders at once what they have at an engine
+// under order, and when its last request that can't go on elsewhere has ended.
+func TestHostsAnswerToOrders(t *testing.T) {
+	h := crowd(t, 60, 2)
+	n, effect := h.ask("/long/", key, longPrompt("s"))
+	from := effect.(Send).Target
+	say := func(number uint64) []Tell {
+		return all[Tell](h.do(PeerSaid{Message: Message{Host: "host-3", Boot: 1, Number: number, Holder: true, Orders: []string{from}}}))
+	}
+	told := say(2)
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, told[0].To[0], h.hosts["host-3"].Address)
+	assert.Equal(t, told[0].Message.Work[from].Bound, 1)
+	assert.DeepEqual(t, told[0].Message.Avoids, []string{from})
+	assert.Equal(t, len(say(3)), 0, "a host answers to what it knows")
+	ended := false
+	for _, tell := range all[Tell](h.do(AttemptDone{Number: n, Status: 200})) {
+		ended = ended || tell.To[0] == h.hosts["host-3"].Address && tell.Message.Work[from].Bound == 0
+	}
+	assert.Assert(t, ended, "the holder doesn't hear of the end")
+}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -1,6 +1,8 @@
 package decider
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -59,6 +61,8 @@
 	Down []string `cbor:"5,keyasint,omitempty"`
 	// Orders lists the targets that the holder of orders has under order.
 	Orders []string `cbor:"6,keyasint,omitempty"`
+	// Avoids lists the targets that the sender uses no more as they are under order.
+	Avoids []string `cbor:"13,keyasint,omitempty"`
 	// Weights are the versions that targets got lately, with their models.
 	Weights map[string]map[string]int `cbor:"7,keyasint,omitempty"`
 	// Config is the version in force, and ConfigAge how long ago it was confirmed.
@@ -84,8 +88,9 @@
 	lastTellAll time.Time
 	lastWorkAll time.Time
 	alarm       bool
-	// ordered are targets that the holder has under order, until when.
+	// ordered are targets that the holder of orders has under order, until when.
 	ordered map[string]time.Time
+	orderer string
 	// woke is when this host last went on after a suspension.
 	woke time.Time
 }
@@ -95,8 +100,10 @@
 	number uint64
 	at     time.Time
 	work   map[string]work
-	// workAt is when the peer last told its work.
+	// workAt is when the peer last told its work, and avoids are the targets under
+	// order at which that grew no more.
 	workAt time.Time
+	avoids []string
 	// down are the targets that the peer last said to be down.
 	down []string
 }
@@ -143,9 +150,7 @@
 		return // A later event or tick tells it.
 	}
 	s.unsaid, s.lastTell = false, s.now
-	m := s.message()
-	m.Work = s.ownWork()
-	s.emit(Tell{To: s.mates, Message: m})
+	s.emit(Tell{To: s.mates, Message: s.workMessage()})
 }
 
 // tellAll tells all peers. It answers the load pattern in which many engines change
@@ -159,10 +164,13 @@
 		return // A later tick tells it.
 	}
 	s.alarm, s.lastTellAll = false, s.now
-	m := s.message()
-	if m.WorkKept = s.now.Sub(s.lastWorkAll) < tellAllEvery; !m.WorkKept {
+	var m Message
+	if s.now.Sub(s.lastWorkAll) < tellAllEvery {
+		m = s.message()
+		m.WorkKept = true
+	} else {
+		m = s.workMessage()
 		s.lastWorkAll = s.now
-		m.Work = s.ownWork()
 	}
 	if s.inOffice() {
 		m.Weights = s.newWeights()
@@ -247,7 +255,7 @@
 	p.number, p.at = m.Number, s.now
 	if !m.WorkKept {
 		s.dropWork(p)
-		p.work, p.workAt = m.Work, s.now
+		p.work, p.workAt, p.avoids = m.Work, s.now, m.Avoids
 		s.addWork(p.work, 1)
 	}
 	for _, id := range m.Down {
@@ -302,11 +310,44 @@
 		}
 	}
 	if m.Holder {
-		clear(s.ordered)
-		for _, id := range m.Orders {
-			s.ordered[id] = s.now.Add(peerTimeout)
+		s.takeOrders(m)
+	}
+}
+
+// takeOrders takes in which targets are under order, and answers with what this host
+// still has there.
+func (s *State) takeOrders(m Message) {
+	before := maps.Clone(s.ordered)
+	clear(s.ordered)
+	s.orderer = m.Host
+	unheard := false
+	for _, id := range m.Orders {
+		_, known := before[id]
+		unheard = unheard || !known
+		s.ordered[id] = s.now.Add(peerTimeout)
+	}
+	if unheard {
+		s.tellOrderer()
+	}
+}
+
+// tellOrderer tells the holder of orders what this host has on its way to targets.
+func (s *State) tellOrderer() {
+	if h, ok := s.hosts[s.orderer]; ok {
+		s.emit(Tell{To: []netip.AddrPort{h.Address}, Message: s.workMessage()})
+	}
+}
+
+// workMessage returns a message with this host's work.
+func (s *State) workMessage() Message {
+	m := s.message()
+	m.Work = s.ownWork()
+	for id, until := range s.ordered {
+		if s.now.Before(until) {
+			m.Avoids = append(m.Avoids, id)
 		}
 	}
+	return m
 }
 
 // underOrder reports whether t is under order by this host or by the holder.
