Tell hosts that watch the platform too what others hear from it

Cause, found by reading: a host that watches and is turned away by the platform was told nothing, as news went only to those that don't watch. Now they go to all hosts of the data centre, in small deployments too, and a host that can't reach the platform asks it every 3 s while it is told. A trial that freed departed targets' parts after 5 s rather than 10 s was given up: a host that is cut off from the platform only, and behind with its targets, might import what is freed.

--- a/internal/relay/decider/watching.go
+++ b/internal/relay/decider/watching.go
@@ -34,18 +34,15 @@
 	return len(s.hosts) <= directFollowers || slices.Contains(s.watchers(), s.cfg.Host)
 }
 
-// NewsReceivers returns the hosts that this host tells what the platform says.
+// NewsReceivers returns the hosts that this host tells what the platform says: all
+// others of its data centre, as those that watch may be unable to reach the platform.
 func (s *State) NewsReceivers() []netip.AddrPort {
-	if len(s.hosts) <= directFollowers {
-		return nil
-	}
-	watchers := s.watchers()
-	if !slices.Contains(watchers, s.cfg.Host) {
+	if !slices.Contains(s.watchers(), s.cfg.Host) {
 		return nil
 	}
 	var to []netip.AddrPort
 	for host, h := range s.hosts {
-		if h.DataCentre == s.cfg.DataCentre && !slices.Contains(watchers, host) {
+		if h.DataCentre == s.cfg.DataCentre && host != s.cfg.Host {
 			to = append(to, h.Address)
 		}
 	}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -118,8 +118,8 @@
 	// knows of changes that this host doesn't.
 	heard  time.Time
 	behind bool
-	// back is when calls last began to succeed again.
-	back time.Time
+	// tried is when a call last failed, and back when calls last began to succeed again.
+	tried, back time.Time
 
 	// mu guards what pulses tell; only the watch itself writes it.
 	mu sync.Mutex
@@ -188,6 +188,7 @@
 }
 
 func (w *watch) failed(ctx context.Context, err error) {
+	w.tried = w.cfg.Clock.Now()
 	if !w.lost && ctx.Err() == nil {
 		w.setLost(true)
 		w.cfg.Logger.Warn("platform lost", "kind", w.kind, "error", err.Error())
--- a/internal/relay/follower/news.go
+++ b/internal/relay/follower/news.go
@@ -13,6 +13,9 @@
 	// messages, and less than the time in which a leaving target must be left.
 	newsEvery   = 500 * time.Millisecond
 	newsSilence = 2 * time.Second
+	// tryAgain is how long a host that watches, but can't reach the platform, listens
+	// to others before it asks again.
+	tryAgain = 3 * time.Second
 	// newsMargin is how long a message may be on its way.
 	newsMargin = 200 * time.Millisecond
 	// newsQueued bounds the messages that wait while a watch is under way.
@@ -125,9 +128,12 @@
 	}})
 }
 
-// informed reports whether other hosts tell this one all that changes.
+// informed reports whether other hosts tell this one all that changes. One that
+// watches listens to others too while it can't reach the platform itself.
 func (w *watch) informed() bool {
-	return w.revision != 0 && !w.behind && !w.cfg.Watches() && w.cfg.Clock.Now().Sub(w.heard) < newsSilence
+	now := w.cfg.Clock.Now()
+	told := !w.cfg.Watches() || w.lost && now.Sub(w.tried) < tryAgain
+	return told && w.revision != 0 && !w.behind && now.Sub(w.heard) < newsSilence
 }
 
 // listen waits for news instead of asking the platform.
@@ -153,7 +159,6 @@
 	if n.Pulse {
 		return
 	}
-	w.regained()
 	p := proof{asOf: n.at.Add(-n.Age - newsMargin), told: true, lapsing: n.Lapsing}
 	if n.Upto <= w.revision {
 		n.Objects = nil
