Let whoever takes office look for outdated parts

Now all hosts forget outdated parts again, and a host that takes the lease lists the stores once. Test: TestOutdatedPartsAreFreedByTheNextHolder, failing before.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -389,11 +389,9 @@
 	return (st.FirstByte == fastest) == (index == 0 || tokens <= smallPart)
 }
 
-// freeOutdated frees the parts of versions that no engine has had any more for
-// longer than a fetch takes, if this host is in office. No engine reads such parts
-// again: each request names the only version that may run it. The other hosts
-// go on knowing them until the stores tell that they are gone, so that whoever is in
-// office next frees what is left.
+// freeOutdated forgets the parts of versions that no engine has had any more for
+// longer than a fetch takes, and frees them if this host is in office. No engine
+// reads such parts again: each request names the only version that may run it.
 func (s *State) freeOutdated() {
 	for model, lowest := range s.lowestVersions() {
 		if known := s.lowest[model]; known.version != lowest {
@@ -433,9 +431,19 @@
 	return lowest
 }
 
+// findOutdated lists all stores, for a host that has just taken the lease: what
+// should have been freed while nobody was in office is known to none.
+func (s *State) findOutdated() {
+	for _, st := range s.stores {
+		if st.alive {
+			s.emit(ListParts{Store: st.Address})
+		}
+	}
+}
+
 // freeFrom frees the parts of a store that were made by older versions of a model.
 func (s *State) freeFrom(st *store, model string, lowest int) {
-	if !st.alive || !s.inOffice() {
+	if !st.alive {
 		return
 	}
 	bySalt := map[string][]string{}
@@ -449,6 +457,9 @@
 		for _, part := range parts {
 			s.changePart(st, descriptor.PartChange{Salt: salt, Part: part})
 		}
+		if !s.inOffice() {
+			continue
+		}
 		s.note("outdated parts freed", "", "store", st.Address, "salt", salt, "parts", len(parts))
 		s.emit(FreeParts{Store: st.Address, Boot: st.boot, Salt: salt, Parts: parts})
 	}
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -191,6 +191,7 @@
 	if was.Holder != s.cfg.Host || was.Boot != s.cfg.Boot || s.fence == 0 {
 		s.fence = ev.Lease.Revision
 		s.note("lease taken", "", "fence", s.fence, "before", was.Holder, "revision", was.Revision)
+		s.findOutdated()
 	}
 }
 
