Ask the platform again at once when a watch is cut

A host listens only to what it hears after its own failure now. Test: TestCutWatchIsRenewedAtOnce, failing before.

--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -252,3 +253,30 @@
 		return len(ev.Targets) > 0 && ev.Targets[len(ev.Targets)-1].ID == "c"
 	})
 }
+
+// clockAt stands still.
+type clockAt struct{ now time.Time }
+
+func (c *clockAt) Now() time.Time { return c.now }
+
+// TestCutWatchIsRenewedAtOnce replays a cut of all watches at the same moment: a host
+// that watches asks again at once, whatever it heard from others before, and
+// listens to them only when they can reach the platform and it can't.
+func TestCutWatchIsRenewedAtOnce(t *testing.T) {
+	clock := &clockAt{time.Unix(1000, 0)}
+	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), Watches: always, Tell: func([]News) {}, Post: func(decider.Event) {}})
+	w := f.watches[1]
+	w.moveTo(5)
+	pulse := func() { w.takeNews(heardNews{News{Kind: w.kind, After: 5, Upto: 5, Pulse: true}, clock.now}) }
+	pass := func(d time.Duration) { clock.now = clock.now.Add(d) }
+	pulse()
+	pass(100 * time.Millisecond)
+	w.failed(t.Context(), errors.New("cut"))
+	assert.Assert(t, !w.informed(), "a host waits for others whose watches were cut too")
+	pass(100 * time.Millisecond)
+	pulse()
+	assert.Assert(t, w.informed(), "a host asks the platform that others reach and it can't")
+	pass(tryAgain)
+	pulse()
+	assert.Assert(t, !w.informed(), "a host never asks the platform again")
+}
--- a/internal/relay/follower/news.go
+++ b/internal/relay/follower/news.go
@@ -129,10 +129,11 @@
 }
 
 // informed reports whether other hosts tell this one all that changes. One that
-// watches listens to others too while it can't reach the platform itself.
+// watches listens to others too once it has failed to reach the platform and they
+// haven't.
 func (w *watch) informed() bool {
 	now := w.cfg.Clock.Now()
-	told := !w.cfg.Watches() || w.lost && now.Sub(w.tried) < tryAgain
+	told := !w.cfg.Watches() || w.lost && w.heard.After(w.tried) && now.Sub(w.tried) < tryAgain
 	return told && w.revision != 0 && !w.behind && now.Sub(w.heard) < newsSilence
 }
 
