Choose engines near the stores that hold a prompt's parts

Two thirds of the imports crossed data centres, which takes more than the stores' links have. Now the time of a transfer counts with its place when an engine is chosen. Test: TestPromptsGoNearTheirParts.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -48,6 +48,10 @@
 	// time in which the delay of a store that isn't used halves, so that it is tried again.
 	delayWeight = 0.25
 	delayHalf   = 700 * time.Millisecond
+	// betweenDataCentres and betweenRegions are how many times as long transfers of
+	// parts take there, by the platform's terms.
+	betweenDataCentres = 2
+	betweenRegions     = 10
 	// freeBatch bounds the parts of one call that frees them.
 	freeBatch = 400
 	// freeAfter is how long no engine must have had a version before its parts are
@@ -277,27 +281,39 @@
 	r.sources = nil
 }
 
-// importable returns what an engine with a version can import of r's prompt: the
-// leading shared parts that stores hold.
-func (s *State) importable(r *request, version int) importPlan {
+// importable returns what t can import of r's prompt: the leading shared parts that
+// stores hold.
+func (s *State) importable(r *request, t *target) importPlan {
 	var plan importPlan
-	salt := r.salt(version)
+	salt := r.salt(t.Weights[r.prompt.Model])
 	for _, part := range r.prompt.Shared() {
 		st := s.holder(partKey{salt, part.ID}, part.Tokens)
 		if st == nil {
 			break
 		}
 		plan.tokens += part.Tokens
-		plan.time += transferTime(&st.Store, part.Tokens, s.tokenBytes(r.service))
+		plan.time += s.transferTime(st, t, part.Tokens)
 	}
 	return plan
 }
 
-func (s *State) tokenBytes(service string) int {
-	if svc := s.config.Services[service]; svc != nil && svc.Engine != nil {
-		return svc.Engine.TokenBytes
-	}
-	return 0
+// transferTime is how long a store needs to send tokens to an engine. It answers the
+// load pattern in which all prompts import at once and the stores' links are full:
+// engines near the store take less of them.
+func (s *State) transferTime(st *store, t *target, tokens int) time.Duration {
+	if st.LinkMbps <= 0 || t.service == nil || t.service.Engine == nil {
+		return st.FirstByte
+	}
+	const bitsPerMegabit = 1e6
+	seconds := float64(tokens) * float64(t.service.Engine.TokenBytes) * 8 / (st.LinkMbps * bitsPerMegabit)
+	took := time.Duration(seconds * float64(time.Second))
+	switch {
+	case s.cfg.Regions[st.DataCentre] != s.cfg.Regions[t.DataCentre]:
+		took *= betweenRegions
+	case st.DataCentre != t.DataCentre:
+		took *= betweenDataCentres
+	}
+	return st.FirstByte + took
 }
 
 // reading counts the shared tokens that an engine reads, by why they aren't
@@ -309,7 +325,7 @@
 	version := t.Weights[r.prompt.Model]
 	out.Weights = version
 	out.Salt = r.salt(version)
-	plan := s.importable(r, version)
+	plan := s.importable(r, t)
 	r.work.Unread = max(0, r.prompt.Tokens-plan.tokens)
 	r.work.Memory = r.prompt.Tokens + r.prompt.MaxOutput
 	r.reading = reading{}
--- a/internal/relay/decider/caching_test.go
+++ b/internal/relay/decider/caching_test.go
@@ -184,3 +184,20 @@
 	h.do(PartsTold{Store: storeAddress(2), Boot: 2})
 	assert.Assert(t, !h.serve("/long/", longPrompt("s"), 0).Sources[1].IsValid())
 }
+
+// TestPromptsGoNearTheirParts replays prompts that all import long parts: they go to
+// engines near the store, whose link sends half as much then, unless those are busy.
+func TestPromptsGoNearTheirParts(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	h.cfg.Regions["b"] = "r"
+	near := engine(2, 1)
+	near.DataCentre = "b"
+	h.do(TargetsListed{Targets: []descriptor.Target{near}})
+	h.hold(storeAddress(1), descriptor.Part{ID: "start", Tokens: 2520})
+	h.hold(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
+	assert.Equal(t, h.serve("/long/", longPrompt("s"), 0).Target, "engine-1", "the part is in this data centre")
+	h.storeAt(storeAddress(2)).DataCentre = "b"
+	assert.Equal(t, h.serve("/long/", longPrompt("s"), 0).Target, "engine-2", "the part is in the other data centre")
+	h.do(PeerSaid{Message: Message{Host: "b", Boot: 1, Number: 1, Work: map[string]work{"engine-2": {Requests: 3, Unread: 9000}}}})
+	assert.Equal(t, h.serve("/long/", longPrompt("s"), 0).Target, "engine-1", "a busy engine is chosen for its place")
+}
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
 const (
@@ -42,7 +40,7 @@
 func (s *State) place(r *request) (*target, time.Duration) {
 	var best *target
 	var least time.Duration
-	plans := map[int]importPlan{}
+	plans := map[planKey]importPlan{}
 	var far distantTargets
 	for _, t := range s.byService[r.service] {
 		if !s.usable(t, r) {
@@ -88,15 +86,15 @@
 }
 
 // expected is the time until r's answer begins at t with a load, with penalties for
-// what is worse than time. It adds the import plan of t's version to plans.
-func (s *State) expected(r *request, t *target, load work, plans map[int]importPlan) time.Duration {
+// what is worse than time. It adds the import plan of t's like to plans.
+func (s *State) expected(r *request, t *target, load work, plans map[planKey]importPlan) time.Duration {
 	var cost time.Duration
 	if t.service.Engine != nil && r.prompt != nil {
-		version := t.Weights[r.prompt.Model]
-		plan, ok := plans[version]
+		at := planKey{t.Weights[r.prompt.Model], t.DataCentre}
+		plan, ok := plans[at]
 		if !ok {
-			plan = s.importable(r, version)
-			plans[version] = plan
+			plan = s.importable(r, t)
+			plans[at] = plan
 		}
 		cost = s.expectedPrompt(r, t, load, plan)
 	} else {
@@ -142,7 +140,7 @@
 
 // unread is how many tokens of r's prompt t must read.
 func (s *State) unread(r *request, t *target) int {
-	return r.prompt.Tokens - s.importable(r, t.Weights[r.prompt.Model]).tokens
+	return r.prompt.Tokens - s.importable(r, t).tokens
 }
 
 // ownTime is the part of the expected time that r itself takes.
@@ -150,24 +148,20 @@
 	if r.prompt == nil {
 		return 0
 	}
-	plan := s.importable(r, t.Weights[r.prompt.Model])
+	plan := s.importable(r, t)
 	return firstStep + plan.time + time.Duration(r.prompt.Tokens-plan.tokens)*readToken
 }
 
 func (s *State) outdated(t *target, model string) bool { return t.Weights[model] < s.wanted[model] }
 
+// planKey names the engines that can import the same in the same time.
+type planKey struct {
+	version    int
+	dataCentre string
+}
+
 // importPlan is what an engine can import of a prompt.
 type importPlan struct {
 	tokens int
 	time   time.Duration
 }
-
-// transferTime is how long a store needs to send tokens to an engine.
-func transferTime(st *descriptor.Store, tokens, tokenBytes int) time.Duration {
-	if st.LinkMbps <= 0 {
-		return st.FirstByte
-	}
-	const bitsPerMegabit = 1e6
-	seconds := float64(tokens) * float64(tokenBytes) * 8 / (st.LinkMbps * bitsPerMegabit)
-	return st.FirstByte + time.Duration(seconds*float64(time.Second))
-}
