--- a/internal/bench/soaker/judge.go
+++ b/internal/bench/soaker/judge.go
@@ -245,6 +245,7 @@
 			j.break1("not run", fmt.Sprintf("%s (%s) ran, and its caller was told %d", id, a.kind, got.status))
 		}
 	case got.status == http.StatusUnauthorized && revoked:
+		j.counts.requests-- // It is owed nothing.
 	case got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout:
 	default:
 		j.break1("allowed requests", fmt.Sprintf("%s (%s) is refused with %d", id, a.kind, got.status))
--- a/internal/bench/soaker/storm.go
+++ b/internal/bench/soaker/storm.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// faultEvery is about the pause between two faults, and faultLongest how long one lasts.
+	// faultEvery is about the pause between two faults, and faultLongest how long one
+	// lasts: longer than any bound of the platform but that of new weights.
 	faultEvery   = 500 * time.Millisecond
-	faultLongest = 5 * time.Second
+	faultLongest = 8 * time.Second
 	// linkDelay is the longest delay on a way. It stays under the margin of a lease.
 	linkDelay = 120 * time.Millisecond
 	// clockStep is how far stores' clocks step.
--- a/internal/bench/soaker/world.go
+++ b/internal/bench/soaker/world.go
@@ -76,15 +76,16 @@
 	links   []*link
 	addrs   []netip.AddrPort
 
-	mu       sync.Mutex
-	keys     map[string]string
-	revision int64
-	weights  int
+	mu sync.Mutex
+	// keys maps the keys in force to their teams, gone those that were revoked.
+	keys, gone map[string]string
+	revision   int64
+	weights    int
 }
 
 // newWorld starts the stand-ins, the ways to them, and the hosts.
 func newWorld(ctx context.Context, cfg Config, j *judge) (*world, error) {
-	w := &world{cfg: cfg, judge: j, store: imitator.NewStore(), keys: map[string]string{}, weights: 1}
+	w := &world{cfg: cfg, judge: j, store: imitator.NewStore(), keys: map[string]string{}, gone: map[string]string{}, weights: 1}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	if err := w.startAll(); err != nil {
 		w.close()
@@ -283,6 +284,7 @@
 				break
 			}
 		}
+		w.gone[key] = w.keys[key]
 		delete(w.keys, key)
 	}
 	w.mu.Unlock()
@@ -293,10 +295,16 @@
 	return key
 }
 
-// pickKey draws a key that is in force.
+// pickKey draws a key that is in force, or now and then one that was revoked.
 func (w *world) pickKey(rng *rand.Rand) (key, team string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	const goneEvery = 8
+	if rng.IntN(goneEvery) == 0 {
+		for key, team = range w.gone {
+			return key, team
+		}
+	}
 	names := []string{"key-isolated", "key-0", "key-1", "key-2", "key-3", "key-4", "key-5"}
 	for {
 		key = names[rng.IntN(len(names))]
