--- a/internal/relay/decider/neighbourhood.go
+++ b/internal/relay/decider/neighbourhood.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 
@@ -14,9 +13,8 @@
 
 // neighbourhood divides large deployments. It answers the load pattern in which more
 // hosts choose among the same targets than can tell each other of each choice: the
-// hosts and engines of a region are divided evenly, each part with some of every data
-// centre, so that prompts can go near the stores that hold their parts. A host prefers
-// the engines of its own part, and others take what that part can't.
+// hosts and targets of a data centre are divided evenly, a host prefers the targets
+// of its own part, and others take what that part can't.
 type neighbourhood struct {
 	// mates are the peers of the same part, everyone are all peers.
 	mates, everyone []netip.AddrPort
@@ -27,11 +25,9 @@
 // divide finds this host's part. All hosts with the same lists find the same parts.
 func (s *State) divide() {
 	s.mates, s.everyone, s.distant = nil, nil, nil
-	places := map[string]string{}
+	names := map[string][]string{}
 	for host, h := range s.hosts {
-		if s.sameRegion(h.DataCentre) {
-			places[host] = h.DataCentre
-		}
+		names[h.DataCentre] = append(names[h.DataCentre], host)
 		if host != s.cfg.Host {
 			s.everyone = append(s.everyone, h.Address)
 		}
@@ -40,7 +36,7 @@
 		s.mates = s.everyone
 		return
 	}
-	local := byPlace(places)
+	local := byHash(names[s.cfg.DataCentre])
 	parts := max(1, (len(local)+neighbours/2)/neighbours)
 	own := slices.Index(local, s.cfg.Host) % parts
 	for i, host := range local {
@@ -51,27 +47,23 @@
 	s.divideTargets(parts, own)
 }
 
-func (s *State) sameRegion(dataCentre string) bool {
-	return s.cfg.Regions[dataCentre] == s.cfg.Regions[s.cfg.DataCentre]
-}
-
 // divideTargets finds the engines outside this host's part. Plain targets are few
 // and fast, and belong to all parts.
 func (s *State) divideTargets(parts, own int) {
 	s.distant = map[string]bool{}
 	for _, list := range s.byService {
-		places := map[string]string{}
+		var ids []string
 		for _, t := range list {
 			if t.service == nil || t.service.Engine == nil {
 				continue
 			}
-			if s.sameRegion(t.DataCentre) {
-				places[t.ID] = t.DataCentre
+			if t.DataCentre == s.cfg.DataCentre {
+				ids = append(ids, t.ID)
 			} else {
 				s.distant[t.ID] = true
 			}
 		}
-		for i, id := range byPlace(places) {
+		for i, id := range byHash(ids) {
 			if i%parts != own {
 				s.distant[id] = true
 			}
@@ -79,10 +71,10 @@
 	}
 }
 
-// byPlace sorts names by their data centres, and within these in an order that
-// doesn't follow their numbering.
-func byPlace(places map[string]string) []string {
-	return slices.SortedFunc(maps.Keys(places), func(a, b string) int {
-		return cmp.Or(cmp.Compare(places[a], places[b]), cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)), cmp.Compare(a, b))
+// byHash sorts names in an order that doesn't follow their numbering.
+func byHash(names []string) []string {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)), cmp.Compare(a, b))
 	})
+	return names
 }
