Change the weights of a fifth of the engines at once at first

Cause: an engine is under order for about a second now rather than four, so that fewer need be out at a time; loads take longer when more than 2 of 9 or 12, 12 of 60 or 18 of 90 load at once. Also here: the soak plans changes of keys, configuration and weights in series.

--- a/internal/bench/soaker/storm.go
+++ b/internal/bench/soaker/storm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,8 @@
 	// lasts: longer than any bound of the platform but that of new weights.
 	faultEvery   = 500 * time.Millisecond
 	faultLongest = 8 * time.Second
+	// planEvery is about the pause between planned changes.
+	planEvery = 1500 * time.Millisecond
 	// linkDelay is the longest delay on a way. It stays under the margin of a lease.
 	linkDelay = 120 * time.Millisecond
 	// clockStep is how far stores' clocks step.
@@ -34,6 +37,7 @@
 	defer stop()
 	var g sync.WaitGroup
 	defer g.Wait()
+	g.Go(func() { s.plan(storming) })
 	for sleep(storming, time.Duration(s.rng.Float64()*2*float64(faultEvery))) {
 		f := s.draw()
 		lasts := time.Duration(s.rng.Float64() * float64(faultLongest))
@@ -42,6 +46,24 @@
 	}
 }
 
+// plan changes the configuration, keys and weights in series, whatever else happens.
+func (s *Soaker) plan(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 0))
+	for sleep(ctx, time.Duration(rng.Float64()*2*float64(planEvery))) {
+		switch rng.IntN(3) {
+		case 0:
+			s.note("key revoked")
+			s.world.revoke()
+		case 1:
+			s.note("configuration changes")
+			s.world.configure()
+		default:
+			s.note("weights named")
+			s.world.nameWeights()
+		}
+	}
+}
+
 // draw draws the next fault and what it strikes.
 func (s *Soaker) draw() fault {
 	switch s.rng.IntN(5) {
@@ -119,7 +141,7 @@
 	at := func(name string, do func()) fault {
 		return fault{name, func(context.Context, time.Duration) { do() }}
 	}
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(6) {
 	case 0:
 		return during("platform down", w.store.SetDown)
 	case 1:
@@ -130,14 +152,8 @@
 		return at("store restarts empty", st.Restart)
 	case 4:
 		return at("store forgets its events", st.Forget)
-	case 5:
-		return at("store's clock steps", func() { st.SetSkew(skew) })
-	case 6:
-		return at("configuration changes", w.configure)
-	case 7:
-		return at("key revoked", func() { w.revoke() })
 	}
-	return at("weights named", func() { w.nameWeights() })
+	return at("store's clock steps", func() { st.SetSkew(skew) })
 }
 
 func (s *Soaker) drawTarget() fault {
--- a/internal/bench/soaker/world.go
+++ b/internal/bench/soaker/world.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -79,8 +80,11 @@
 	mu sync.Mutex
 	// keys maps the keys in force to their teams, gone those that were revoked.
 	keys, gone map[string]string
-	revision   int64
-	weights    int
+	// inForce lists the keys in the order in which they were issued.
+	inForce  []string
+	issued   int
+	revision int64
+	weights  int
 }
 
 // newWorld starts the stand-ins, the ways to them, and the hosts.
@@ -95,10 +99,11 @@
 }
 
 func (w *world) startAll() error {
-	for n := range 6 {
-		w.keys[fmt.Sprint("key-", n)] = fmt.Sprint("team-", n%3)
+	w.keys["key-isolated"], w.inForce = imitator.IsolatedTeam, []string{"key-isolated"}
+	for w.issued = range 6 {
+		key := fmt.Sprint("key-", w.issued)
+		w.keys[key], w.inForce = fmt.Sprint("team-", w.issued%3), append(w.inForce, key)
 	}
-	w.keys["key-isolated"] = imitator.IsolatedTeam
 	stores := map[netip.AddrPort]*imitator.PartStore{}
 	for n := range storeCount {
 		st := imitator.NewPartStore(storeTokens)
@@ -273,25 +278,21 @@
 	w.store.Put(imitator.KindConfig, imitator.ConfigName, imitator.ConfigSpec(w.revision, w.keys, w.addrs, storeTokens))
 }
 
-// revoke takes a key away and returns it, or "" if few are left.
+// revoke replaces the oldest key but one, of the isolated team, by a new one. It
+// returns the key that was taken away.
 func (w *world) revoke() string {
 	w.mu.Lock()
-	key := ""
-	if len(w.keys) > 3 {
-		for _, name := range []string{"key-5", "key-4", "key-3", "key-2", "key-1"} {
-			if w.keys[name] != "" {
-				key = name
-				break
-			}
-		}
-		w.gone[key] = w.keys[key]
-		delete(w.keys, key)
-	}
+	key := w.inForce[1]
+	team := w.keys[key]
+	delete(w.keys, key)
+	w.gone[key] = team
+	w.issued++
+	added := fmt.Sprint("key-", w.issued)
+	w.keys[added] = team
+	w.inForce = append(slices.Delete(w.inForce, 1, 2), added)
 	w.mu.Unlock()
 	w.configure()
-	if key != "" {
-		w.judge.set(w.judge.revoked, key, time.Now())
-	}
+	w.judge.set(w.judge.revoked, key, time.Now())
 	return key
 }
 
@@ -305,13 +306,8 @@
 			return key, team
 		}
 	}
-	names := []string{"key-isolated", "key-0", "key-1", "key-2", "key-3", "key-4", "key-5"}
-	for {
-		key = names[rng.IntN(len(names))]
-		if team = w.keys[key]; team != "" {
-			return key, team
-		}
-	}
+	key = w.inForce[rng.IntN(len(w.inForce))]
+	return key, w.keys[key]
 }
 
 func (w *world) version() int {
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -43,9 +43,10 @@
 	// loads take longer from three on, by the deployments' sheets.
 	minWindow = 2
 	// The share of a service's engines that change their weights at once rises
-	// with the time since the weights were named: older weights lose credit soon,
-	// and must be out of use by the platform's bound.
-	earlyShare, lateShare = 1.0 / 3, 1.0 / 2
+	// with the time since the weights were named: at first it is what can load without
+	// taking longer, by the deployments' sheets; older weights lose credit soon, and
+	// must be out of use by the platform's bound.
+	earlyShare, lateShare = 1.0 / 5, 1.0 / 2
 	lateFrom, allFrom     = 3 * time.Second, 5 * time.Second
 )
 
