--- a/internal/bench/soaker/judge.go
+++ b/internal/bench/soaker/judge.go
@@ -13,9 +13,11 @@
 
 // The platform's bounds, as the settings of the hosts give them.
 const (
-	leaseTerm      = 3 * time.Second
-	revokeTime     = 5 * time.Second
-	leaveTime      = 2 * time.Second
+	leaseTerm  = 3 * time.Second
+	revokeTime = 5 * time.Second
+	leaveTime  = 2 * time.Second
+	// applyTime is that of a configuration, and some more for what is on its way.
+	applyTime      = 3 * time.Second
 	evacuationTime = 5 * time.Second
 	weightsTime    = 8 * time.Second
 	// thawTime is how long after its sender went on an order may be an old one.
--- a/internal/bench/soaker/world.go
+++ b/internal/bench/soaker/world.go
@@ -82,6 +82,7 @@
 	keys, gone map[string]string
 	// inForce lists the keys in the order in which they were issued.
 	inForce  []string
+	issuedAt map[string]time.Time
 	issued   int
 	revision int64
 	weights  int
@@ -89,7 +90,7 @@
 
 // newWorld starts the stand-ins, the ways to them, and the hosts.
 func newWorld(ctx context.Context, cfg Config, j *judge) (*world, error) {
-	w := &world{cfg: cfg, judge: j, store: imitator.NewStore(), keys: map[string]string{}, gone: map[string]string{}, weights: 1}
+	w := &world{cfg: cfg, judge: j, store: imitator.NewStore(), keys: map[string]string{}, gone: map[string]string{}, issuedAt: map[string]time.Time{}, weights: 1}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	if err := w.startAll(); err != nil {
 		w.close()
@@ -290,6 +291,7 @@
 	added := fmt.Sprint("key-", w.issued)
 	w.keys[added] = team
 	w.inForce = append(slices.Delete(w.inForce, 1, 2), added)
+	w.issuedAt[added] = time.Now()
 	w.mu.Unlock()
 	w.configure()
 	w.judge.set(w.judge.revoked, key, time.Now())
@@ -306,8 +308,12 @@
 			return key, team
 		}
 	}
-	key = w.inForce[rng.IntN(len(w.inForce))]
-	return key, w.keys[key]
+	for {
+		key = w.inForce[rng.IntN(len(w.inForce))]
+		if time.Since(w.issuedAt[key]) > applyTime { // Some hosts may not know newer ones yet.
+			return key, w.keys[key]
+		}
+	}
 }
 
 func (w *world) version() int {
