Take the window of repeats from the settings

Found by reading the change: the budget's window was a constant of 10 s, though the platform names it. Tests: TestSettings, TestSettingsNameTheFaultyKey.

--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -77,7 +77,7 @@
 	raw := imitator.SettingsFile(descriptor.Settings{
 		Host: h.name, Address: ports[0].Addr(), DataCentre: dataCentres[n%len(dataCentres)], Regions: map[string]string{"a": "r", "b": "r"},
 		Callers: ports[0], Ready: ports[1], FirstPort: ports[2].Port(), LastPort: ports[2].Port(), Platform: h.platform.address, MemoryMB: memoryMB,
-		GracePeriod: graceTime, RetryRatio: 0.2, RetrySlack: 50, LeaseTerm: leaseTerm, RevokeAfter: revokeTime, WeightsWithin: weightsTime,
+		GracePeriod: graceTime, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, LeaseTerm: leaseTerm, RevokeAfter: revokeTime, WeightsWithin: weightsTime,
 	})
 	if err := os.WriteFile(h.settings, raw, 0o600); err != nil {
 		return nil, newError("write settings", KindStart, err)
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -19,9 +19,10 @@
 	// Boot is different in each process of a host.
 	Boot int64
 	Seed uint64
-	// RetryRatio and RetrySlack bound the repeats of all hosts together.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the repeats of all hosts together in any RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// LeaseTerm is how long the platform considers a holder of orders to be in office.
 	LeaseTerm time.Duration
 	// RevokeAfter is when a key that was taken away must not be used any more.
--- a/internal/relay/decider/ordering.go
+++ b/internal/relay/decider/ordering.go
@@ -368,10 +368,11 @@
 func (s *State) giveOrder(t *target, j *job, after int64) {
 	j.ordered = s.now
 	j.next = s.now.Add(callPatience)
-	s.note("order given", "", "target", t.ID, "model", j.model, "version", j.version, "fence", s.fence, "after", after, "bound", t.own.Bound+t.others.Bound, "break-off", s.mayBreakOff(t, j), "since-begun", s.now.Sub(j.begun), "lease-age", s.now.Sub(s.renewed))
+	breakOff := s.mayBreakOff(t, j)
+	s.note("order given", "", "target", t.ID, "model", j.model, "version", j.version, "fence", s.fence, "after", after, "bound", t.own.Bound+t.others.Bound, "break-off", breakOff, "since-begun", s.now.Sub(j.begun), "lease-age", s.now.Sub(s.renewed))
 	s.emit(GiveOrder{
 		Target: t.ID, Address: t.Address, Until: s.renewed.Add(orderWindow),
-		Order: descriptor.Order{Model: j.model, Version: j.version, Holder: s.cfg.Host, Fence: s.fence, After: after, BreakOff: s.mayBreakOff(t, j)},
+		Order: descriptor.Order{Model: j.model, Version: j.version, Holder: s.cfg.Host, Fence: s.fence, After: after, BreakOff: breakOff},
 	})
 }
 
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -10,11 +10,9 @@
 	// budgetShare is the part of the hosts' common budget of repeats that is
 	// used: a host that restarts begins with a new account.
 	budgetShare = 0.7
-	// retryWindow is the window in which the platform counts repeats, by its terms,
-	// and retryParts the number of parts in which they are kept: one more than the
-	// window has, as the newest part is not over.
-	retryWindow = 10 * time.Second
-	retryParts  = 21
+	// retryParts is the number of parts in which a window's repeats are kept: one
+	// more than the window has, as the newest part is not over.
+	retryParts = 21
 	// maxOffers bounds the targets to which a request is offered.
 	maxOffers = 4
 	// failingWeight is the weight of one attempt in a target's share of failures.
@@ -28,7 +26,7 @@
 // retries holds this host's part of the budget of repeats, by service.
 type retries struct{ budgets map[string]*budget }
 
-// budget counts the requests and repeats of the last retryWindow in parts of it.
+// budget counts the requests and repeats of the last window in parts of it.
 type budget struct {
 	requests, repeats [retryParts]int
 	// part is the number of the newest part since the start of time.
@@ -36,8 +34,8 @@
 }
 
 // advance forgets what is older than the window.
-func (b *budget) advance(now time.Time) {
-	part := now.UnixNano() / int64(retryWindow/(retryParts-1))
+func (b *budget) advance(now time.Time, window time.Duration) {
+	part := now.UnixNano() / int64(window/(retryParts-1))
 	for n := max(b.part+1, part-retryParts+1); n <= part; n++ {
 		b.requests[n%retryParts], b.repeats[n%retryParts] = 0, 0
 	}
@@ -59,7 +57,7 @@
 		b = &budget{}
 		s.budgets[service] = b
 	}
-	b.advance(s.now)
+	b.advance(s.now, s.cfg.RetryWindow)
 	return b
 }
 
@@ -70,9 +68,9 @@
 }
 
 // spendRetry takes one repeat from the budget, if there is one. It answers the load
-// pattern in which targets refuse or go down all at once: what this host may repeat in a window
-// may all be repeated in one moment of it. The sum over all hosts
-// keeps to the common budget, as each keeps to its part in every window.
+// pattern in which targets refuse or go down all at once: what this host may repeat in
+// a window may all be repeated in one moment of it. The sum over all hosts keeps to
+// the common budget, as each keeps to its part in every window.
 func (s *State) spendRetry(service string) bool {
 	b := s.budgetOf(service)
 	requests, repeats := b.sums()
--- a/internal/relay/decider/world_test.go
+++ b/internal/relay/decider/world_test.go
@@ -81,7 +81,7 @@
 	h := &host{t: t, at: time.Unix(1000, 0)}
 	h.State = New(Config{
 		Host: name, DataCentre: "a", Regions: map[string]string{"a": "r"}, Boot: 1, Seed: 7,
-		RetryRatio: 0.2, RetrySlack: 56, LeaseTerm: leaseT, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, LeaseTerm: leaseT, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 	})
 	h.do(ConfigListed{Config: testConfig(1)})
 	h.do(ConfigConfirmed{AsOf: h.at})
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -246,10 +246,11 @@
 	FirstStart bool
 	// GracePeriod is the time from a polite stop to a kill.
 	GracePeriod time.Duration
-	// RetryRatio and RetrySlack bound the repeats of all hosts in the platform's
-	// window: the ratio of the requests, and the slack in addition.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the repeats of all hosts in any RetryWindow: the
+	// ratio of the requests, and the slack in addition.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// LeaseTerm is how long the platform considers a holder of orders to be in office.
 	LeaseTerm time.Duration
 	// RevokeAfter is when a key that was taken away must not be used any more.
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -185,7 +185,7 @@
 		h := &host{name: fmt.Sprintf("host-%02d", n+1)}
 		h.State = decider.New(decider.Config{
 			Host: h.name, DataCentre: "a", Regions: map[string]string{"a": "r"}, Boot: 1, Seed: cfg.Seed + uint64(n),
-			RetryRatio: 0.2, RetrySlack: 56, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 		})
 		r.hosts = append(r.hosts, h)
 		r.byAddress[hosts[h.name].Address] = h
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -95,7 +95,7 @@
 	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{LinesDropped: cfg.LinesDropped}), calls: make(chan struct{}, callWorkers)}
 	state := decider.New(decider.Config{
 		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
-		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack,
+		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack, RetryWindow: cfg.Settings.RetryWindow,
 		LeaseTerm: cfg.Settings.LeaseTerm, RevokeAfter: cfg.Settings.RevokeAfter,
 		WeightsWithin: cfg.Settings.WeightsWithin,
 	})
--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -72,7 +72,7 @@
 		Settings: descriptor.Settings{
 			Host: "host-1", Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Callers: callers, Ready: ready,
 			FirstPort: gossip.Port(), LastPort: gossip.Port(), Platform: platform.Listener.Addr().(*net.TCPAddr).AddrPort(),
-			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
+			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 		},
 		Clock: timer.Boot{}, Logger: hclog.NewNullLogger(), Boot: 1,
 	})
