--- a/cmd/cardamomd/main.go
+++ b/cmd/cardamomd/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	// A hang-up that comes early must not end the daemon.
+	_ "cardamomscale.example/cardamomscale/internal/core/shielder"
 	"cardamomscale.example/cardamomscale/internal/entry/commander"
 )
 
--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -24,6 +24,8 @@
 	// of them take a host out of rotation.
 	readyEvery  = 250 * time.Millisecond
 	readyMisses = 2
+	// hangUpAfter is several times what a busy machine takes to load a program.
+	hangUpAfter = 100 * time.Millisecond
 	// Hosts' ports lie between these, and one is looked for as often as portTries.
 	firstPort, lastPort, portTries = 20000, 32000, 100
 )
@@ -41,8 +43,9 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// ending is true when the soak ends the process.
-	ending bool
+	// started is when the process was started; ending is true when the soak ends it.
+	started time.Time
+	ending  bool
 	paused bool
 	misses int
 }
@@ -105,7 +108,7 @@
 		j.breach("soak", err.Error())
 		return false
 	}
-	h.cmd, h.ending, h.paused, h.done = cmd, false, false, make(chan struct{})
+	h.cmd, h.started, h.ending, h.paused, h.done = cmd, time.Now(), false, false, make(chan struct{})
 	go h.wait(cmd, h.done, log, j)
 	return true
 }
@@ -132,6 +135,17 @@
 	}
 }
 
+// hangUp says that settings changed. No program can take a signal before its runtime
+// runs, so that it comes hangUpAfter after the start of the process at the earliest.
+func (h *host) hangUp(ctx context.Context) {
+	h.mu.Lock()
+	early := hangUpAfter - time.Since(h.started)
+	h.mu.Unlock()
+	if early <= 0 || sleep(ctx, early) {
+		h.signal(syscall.SIGHUP)
+	}
+}
+
 // end marks the process as ended by the soak and returns what tells its end, or nil.
 func (h *host) end() chan struct{} {
 	h.mu.Lock()
