--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -46,8 +46,8 @@
 	// started is when the process was started; ending is true when the soak ends it.
 	started time.Time
 	ending  bool
-	paused bool
-	misses int
+	paused  bool
+	misses  int
 }
 
 // freePort returns an address of loopback whose port is free for TCP. It lies below
