--- a/internal/bench/soaker/judge.go
+++ b/internal/bench/soaker/judge.go
@@ -77,10 +77,11 @@
 func (j *judge) breach(promise, detail string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.break1(promise, detail)
+	j.record(promise, detail)
 }
 
-func (j *judge) break1(promise, detail string) {
+// record keeps a broken promise; mu must be held.
+func (j *judge) record(promise, detail string) {
 	if len(j.broken) < maxBroken {
 		j.broken = append(j.broken, fmt.Sprintf("%s %s: %s", time.Now().Format("15:04:05.000"), promise, detail))
 	}
@@ -123,22 +124,22 @@
 	j.runs = append(j.runs, run{target, r.At})
 	a := j.asked[r.ID]
 	if a == nil {
-		j.break1("only what callers asked runs", "request "+r.ID+" was never sent")
+		j.record("only what callers asked runs", "request "+r.ID+" was never sent")
 		return
 	}
 	a.runs++
 	switch {
 	case a.method != r.Method || a.uri != r.URI || a.body != r.Body:
-		j.break1("requests are unchanged", fmt.Sprintf("%s ran as %s %s with %d bytes", r.ID, r.Method, r.URI, len(r.Body)))
+		j.record("requests are unchanged", fmt.Sprintf("%s ran as %s %s with %d bytes", r.ID, r.Method, r.URI, len(r.Body)))
 	case a.team != r.Team:
-		j.break1("teams", fmt.Sprintf("%s of %s ran as %s", r.ID, a.team, r.Team))
+		j.record("teams", fmt.Sprintf("%s of %s ran as %s", r.ID, a.team, r.Team))
 	case a.runs > 1 && !a.repeatable():
-		j.break1("at most once", fmt.Sprintf("%s (%s) runs %d times", r.ID, a.kind, a.runs))
+		j.record("at most once", fmt.Sprintf("%s (%s) runs %d times", r.ID, a.kind, a.runs))
 	case a.promised:
-		j.break1("not run", fmt.Sprintf("%s (%s) runs after its caller was told that it never will", r.ID, a.kind))
+		j.record("not run", fmt.Sprintf("%s (%s) runs after its caller was told that it never will", r.ID, a.kind))
 	}
 	if at, ok := j.revoked[a.key]; ok && a.sent.After(at.Add(revokeTime)) && j.dated(at, r.At) {
-		j.break1("revoked keys", fmt.Sprintf("%s runs %s after its key was taken away", r.ID, r.At.Sub(at)))
+		j.record("revoked keys", fmt.Sprintf("%s runs %s after its key was taken away", r.ID, r.At.Sub(at)))
 	}
 	j.checkCold(target, r.At)
 }
@@ -156,7 +157,7 @@
 		}
 	}
 	if n > coldMost && j.dated(now.Add(-time.Second), now) {
-		j.break1("cold targets", fmt.Sprintf("%s got %d requests in a second, may get %d", target, n, coldMost))
+		j.record("cold targets", fmt.Sprintf("%s got %d requests in a second, may get %d", target, n, coldMost))
 	}
 }
 
@@ -175,11 +176,11 @@
 		}
 		switch {
 		case last.Fence == o.Fence:
-			j.break1("one holder", fmt.Sprintf("%s and %s order with fence %d", last.Holder, o.Holder, o.Fence))
+			j.record("one holder", fmt.Sprintf("%s and %s order with fence %d", last.Holder, o.Holder, o.Fence))
 		case last.Fence > o.Fence:
-			j.break1("one holder", fmt.Sprintf("%s orders with fence %d after %s with %d", o.Holder, o.Fence, last.Holder, last.Fence))
+			j.record("one holder", fmt.Sprintf("%s orders with fence %d after %s with %d", o.Holder, o.Fence, last.Holder, last.Fence))
 		case o.At.Sub(last.At) < leaseTerm && j.dated(last.At.Add(-leaseTerm), o.At):
-			j.break1("one holder", fmt.Sprintf("%s orders %s after %s", o.Holder, o.At.Sub(last.At), last.Holder))
+			j.record("one holder", fmt.Sprintf("%s orders %s after %s", o.Holder, o.At.Sub(last.At), last.Holder))
 		}
 		break
 	}
@@ -227,11 +228,11 @@
 	case !success:
 		j.endRefused(id, a, got)
 	case !got.sealed || got.id != id:
-		j.break1("whole answers", fmt.Sprintf("%s: a success for %q, sealed %v", id, got.id, got.sealed))
+		j.record("whole answers", fmt.Sprintf("%s: a success for %q, sealed %v", id, got.id, got.sealed))
 	case got.err != nil && strings.HasPrefix(want, got.body):
 		j.counts.failed++
 	case got.body != want:
-		j.break1("whole answers", fmt.Sprintf("%s (%s): %d bytes of %d, looks whole: %v: %.200q", id, a.kind, len(got.body), len(want), got.err == nil, got.body))
+		j.record("whole answers", fmt.Sprintf("%s (%s): %d bytes of %d, looks whole: %v: %.200q", id, a.kind, len(got.body), len(want), got.err == nil, got.body))
 	default:
 		j.counts.answered++
 	}
@@ -244,13 +245,13 @@
 	case promises(got.status):
 		a.promised = !a.repeatable()
 		if a.promised && a.runs > 0 {
-			j.break1("not run", fmt.Sprintf("%s (%s) ran, and its caller was told %d", id, a.kind, got.status))
+			j.record("not run", fmt.Sprintf("%s (%s) ran, and its caller was told %d", id, a.kind, got.status))
 		}
 	case got.status == http.StatusUnauthorized && revoked:
 		j.counts.requests-- // It is owed nothing.
 	case got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout:
 	default:
-		j.break1("allowed requests", fmt.Sprintf("%s (%s) is refused with %d", id, a.kind, got.status))
+		j.record("allowed requests", fmt.Sprintf("%s (%s) is refused with %d", id, a.kind, got.status))
 	}
 }
 
@@ -292,7 +293,7 @@
 		}
 	}
 	if n > 0 && j.dated(from.Add(-evacuationTime), time.Now()) {
-		j.break1("leaving", fmt.Sprintf("%s gets %d requests", what, n))
+		j.record("leaving", fmt.Sprintf("%s gets %d requests", what, n))
 	}
 }
 
@@ -302,7 +303,7 @@
 	defer j.mu.Unlock()
 	for id, a := range j.asked {
 		if a.host == host && a.cut && a.runs > 0 && a.ended.After(from) {
-			j.break1("graceful stop", fmt.Sprintf("%s (%s) was cut by %s", id, a.kind, host))
+			j.record("graceful stop", fmt.Sprintf("%s (%s) was cut by %s", id, a.kind, host))
 		}
 	}
 }
