--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -15,11 +15,9 @@
 )
 
 const (
-	// fetchTime bounds each fetch, and frees of outdated parts wait for its end.
-	// shortestFetch is many times what an import takes on a link that isn't slow, by
-	// the deployments' sheets.
-	fetchTime     = time.Second
-	shortestFetch = 100 * time.Millisecond
+	// fetchTime bounds a fetch: a longer one costs more than reading the prompt,
+	// and frees of outdated parts wait for its end.
+	fetchTime = time.Second
 	// skewTrusted is how long the targets' clock counts as running like this host's.
 	skewTrusted = 10 * time.Second
 	// trustFor is how long a host believes in what a store held when it last
@@ -354,17 +352,10 @@
 		}
 	}
 	if s.skewKnown {
-		out.SourceUntil = s.now.Add(s.skew + fetchBound(r))
+		out.SourceUntil = s.now.Add(s.skew + fetchTime)
 	}
 }
 
-// fetchBound is how long r waits for its imports. It answers the load pattern in
-// which a store's link turns slow: what comes later than that is read, and the
-// answer can still be in time.
-func fetchBound(r *request) time.Duration {
-	return min(fetchTime, max(shortestFetch, r.goal()/2))
-}
-
 // trusted reports whether st surely holds what is believed.
 func (s *State) trusted(st *store) bool { return st.alive && s.now.Sub(st.confirmed) < trustFor }
 
