List all targets of the soak in one place

Found by reading the whole change: the engines and the plain targets were joined in three places. Behaviour is the same. The daemon's code is untouched.

--- a/internal/bench/soaker/storm.go
+++ b/internal/bench/soaker/storm.go
@@ -157,7 +157,7 @@
 
 func (s *Soaker) drawTarget() fault {
 	w := s.world
-	all := append(append([]*target(nil), w.engines...), w.plains...)
+	all := w.targets()
 	t := all[s.rng.IntN(len(all))]
 	dc := dataCentres[s.rng.IntN(len(dataCentres))]
 	switch s.rng.IntN(5) {
--- a/internal/bench/soaker/world.go
+++ b/internal/bench/soaker/world.go
@@ -263,8 +263,11 @@
 	return t.id
 }
 
+// targets returns the engines and the plain targets.
+func (w *world) targets() []*target { return slices.Concat(w.engines, w.plains) }
+
 func (w *world) placeOf(name string) string {
-	for _, t := range append(append([]*target(nil), w.engines...), w.plains...) {
+	for _, t := range w.targets() {
 		if t.name == name {
 			return t.dataCentre
 		}
@@ -373,7 +376,7 @@
 	for _, dc := range dataCentres {
 		w.takeIn(dc)
 	}
-	for _, t := range append(append([]*target(nil), w.engines...), w.plains...) {
+	for _, t := range w.targets() {
 		t.worker.SetFailing(0)
 		t.announce(false)
 	}
