Log the wanted weights and their age with requests on older ones

A request sent to an engine with older weights now logs the named version and the time since then by which the host decides, and 'weights named' the time since the host's last suspension. No decision changes.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -216,9 +216,13 @@
 	if s.isCold(t) {
 		t.coldAllowance--
 	}
-	s.log("sent", r.id, "route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.sends, "predicted", predicted,
-		"own", t.ownLoad.Requests, "others", t.peerLoad.Requests, "unread", t.ownLoad.PrefillTokens+t.peerLoad.PrefillTokens, "memory", t.ownLoad.MemoryTokens+t.peerLoad.MemoryTokens,
-		"weights", out.Weights, "read", r.load.PrefillTokens, "read-slow", r.misses.slowStore, "read-saving", r.misses.beingSaved, "read-unknown", r.misses.notStored)
+	fields := []any{"route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.sends, "predicted", predicted,
+		"own", t.ownLoad.Requests, "others", t.peerLoad.Requests, "unread", t.ownLoad.PrefillTokens + t.peerLoad.PrefillTokens, "memory", t.ownLoad.MemoryTokens + t.peerLoad.MemoryTokens,
+		"weights", out.Weights, "read", r.load.PrefillTokens, "read-slow", r.misses.slowStore, "read-saving", r.misses.beingSaved, "read-unknown", r.misses.notStored}
+	if r.prompt != nil && s.hasOutdatedWeights(t, r.prompt.Model) {
+		fields = append(fields, "weights-named", s.desiredWeights[r.prompt.Model], "since-named", s.now.Sub(s.desiredSince[r.prompt.Model]))
+	}
+	s.log("sent", r.id, fields...)
 	s.emit(out)
 	s.sendLoadToNeighbours()
 }
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -277,7 +277,11 @@
 	}
 	s.desiredWeights[ev.Model] = ev.Version
 	s.desiredSince[ev.Model] = s.now
-	s.log("weights named", "", "model", ev.Model, "version", ev.Version)
+	fields := []any{"model", ev.Model, "version", ev.Version}
+	if !s.resumedAt.IsZero() {
+		fields = append(fields, "since-resumed", s.now.Sub(s.resumedAt))
+	}
+	s.log("weights named", "", fields...)
 }
 
 // usable reports whether t may receive r now.
