--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -31,6 +31,9 @@
 "services":[{"name":"plain","healthPath":"/healthz","maxConns":100},{"name":"streams","healthPath":"/healthz","maxConns":100}],
 "limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},"tenants":[{"name":"team","apiKeys":["key"]}]}`
 
+// weightsWithin is the platform's bound for new weights.
+const weightsWithin = 8 * time.Second
+
 // testRelay is a relay with stand-ins for its platform and targets.
 type testRelay struct {
 	t     *testing.T
@@ -53,28 +56,35 @@
 
 func startRelay(t *testing.T, targets ...*imitator.Target) *testRelay {
 	t.Helper()
-	r := &testRelay{t: t, store: imitator.NewStore(), done: make(chan error, 1)}
-	platform := httptest.NewServer(r.store)
-	r.store.Put(caller.KindConfig, caller.ConfigName, fmt.Sprintf(testConfig, 1))
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, fmt.Sprintf(testConfig, 1))
 	for _, target := range targets {
 		srv := httptest.NewServer(target)
 		service := "plain"
 		if target.Events > 0 {
 			service = "streams"
 		}
-		r.store.Put(caller.KindTargets, target.ID, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"a","slots":8,"state":"ready","born":1}`, service, srv.Listener.Addr()))
+		store.Put(caller.KindTargets, target.ID, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"a","slots":8,"state":"ready","born":1}`, service, srv.Listener.Addr()))
 		t.Cleanup(srv.Close)
 	}
-	r.store.Put(caller.KindTargets, "foreign", `{"service":7}`)
+	store.Put(caller.KindTargets, "foreign", `{"service":7}`)
+	return startRelayOn(t, store, timer.BootClock{})
+}
+
+// startRelayOn starts a relay on a store that holds the configuration and targets.
+func startRelayOn(t *testing.T, store *imitator.Store, clock timer.Clock) *testRelay {
+	t.Helper()
+	r := &testRelay{t: t, store: store, done: make(chan error, 1)}
+	platform := httptest.NewServer(r.store)
 	callers, ready, gossip := freeAddr(t), freeAddr(t), freeAddr(t)
 	var err error
 	r.relay, err = New(Config{
 		Settings: descriptor.Settings{
 			Host: "host-1", Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Callers: callers, Ready: ready,
 			FirstPort: gossip.Port(), LastPort: gossip.Port(), Platform: platform.Listener.Addr().(*net.TCPAddr).AddrPort(),
-			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
+			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: weightsWithin,
 		},
-		Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), Boot: 1,
+		Clock: clock, Logger: hclog.NewNullLogger(), Boot: 1,
 	})
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
