Count the deadline of old weights from before they were replaced

Cause: a host counted the deadline from the moment at which it learned of the new version. A host that is suspended while a version is named, starts after that, or whose watch is silent learns of it seconds late, and used engines with old weights for as much longer. Two lease holders in turn were suspended, so that engines still had old weights at the deadline.

Change: a host keeps the latest time at which it knows a version not to have been named yet, and counts from there. The store gives no times, but its revisions increase with each change: what has a higher revision than an answer happened after the answer's call began. Hosts announce these times with their age and take the latest. Ages are not used for a second after a suspension, as for the configuration. A host that knows no such time uses no engine with older weights; peers answer a new process at once.

Why it works: the time is never later than the naming, whatever delayed the news, so the deadline can only come early; with a store that answers each second and several hosts, by less than a second.

The pace of a rollout and the choice of a target, which may err, count from the earliest time at which any host learned of the version. Tests that let a host learn of weights at once now say so by nameWeights; their checks are unchanged. The replayer gives its store one revision for all objects.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -220,7 +220,7 @@
 		"own", t.ownLoad.Requests, "others", t.peerLoad.Requests, "unread", t.ownLoad.PrefillTokens + t.peerLoad.PrefillTokens, "memory", t.ownLoad.MemoryTokens + t.peerLoad.MemoryTokens,
 		"weights", out.Weights, "read", r.load.PrefillTokens, "read-slow", r.misses.slowStore, "read-saving", r.misses.beingSaved, "read-unknown", r.misses.notStored}
 	if r.prompt != nil && s.hasOutdatedWeights(t, r.prompt.Model) {
-		fields = append(fields, "weights-named", s.desiredWeights[r.prompt.Model], "since-named", s.now.Sub(s.desiredSince[r.prompt.Model]))
+		fields = append(fields, "weights-named", s.desiredWeights[r.prompt.Model], "since-named", s.now.Sub(s.replacement(t, r.prompt.Model).notBefore))
 	}
 	s.log("sent", r.id, fields...)
 	s.emit(out)
--- a/internal/relay/decider/caching_test.go
+++ b/internal/relay/decider/caching_test.go
@@ -88,7 +88,7 @@
 	h := newHost(t, "a", 2, 0)
 	leases.tickHosts(time.Second, h)
 	h.setStoreParts(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
-	h.handle(DesiredWeightsChanged{Model: model, Version: 3})
+	h.nameWeights(3)
 	freed := func(d time.Duration) []FreeParts {
 		var list []FreeParts
 		for end := h.clock.Add(d); h.clock.Before(end); {
@@ -118,7 +118,7 @@
 	h := newHost(t, "a", 1, 0)
 	h.storesUnconfirmed = true
 	h.setStoreParts(storeAddress(2), descriptor.Part{ID: "s", Tokens: 5000})
-	h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+	h.nameWeights(2)
 	h.handle(ReportAnswered{Target: "engine-1", Report: newReport(2)})
 	h.advanceTicking(2 * freeDelay)
 	assert.Equal(t, h.storeByAddress(storeAddress(2)).usedTokens, 0, "outdated parts count as used memory")
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -41,6 +41,7 @@
 	effects []Effect
 
 	fleet
+	naming
 	requests
 	cacheDirectory
 	peers
@@ -53,7 +54,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
-		fleet: newFleet(), requests: newRequests(), cacheDirectory: newCacheDirectory(), peers: newPeers(),
+		fleet: newFleet(), naming: newNaming(), requests: newRequests(), cacheDirectory: newCacheDirectory(), peers: newPeers(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
 	}
 }
@@ -108,6 +109,8 @@
 		s.onTargetsListed(ev)
 	case EvacuationsListed:
 		s.onEvacuationsListed(ev)
+	case RevisionConfirmed:
+		s.onRevisionConfirmed(ev)
 	case DesiredWeightsChanged:
 		s.onDesiredWeightsChanged(ev)
 	case LeaseAnswered:
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -101,6 +101,19 @@
 type DesiredWeightsChanged struct {
 	Model   string
 	Version int
+	// Revision is that of the platform's store when the version was named.
+	Revision int64
+	// Listed is true when the version is from a list, which hides replaced versions, rather
+	// than from the changes since the last event.
+	Listed bool
+}
+
+// RevisionConfirmed reports that the changes of the platform's store after Revision were made
+// after AsOf. FromPeer is true when another host reported it.
+type RevisionConfirmed struct {
+	Revision int64
+	AsOf     time.Time
+	FromPeer bool
 }
 
 // PartsChanged reports changes in the content of a store. Whole is true when they list all
@@ -182,6 +195,7 @@
 func (TargetsListed) isEvent()         {}
 func (EvacuationsListed) isEvent()     {}
 func (DesiredWeightsChanged) isEvent() {}
+func (RevisionConfirmed) isEvent()     {}
 func (PartsChanged) isEvent()          {}
 func (StoreLost) isEvent()             {}
 func (HostsListed) isEvent()           {}
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -29,7 +29,7 @@
 	// target that left the list.
 	departedRetention = 10 * time.Second
 	// weightsDeadlineMargin is subtracted from WeightsWithin. It covers the queueing time of a
-	// request at its engine and the delay until this host learned of the named version.
+	// request at its engine.
 	weightsDeadlineMargin = time.Second
 	// maxConfigAgeToDeny is the greatest age of the configuration at which a route or key is
 	// refused permanently: within this time, a new version must be in force.
@@ -48,10 +48,6 @@
 	evacuatedDataCentres map[string]bool
 	// departed holds the weights of targets that recently left the list.
 	departed map[string]departure
-	// desiredWeights maps models to the versions named for them, desiredSince to the times this
-	// host learned of these.
-	desiredWeights map[string]int
-	desiredSince   map[string]time.Time
 	// meanServiceTime is the mean service time of each plain service, in seconds.
 	meanServiceTime map[string]float64
 }
@@ -113,8 +109,7 @@
 func newFleet() fleet {
 	return fleet{
 		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]bool{},
-		departed:       map[string]departure{},
-		desiredWeights: map[string]int{}, desiredSince: map[string]time.Time{}, meanServiceTime: map[string]float64{},
+		departed: map[string]departure{}, meanServiceTime: map[string]float64{},
 	}
 }
 
@@ -271,19 +266,6 @@
 	s.log("data centres out", "", "data-centres", ev.DataCentres)
 }
 
-func (s *State) onDesiredWeightsChanged(ev DesiredWeightsChanged) {
-	if ev.Version <= s.desiredWeights[ev.Model] {
-		return
-	}
-	s.desiredWeights[ev.Model] = ev.Version
-	s.desiredSince[ev.Model] = s.now
-	fields := []any{"model", ev.Model, "version", ev.Version}
-	if !s.resumedAt.IsZero() {
-		fields = append(fields, "since-resumed", s.now.Sub(s.resumedAt))
-	}
-	s.log("weights named", "", fields...)
-}
-
 // usable reports whether t may receive r now.
 func (s *State) usable(t *target, r *request) bool {
 	switch {
@@ -299,12 +281,6 @@
 	return !s.isCold(t) || s.mayUseColdTarget(t)
 }
 
-// weightsExpired reports whether t has had outdated weights for so long that a request sent now
-// could start after the deadline for the new ones.
-func (s *State) weightsExpired(t *target, model string) bool {
-	return s.hasOutdatedWeights(t, model) && s.now.Sub(s.desiredSince[model]) > s.cfg.WeightsWithin-weightsDeadlineMargin
-}
-
 // connectionShare returns how many connections to one target this host may use.
 func (s *State) connectionShare(svc *descriptor.Service) int {
 	const spare = 0.9 // Connections of hosts that have left are closed late.
--- a/internal/relay/decider/helpers_test.go
+++ b/internal/relay/decider/helpers_test.go
@@ -93,10 +93,16 @@
 		list = append(list, plainTarget(n+1))
 	}
 	h.handle(TargetsListed{Targets: list, Whole: true})
-	h.handle(DesiredWeightsChanged{Model: model, Version: 1})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 1, Listed: true})
 	return h
 }
 
+// nameWeights lets the host learn of a version at the moment it is named.
+func (h *host) nameWeights(version int) {
+	h.handle(RevisionConfirmed{Revision: h.lease.Revision, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: version, Revision: h.lease.Revision + 1})
+}
+
 func (h *host) handle(ev Event) []Effect { return h.Reduce(ev, h.clock) }
 
 // advance lets time pass without events, as while a host is suspended.
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -74,6 +74,8 @@
 	// sender holds it.
 	Lease  int64 `cbor:"10,keyasint,omitempty"`
 	Holder bool  `cbor:"11,keyasint,omitempty"`
+	// Named lists the weight versions that were named recently.
+	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
 }
 
 // peers holds the state received from other hosts, and when messages to them were last sent.
@@ -175,6 +177,7 @@
 		m = s.newLoadMessage()
 		s.lastLoadBroadcastAt = s.now
 	}
+	m.Named = s.announcedVersions()
 	if s.holdsLease() {
 		m.Weights = s.recentWeights()
 	}
@@ -251,6 +254,9 @@
 		p = &peer{boot: m.Boot}
 		s.peerByHost[m.Host] = p
 		s.log("peer heard", "", "peer", m.Host, "boot", m.Boot)
+		if len(s.announcedVersions()) > 0 {
+			s.broadcast() // A new process can't know when the weights were named.
+		}
 	}
 	if m.Boot != p.boot || m.Number <= p.lastNumber {
 		return
@@ -295,12 +301,13 @@
 // messageAgesReliable reports whether the ages in messages received now can be relied on.
 func (s *State) messageAgesReliable() bool { return s.now.Sub(s.resumedAt) > suspensionBacklogTime }
 
-// applyPeerState applies the configuration age, new weights, lease and updates that a peer
-// announced.
+// applyPeerState applies the configuration age, named and new weights, lease and updates that a
+// peer announced.
 func (s *State) applyPeerState(m Message) {
 	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable() {
 		s.confirmConfig(s.now.Add(-m.ConfigAge - maxMessageDelay))
 	}
+	s.applyAnnouncedVersions(m.Named, m.Host)
 	for id, weights := range m.Weights {
 		for model, version := range weights {
 			if t := s.targets[id]; t != nil {
--- a/internal/relay/decider/peers_test.go
+++ b/internal/relay/decider/peers_test.go
@@ -33,7 +33,7 @@
 	h := newHostWithPeers(t, 62, engines)
 	h.handle(LeaseAnswered{Missing: true, CalledAt: h.clock})
 	h.handle(LeaseAnswered{Lease: Lease{Revision: 2, Holder: "a", Boot: 1}, Written: true, CalledAt: h.clock})
-	h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+	h.nameWeights(2)
 	sentBytes := 0
 	announced := map[string]int{}
 	const length = 4 * time.Second
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -133,7 +133,7 @@
 	if waiting := load.Requests + 1 - engine.Slots; waiting > 0 {
 		delay += memoryHoldTime * time.Duration(waiting) / time.Duration(max(1, engine.Slots))
 	}
-	if s.hasOutdatedWeights(t, r.prompt.Model) && s.now.Sub(s.desiredSince[r.prompt.Model]) > oldWeightsGrace {
+	if s.sinceReplaced(t, r.prompt.Model) > oldWeightsGrace {
 		delay += time.Duration(oldWeightsPenalty * float64(r.latencyGoal()))
 	}
 	return delay
@@ -153,10 +153,6 @@
 	return firstTokenTime + plan.duration + time.Duration(r.prompt.Tokens-plan.tokens)*prefillTimePerToken
 }
 
-func (s *State) hasOutdatedWeights(t *target, model string) bool {
-	return t.Weights[model] < s.desiredWeights[model]
-}
-
 // importPlanKey identifies engines that share an import plan: same weights, same data centre.
 type importPlanKey struct {
 	version    int
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -193,6 +193,7 @@
 		return
 	}
 	s.renewedAt = ev.CalledAt
+	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
 	if previous.Holder != s.cfg.Host || previous.Boot != s.cfg.Boot || s.fencingToken == 0 {
 		s.fencingToken = ev.Lease.Revision
 		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision)
@@ -253,7 +254,7 @@
 		}
 		engines++
 		if model, _ := s.outdatedModel(t); model != "" {
-			elapsed = max(elapsed, s.now.Sub(s.desiredSince[model]))
+			elapsed = max(elapsed, s.sinceReplaced(t, model))
 			if s.updates[t.ID] == nil {
 				waiting = append(waiting, t)
 			}
@@ -319,7 +320,7 @@
 	switch {
 	case ev.Report.Weights[u.model] >= u.version:
 		delete(s.updates, t.ID)
-		s.log("order done", "", "target", t.ID, "version", u.version, "since-named", s.now.Sub(s.desiredSince[u.model]))
+		s.log("order done", "", "target", t.ID, "version", u.version, "since-named", s.sinceNamed(u.model, u.version))
 		s.broadcast()
 	case ev.Report.Busy || s.now.Sub(u.orderedAt) < maxReportAge || !s.mayGiveOrders():
 		u.nextCheckAt = s.now.Add(reportInterval)
--- a/internal/relay/decider/rollout_test.go
+++ b/internal/relay/decider/rollout_test.go
@@ -93,7 +93,7 @@
 		b.clock = a.clock
 		b.handle(MessageReceived{Message: a.newMessage()})
 		for _, h := range []*host{a, b} {
-			h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+			h.nameWeights(2)
 		}
 		last := a.clock
 		for range 3 {
@@ -125,7 +125,7 @@
 // after the platform's deadline for the new ones.
 func TestOutdatedEnginesNotUsedAfterDeadline(t *testing.T) {
 	h := newHost(t, "a", 2, 0)
-	h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+	h.nameWeights(2)
 	h.advance(6 * time.Second)
 	_, effect := h.request("/short/", key, shortPrompt("s"))
 	_, sent := effect.(Send)
@@ -188,7 +188,7 @@
 			h.handle(ReportAnswered{Target: id, Report: newReport(2)})
 		}
 	}
-	h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+	h.nameWeights(2)
 	ordersToEngine := func(given []GiveOrder) (orders []GiveOrder) {
 		for _, g := range given {
 			if g.Target == engine {
@@ -212,7 +212,7 @@
 // hosts. An order that can't wait any longer must let them finish.
 func TestOrderWaitsForPinnedRequestsOfPeers(t *testing.T) {
 	h := newLeaseHolder(t, 2)
-	h.handle(DesiredWeightsChanged{Model: model, Version: 2})
+	h.nameWeights(2)
 	busy := map[string]targetLoad{"engine-1": {Requests: 1, Pinned: 1}, "engine-2": {Requests: 1, Pinned: 1}}
 	assert.Equal(t, len(h.runUpdates(maxPinnedWait-100*time.Millisecond, busy)), 0)
 	given := h.runUpdates(500*time.Millisecond, busy)
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -221,6 +221,7 @@
 		w.recordSuccess()
 		clear(w.objects)
 		w.updateObjects(all.Objects)
+		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
 		w.setRevision(all.Revision)
 		// Updates of the watching hosts are expected from here on.
@@ -235,6 +236,7 @@
 	}
 	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), afterOutage: w.recentOutage()}
 	w.recordSuccess()
+	w.confirmRevision(changes, fresh)
 	w.forwardChanges(after, changes, fresh)
 	w.applyChanges(changes, fresh)
 	w.changed, w.behind = len(changes.Objects) > 0, false
@@ -244,6 +246,14 @@
 	return nil
 }
 
+// confirmRevision posts the revision of an answer without changes. That of an answer with changes
+// may be the revision of the last one, rather than of the store.
+func (w *watch) confirmRevision(changes caller.Objects, fresh freshness) {
+	if len(changes.Objects) == 0 {
+		w.cfg.Post(decider.RevisionConfirmed{Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
+	}
+}
+
 // recentOutage reports whether entries that are missing now may come back.
 func (w *watch) recentOutage() bool {
 	return w.failing || w.cfg.Clock.Now().Sub(w.recoveredAt) < outageGrace
@@ -314,7 +324,7 @@
 			w.postEvacuations()
 		}
 	case caller.KindWeights:
-		w.postWeights(objects)
+		w.postWeights(objects, full)
 	case caller.KindHosts:
 		if full || len(objects) > 0 {
 			w.postHosts()
@@ -364,7 +374,7 @@
 	w.cfg.Post(ev)
 }
 
-func (w *watch) postWeights(objects []caller.Object) {
+func (w *watch) postWeights(objects []caller.Object, full bool) {
 	for _, o := range objects {
 		if o.Removed {
 			continue
@@ -374,7 +384,7 @@
 			w.cfg.Logger.Warn("invalid weights ignored", "name", o.Name, "error", err.Error())
 			continue
 		}
-		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version})
+		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version, Revision: o.Revision, Listed: full})
 	}
 }
 
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -165,6 +165,7 @@
 		return
 	}
 	fresh := freshness{asOf: u.receivedAt.Add(-u.Age - maxUpdateDelay), fromPeer: true, afterOutage: u.AfterOutage}
+	w.confirmRevision(caller.Objects{Objects: u.Objects, Revision: u.UpTo}, fresh)
 	if u.UpTo <= w.revision {
 		u.Objects = nil
 	}
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -149,9 +149,11 @@
 	versionNamedAt time.Time
 	version        int
 	arrivalFactor  float64
-	lease          decider.Lease
-	result         Result
-	lastNumber     int64
+	// revision is that of the platform's store.
+	revision   int64
+	lease      decider.Lease
+	result     Result
+	lastNumber int64
 	// open holds the requests that haven't ended.
 	open map[int64]*request
 }
@@ -198,7 +200,7 @@
 		r.post(h, decider.ConfigListed{Config: config})
 		r.post(h, decider.ConfigConfirmed{AsOf: r.now})
 		r.post(h, decider.TargetsListed{Targets: list, Whole: true})
-		r.post(h, decider.DesiredWeightsChanged{Model: modelName, Version: 1})
+		r.post(h, decider.DesiredWeightsChanged{Model: modelName, Version: 1, Listed: true})
 		r.post(h, decider.HostsListed{Hosts: hosts})
 		for addr := range r.stores {
 			r.post(h, decider.PartsChanged{Store: addr, Changes: descriptor.PartChanges{Boot: 1}, Whole: true})
@@ -268,6 +270,7 @@
 
 func (r *Replayer) tick(h *host) {
 	r.post(h, decider.ConfigConfirmed{AsOf: r.now})
+	r.post(h, decider.RevisionConfirmed{Revision: r.revision, AsOf: r.now})
 	for addr := range r.stores {
 		r.post(h, decider.PartsChanged{Store: addr, AsOf: r.now, Changes: descriptor.PartChanges{Boot: 1, Clock: r.now}})
 	}
@@ -302,9 +305,10 @@
 			}
 		}
 	case FaultNewWeights:
+		r.revision++
 		r.version, r.versionNamedAt = fault.Count, r.now
 		for _, h := range r.hosts {
-			r.post(h, decider.DesiredWeightsChanged{Model: modelName, Version: fault.Count})
+			r.post(h, decider.DesiredWeightsChanged{Model: modelName, Version: fault.Count, Revision: r.revision})
 		}
 	case FaultBurst:
 		r.arrivalFactor = fault.Factor
@@ -353,7 +357,8 @@
 		r.post(h, decider.LeaseAnswered{CalledAt: r.now.Add(-platformDelay), Written: true, Err: true})
 		return
 	}
-	r.lease = decider.Lease{Revision: revision + 1, Holder: h.name, Boot: 1}
+	r.revision++
+	r.lease = decider.Lease{Revision: r.revision, Holder: h.name, Boot: 1}
 	r.post(h, decider.LeaseAnswered{Lease: r.lease, CalledAt: r.now.Add(-platformDelay), Written: true})
 }
 
