Give each weights version a deadline of its own

Cause: a host kept the time of the newest version only. When a version was named before its predecessor was in place, the deadline of engines that had neither started again. A host that got several versions in one answer, or from a list, never learned of the replaced ones.

Evidence: TestEachVersionHasItsOwnDeadline, TestListHidesReplacedVersions and TestReplacedWeightsArePosted failed before (an engine in use 7.1 s after its weights were replaced; version 2 never posted) and pass now.

Change: the deadline of an engine counts from the version that replaced its weights. Replaced versions of one answer are kept; a list can hide versions, so engines more than one version behind count as expired.

TestAnswersConfirmRevisions checks the answers that the times come from.

--- a/internal/relay/decider/helpers_test.go
+++ b/internal/relay/decider/helpers_test.go
@@ -23,6 +23,8 @@
 	t          *testing.T
 	clock      time.Time
 	lastNumber int64
+	// storeRevision is the revision of the platform's store.
+	storeRevision int64
 	// storesUnconfirmed is true when stores don't confirm their content before each request.
 	storesUnconfirmed bool
 }
@@ -99,8 +101,10 @@
 
 // nameWeights lets the host learn of a version at the moment it is named.
 func (h *host) nameWeights(version int) {
-	h.handle(RevisionConfirmed{Revision: h.lease.Revision, AsOf: h.clock})
-	h.handle(DesiredWeightsChanged{Model: model, Version: version, Revision: h.lease.Revision + 1})
+	h.storeRevision = max(h.storeRevision, h.lease.Revision)
+	h.handle(RevisionConfirmed{Revision: h.storeRevision, AsOf: h.clock})
+	h.storeRevision++
+	h.handle(DesiredWeightsChanged{Model: model, Version: version, Revision: h.storeRevision})
 }
 
 func (h *host) handle(ev Event) []Effect { return h.Reduce(ev, h.clock) }
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -161,14 +161,19 @@
 	return t.Weights[model] < s.desiredWeights[model]
 }
 
-// replacement returns the newest version of a model, which replaced t's weights. It is the zero
-// value if t's weights are current or it is unknown when they were replaced.
+// replacement returns the version that replaced t's weights of a model. It is the zero value if
+// t's weights are current or it is unknown which version that was.
 func (s *State) replacement(t *target, model string) namedVersion {
-	list := s.namedVersions[model]
-	if len(list) == 0 || list[len(list)-1].version <= t.Weights[model] {
-		return namedVersion{}
+	current := t.Weights[model]
+	for _, n := range s.namedVersions[model] {
+		if n.version > current {
+			if n.previous > current {
+				break
+			}
+			return n
+		}
 	}
-	return list[len(list)-1]
+	return namedVersion{}
 }
 
 // sinceReplaced returns the time since t's weights of a model were replaced, as far as is known
--- a/internal/relay/decider/naming_test.go
+++ b/internal/relay/decider/naming_test.go
@@ -105,3 +105,34 @@
 	h.advanceTicking(400 * time.Millisecond)
 	assert.Assert(t, !h.sendsShort(), "a request is sent to old weights after the deadline that a peer announced")
 }
+
+// TestEachVersionHasItsOwnDeadline guards against a deadline that starts again with each newer
+// version, so that an engine stays in use on weights that were replaced long ago.
+func TestEachVersionHasItsOwnDeadline(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.nameWeights(2)
+	h.advanceTicking(5 * time.Second)
+	h.handle(ReportAnswered{Target: "engine-2", Report: newReport(2)})
+	h.nameWeights(3)
+	h.advanceTicking(1900 * time.Millisecond)
+	assert.Assert(t, h.usable(h.targets["engine-1"], h.shortRequest()), "an engine is out of use before the deadline")
+	h.advanceTicking(200 * time.Millisecond)
+	assert.Assert(t, !h.usable(h.targets["engine-1"], h.shortRequest()), "an engine is in use on weights replaced 7.1 s ago")
+	assert.Assert(t, h.usable(h.targets["engine-2"], h.shortRequest()), "an engine is out of use 2.1 s after its weights were replaced")
+}
+
+// TestListHidesReplacedVersions guards against a deadline that counts from the newest version of
+// a list although an earlier one replaced the weights.
+func TestListHidesReplacedVersions(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.handle(ReportAnswered{Target: "engine-2", Report: newReport(2)})
+	h.handle(RevisionConfirmed{Revision: 10, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 3, Revision: 12, Listed: true})
+	assert.Assert(t, !h.usable(h.targets["engine-1"], h.shortRequest()), "it is unknown when version 2 was named")
+	assert.Assert(t, h.usable(h.targets["engine-2"], h.shortRequest()))
+}
+
+// shortRequest returns a request with a short prompt.
+func (h *host) shortRequest() *request {
+	return &request{route: &h.config.Routes[1], service: "engines", prompt: shortPrompt("s")}
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -260,7 +260,7 @@
 }
 
 // applyChanges applies changes and posts them. It drops all but the last change of
-// each object.
+// each object, except for weights, as a replaced version has a deadline of its own.
 func (w *watch) applyChanges(changes caller.Objects, fresh freshness) {
 	last := make(map[string]int, len(changes.Objects))
 	for i, o := range changes.Objects {
@@ -268,7 +268,7 @@
 	}
 	var objects []caller.Object
 	for i, o := range changes.Objects {
-		if last[o.Name] == i {
+		if last[o.Name] == i || w.kind == caller.KindWeights {
 			objects = append(objects, o)
 		}
 	}
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -304,3 +304,45 @@
 		assert.Assert(t, n < hosts/10, "%d of %d watches end within %v after %v", n, hosts, bucket, at*bucket)
 	}
 }
+
+// TestReplacedWeightsArePosted guards against a lost deadline of a version that is replaced before
+// a host hears of it.
+func TestReplacedWeightsArePosted(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(1))
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.DesiredWeightsChanged) bool { return ev.Version == 1 && ev.Listed })
+	store.SetDown(true)
+	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(2))
+	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(3))
+	store.SetDown(false)
+	newest := waitForEvent(t, events, func(ev decider.DesiredWeightsChanged) bool { return ev.Version == 3 })
+	replaced := waitForEvent(t, events, func(ev decider.DesiredWeightsChanged) bool { return ev.Version == 2 })
+	assert.Assert(t, !newest.Listed && !replaced.Listed)
+	assert.Equal(t, newest.Revision, replaced.Revision+1)
+}
+
+// TestAnswersConfirmRevisions checks that answers without changes tell since when no newer change
+// was made, and that hosts which receive updates learn of it too.
+func TestAnswersConfirmRevisions(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, nil, nil, 0))
+	server := newTestStore(t, store)
+	receiver, received := server.start(never, func([]WatchUpdate) {})
+	_, events := server.start(always, receiver.Receive)
+	waitForEvent(t, events, func(ev decider.RevisionConfirmed) bool { return ev.Revision == 2 })
+	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(1))
+	putAt := timer.BootClock{}.Now()
+	named := waitForEvent(t, events, func(ev decider.DesiredWeightsChanged) bool { return ev.Version == 1 })
+	waitForEvent(t, events, func(ev decider.RevisionConfirmed) bool { return ev.Revision >= named.Revision && ev.AsOf.After(putAt) })
+	waitForEvent(t, received, func(ev decider.RevisionConfirmed) bool { return ev.FromPeer && ev.Revision >= named.Revision })
+	for _, log := range []*eventLog{events, received} {
+		log.mu.Lock()
+		for _, ev := range log.events {
+			if ev, ok := ev.(decider.RevisionConfirmed); ok && ev.Revision < named.Revision {
+				assert.Assert(t, ev.AsOf.Before(putAt), "an answer of after a change has a revision before it")
+			}
+		}
+		log.mu.Unlock()
+	}
+}
