Update engines that are out of use together

Callers would see: after a start of all hosts, prompts refused for up to 5 s longer than needed.

Cause: engines whose weights have expired serve nothing, but waited for their turn in a rollout that keeps most engines serving.

Change: such engines are updated beyond the limit.

--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -14,6 +14,9 @@
 	// maxNamedVersions bounds the versions remembered for a model. Engines with weights that
 	// an earlier one replaced count as expired.
 	maxNamedVersions = 8
+	// namingExchangeTime is how long a host that has just learned of a version waits for its
+	// peers to tell when it was named.
+	namingExchangeTime = broadcastInterval + maxMessageDelay
 )
 
 // naming holds the weight versions that operators named, and when.
--- a/internal/relay/decider/naming_test.go
+++ b/internal/relay/decider/naming_test.go
@@ -136,3 +136,15 @@
 func (h *host) shortRequest() *request {
 	return &request{route: &h.config.Routes[1], service: "engines", prompt: shortPrompt("s")}
 }
+
+// TestExpiredEnginesAreUpdatedTogether guards against engines that are out of use while they wait
+// for their turn to be updated. It also guards against a start in which a holder that doesn't
+// know yet when the version was named updates all engines at once.
+func TestExpiredEnginesAreUpdatedTogether(t *testing.T) {
+	h := newLeaseHolder(t, 10)
+	h.handle(DesiredWeightsChanged{Model: model, Version: 2, Revision: 1, Listed: true})
+	h.runUpdates(namingExchangeTime, nil)
+	assert.Equal(t, len(h.updates), minConcurrentUpdates)
+	h.runUpdates(200*time.Millisecond, nil)
+	assert.Equal(t, len(h.updates), 10)
+}
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -266,10 +266,10 @@
 	})
 	started := false
 	for _, t := range waiting {
-		if len(s.updates) >= limit {
-			break
-		}
 		model, version := s.outdatedModel(t)
+		if len(s.updates) >= limit && !s.outOfUse(t, model) {
+			continue
+		}
 		s.updates[t.ID] = &weightUpdate{model: model, version: version, startedAt: s.now}
 		started = true
 		s.log("order begun", "", "target", t.ID, "model", model, "version", version, "running", t.ownLoad.Requests+t.peerLoad.Requests, "window", limit)
@@ -282,6 +282,15 @@
 	}
 }
 
+// outOfUse reports whether t serves no requests because its weights have expired, so that updating
+// it costs no capacity.
+func (s *State) outOfUse(t *target, model string) bool {
+	if !s.weightsExpired(t, model) {
+		return false
+	}
+	return !s.replacement(t, model).notBefore.IsZero() || s.sinceNamed(model, s.desiredWeights[model]) > namingExchangeTime
+}
+
 // maxConcurrentUpdates returns how many of the engines may be updated at once when the given time
 // has elapsed since the new weights were named.
 func maxConcurrentUpdates(engines int, elapsed time.Duration) int {
