Remove targets at once that left in a gap without an outage

The store's history was compacted, so all hosts listed the targets anew 10 ms after the target's entry had been removed. A target missing from a list stayed in use for 2 s from then, as its entry may have lapsed in an outage; but there had been none. After an outage the 2 s began anew with each late removal, and ended at the next tick.

Change: only entries that are missing within 2 s after an outage may return, and only until 2 s after its end; updates between hosts carry what is left of it. All other missing targets are removed at once. A target whose time is over isn't used until the tick removes it.

Evidence: TestTargetUsedAfterRemovalInGap failed before and passes now. The old check of TestTargetMissingAfterOutage, which kept a target without an outage for 2.1 s, is replaced by one of the same grace with an outage and one of its end; TestRemovalsAfterOutageAreMarked now also demands the end.

--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -90,8 +90,9 @@
 	Removed []string
 	// Whole is true when Targets is the complete list, as after a gap in the changes.
 	Whole bool
-	// AfterOutage is true shortly after an outage: entries removed during it may return.
-	AfterOutage bool
+	// ReturnUntil is the time until which entries that lapsed in an outage may return, or zero
+	// if there was none.
+	ReturnUntil time.Time
 }
 
 // EvacuationsListed reports the data centres that are out of use.
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// missingGrace is how long a target that is missing from the list after a gap in the
-	// changes stays in use: entries that lapsed in an outage return within two seconds on this
-	// platform.
-	missingGrace = 2 * time.Second
 	// minProbeBackoff and maxProbeBackoff limit the back-off between probes of a target that is
 	// down.
 	minProbeBackoff = 150 * time.Millisecond
@@ -93,8 +89,9 @@
 	nextProbeAt time.Time
 	// lastAnsweredAt is when the target last answered this host.
 	lastAnsweredAt time.Time
-	// missingSince is when the target was first missing from a complete list, or zero.
-	missingSince time.Time
+	// missingUntil is the time until which the target stays in use although its entry lapsed, or
+	// zero.
+	missingUntil time.Time
 	// weightsUnknown is true when the target's weights must be read before it is used again.
 	weightsUnknown bool
 	// weightsChangedAt is when this host last learned of new weights of the target.
@@ -145,14 +142,10 @@
 		s.updateTarget(&ev.Targets[i])
 	}
 	for _, id := range ev.Removed {
-		if ev.AfterOutage {
-			s.markMissing(id)
-		} else {
-			s.removeTarget(id, "removed from the list")
-		}
+		s.onTargetRemoved(id, ev.ReturnUntil)
 	}
 	if ev.Whole {
-		s.markUnlistedMissing(ev.Targets)
+		s.removeUnlisted(ev)
 	}
 	s.indexTargets()
 }
@@ -173,7 +166,7 @@
 		s.log("target changed", "", "target", desc.ID, "draining", desc.Draining, "cold", desc.ColdFor, "restarted", desc.StartedAt.After(t.StartedAt), "weights", desc.Weights)
 		s.mergeTarget(t, desc)
 	}
-	t.missingSince = time.Time{}
+	t.missingUntil = time.Time{}
 	t.weightsUnknown = t.weightsUnknown && len(desc.Weights) == 0
 	if desc.ColdFor > 0 {
 		t.coldUntil = s.now.Add(desc.ColdFor)
@@ -201,31 +194,41 @@
 	t.Weights = weights
 }
 
-func (s *State) markUnlistedMissing(listed []descriptor.Target) {
-	present := make(map[string]bool, len(listed))
-	for i := range listed {
-		present[listed[i].ID] = true
+func (s *State) removeUnlisted(ev TargetsListed) {
+	present := make(map[string]bool, len(ev.Targets))
+	for i := range ev.Targets {
+		present[ev.Targets[i].ID] = true
 	}
 	for id := range s.targets {
 		if !present[id] {
-			s.markMissing(id)
+			s.onTargetRemoved(id, ev.ReturnUntil)
 		}
 	}
 }
 
-// markMissing starts the grace period after which a missing target is removed.
-func (s *State) markMissing(id string) {
-	if t := s.targets[id]; t != nil && t.missingSince.IsZero() {
-		t.missingSince = s.now
-		s.log("target missing after a gap", "", "target", id)
+// onTargetRemoved removes a target that is not in the list any more. After an outage it does so
+// only if the target is still missing at returnUntil.
+func (s *State) onTargetRemoved(id string, returnUntil time.Time) {
+	if !s.now.Before(returnUntil) {
+		s.removeTarget(id, "removed from the list")
+		return
 	}
+	if t := s.targets[id]; t != nil && t.missingUntil.IsZero() {
+		t.missingUntil = returnUntil
+		s.log("target missing after an outage", "", "target", id, "for", returnUntil.Sub(s.now))
+	}
+}
+
+// graceEnded reports whether t didn't return after an outage in time.
+func (s *State) graceEnded(t *target) bool {
+	return !t.missingUntil.IsZero() && !s.now.Before(t.missingUntil)
 }
 
-// expireMissing removes the targets whose grace period is over.
+// expireMissing removes the targets that didn't return after an outage.
 func (s *State) expireMissing() {
 	for id, t := range s.targets {
-		if !t.missingSince.IsZero() && s.now.Sub(t.missingSince) > missingGrace {
-			s.removeTarget(id, "missing after a gap")
+		if s.graceEnded(t) {
+			s.removeTarget(id, "missing after an outage")
 			s.indexTargets()
 		}
 	}
@@ -271,7 +274,7 @@
 	switch {
 	case t.Draining, t.down, t.weightsUnknown, s.evacuatedDataCentres[t.DataCentre], t.service == nil, r.tried[t.ID]:
 		return false
-	case s.now.Before(t.pausedUntil), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
+	case s.now.Before(t.pausedUntil), s.graceEnded(t), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
 	case len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre]):
 		return false
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -57,23 +57,42 @@
 // outage and return within two seconds. Targets that leave at any other time must be removed at
 // once.
 func TestTargetMissingAfterOutage(t *testing.T) {
-	h := newHost(t, "a", 3, 0)
+	h := newHost(t, "a", 4, 0)
+	returnUntil := h.clock.Add(2 * time.Second)
 	h.handle(TargetsListed{Removed: []string{"engine-1"}})
-	h.handle(TargetsListed{Removed: []string{"engine-2"}, AfterOutage: true})
+	h.handle(TargetsListed{Removed: []string{"engine-2"}, ReturnUntil: returnUntil})
+	h.handle(TargetsListed{Whole: true, Targets: []descriptor.Target{engineTarget(3, 1), engineTarget(4, 1)}, ReturnUntil: returnUntil})
 	assert.Assert(t, h.targets["engine-1"] == nil && h.targets["engine-2"] != nil)
 	h.advance(1900 * time.Millisecond)
 	h.handle(Tick{})
 	assert.Assert(t, h.targets["engine-2"] != nil)
 	h.handle(TargetsListed{Targets: []descriptor.Target{engineTarget(2, 1)}})
+	h.handle(TargetsListed{Removed: []string{"engine-3"}, ReturnUntil: returnUntil})
 	h.advance(200 * time.Millisecond)
 	h.handle(Tick{})
 	assert.Assert(t, h.targets["engine-2"] != nil, "a target that returned to the list was removed")
-	h.handle(TargetsListed{Whole: true, Targets: []descriptor.Target{engineTarget(2, 1)}})
-	h.advance(2100 * time.Millisecond)
-	h.handle(Tick{})
 	assert.Assert(t, h.targets["engine-3"] == nil, "a target that stayed missing was kept")
 }
 
+// TestTargetUsedAfterRemovalInGap guards against requests to a target that left while the history
+// of changes was lost. Without an outage its entry doesn't come back.
+func TestTargetUsedAfterRemovalInGap(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.handle(TargetsListed{Whole: true, Targets: []descriptor.Target{engineTarget(2, 1)}})
+	assert.Assert(t, h.targets["engine-1"] == nil)
+}
+
+// TestMissingTargetNotUsedAfterGrace guards against requests to a target between the end of its
+// grace period and the next tick.
+func TestMissingTargetNotUsedAfterGrace(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	h.handle(TargetsListed{Removed: []string{"engine-1"}, ReturnUntil: h.clock.Add(2 * time.Second)})
+	h.advanceTicking(1900 * time.Millisecond)
+	assert.Assert(t, h.sendsShort())
+	h.advance(100 * time.Millisecond)
+	assert.Assert(t, !h.sendsShort())
+}
+
 // TestUnconfirmedConfigRejectsKeys guards against the use of revoked keys by a host that can't
 // confirm its configuration. Such a host must not refuse unknown keys permanently either.
 func TestUnconfirmedConfigRejectsKeys(t *testing.T) {
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -26,8 +26,8 @@
 	// jitter spreads those of all hosts, even after a change that ends all watches at once.
 	minConfigWait = 1300 * time.Millisecond
 	maxConfigWait = 3500 * time.Millisecond
-	// confirmWait is the wait of the watch after a change of the configuration: an
-	// answer with changes only confirms the state at the start of its own watch.
+	// confirmWait is the wait of the watch after a change of the configuration, as an
+	// answer with changes only confirms the state at the start of its own watch,.
 	confirmWait = 100 * time.Millisecond
 	// waitTolerance is how much earlier than requested the platform may end a wait.
 	waitTolerance = 50 * time.Millisecond
@@ -141,8 +141,8 @@
 	asOf time.Time
 	// fromPeer is true if another host forwarded the answer.
 	fromPeer bool
-	// afterOutage is true during and just after an outage: removed entries may come back.
-	afterOutage bool
+	// returnUntil is the time until which entries that lapsed in an outage may come back, or zero.
+	returnUntil time.Time
 }
 
 func (w *watch) run(ctx context.Context) error {
@@ -222,7 +222,7 @@
 		clear(w.objects)
 		w.updateObjects(all.Objects)
 		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
-		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
+		w.postChanges(all.Objects, true, freshness{asOf: sentAt, returnUntil: w.returnUntil()})
 		w.setRevision(all.Revision)
 		// Updates of the watching hosts are expected from here on.
 		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), afterOutage: w.recentOutage()}
+	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), returnUntil: w.returnUntil()}
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
 	w.forwardChanges(after, changes, fresh)
@@ -254,9 +254,17 @@
 	}
 }
 
-// recentOutage reports whether entries that are missing now may come back.
-func (w *watch) recentOutage() bool {
-	return w.failing || w.cfg.Clock.Now().Sub(w.recoveredAt) < outageGrace
+// returnUntil returns the time until which entries that are missing now may come back after an
+// outage, or zero.
+func (w *watch) returnUntil() time.Time {
+	now := w.cfg.Clock.Now()
+	if w.failing {
+		return now.Add(outageGrace)
+	}
+	if until := w.recoveredAt.Add(outageGrace); now.Before(until) {
+		return until
+	}
+	return time.Time{}
 }
 
 // applyChanges applies changes and posts them. It drops all but the last change of
@@ -348,7 +356,7 @@
 }
 
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
-	ev := decider.TargetsListed{Whole: full, AfterOutage: fresh.afterOutage}
+	ev := decider.TargetsListed{Whole: full, ReturnUntil: fresh.returnUntil}
 	for _, o := range objects {
 		if o.Removed {
 			ev.Removed = append(ev.Removed, o.Name)
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -119,7 +119,7 @@
 	assert.Equal(t, len(ev.Targets), 7)
 	store.Remove(caller.KindTargets, "c")
 	removed := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
-	assert.Assert(t, removed.Removed[0] == "c" && !removed.Whole && !removed.AfterOutage)
+	assert.Assert(t, removed.Removed[0] == "c" && !removed.Whole && removed.ReturnUntil.IsZero())
 }
 
 // TestRemovalsAfterOutageAreMarked checks that targets removed during an outage are
@@ -134,7 +134,8 @@
 	store.Remove(caller.KindTargets, "a")
 	store.SetDown(false)
 	ev := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 || ev.Whole && len(ev.Targets) == 0 })
-	assert.Assert(t, ev.AfterOutage || ev.Whole)
+	assert.Assert(t, !ev.ReturnUntil.IsZero())
+	assert.Assert(t, ev.ReturnUntil.Sub(timer.BootClock{}.Now()) < outageGrace)
 }
 
 // TestConfigChangeIsConfirmedSoon checks that a changed configuration is confirmed
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -39,8 +40,10 @@
 	// Heartbeat is true if the update only states that the sender's watch works and has
 	// received no changes after UpTo. Its Age is unknown, so it confirms nothing.
 	Heartbeat bool `cbor:"6,keyasint,omitempty"`
-	// AfterOutage is true during and just after an outage: removed entries may come back.
-	AfterOutage bool `cbor:"7,keyasint,omitempty"`
+	// AfterOutage is true during and just after an outage: removed entries may come back
+	// within ReturnWithin.
+	AfterOutage  bool          `cbor:"7,keyasint,omitempty"`
+	ReturnWithin time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // receivedUpdate is an update with its time of arrival.
@@ -127,10 +130,12 @@
 	if size > maxUpdateBytes {
 		return // The next heartbeat shows the other hosts that they are behind.
 	}
-	w.cfg.SendUpdates([]WatchUpdate{{
-		Kind: w.kind, After: after, UpTo: max(after, changes.Revision), Objects: changes.Objects,
-		Age: w.cfg.Clock.Now().Sub(fresh.asOf), AfterOutage: fresh.afterOutage,
-	}})
+	now := w.cfg.Clock.Now()
+	u := WatchUpdate{Kind: w.kind, After: after, UpTo: max(after, changes.Revision), Objects: changes.Objects, Age: now.Sub(fresh.asOf)}
+	if now.Before(fresh.returnUntil) {
+		u.AfterOutage, u.ReturnWithin = true, fresh.returnUntil.Sub(now)
+	}
+	w.cfg.SendUpdates([]WatchUpdate{u})
 }
 
 // updatedByPeers reports whether updates of other hosts keep this watch current. That
@@ -164,7 +169,10 @@
 	if u.Heartbeat {
 		return
 	}
-	fresh := freshness{asOf: u.receivedAt.Add(-u.Age - maxUpdateDelay), fromPeer: true, afterOutage: u.AfterOutage}
+	fresh := freshness{asOf: u.receivedAt.Add(-u.Age - maxUpdateDelay), fromPeer: true}
+	if u.AfterOutage {
+		fresh.returnUntil = u.receivedAt.Add(cmp.Or(u.ReturnWithin, outageGrace))
+	}
 	w.confirmRevision(caller.Objects{Objects: u.Objects, Revision: u.UpTo}, fresh)
 	if u.UpTo <= w.revision {
 		u.Objects = nil
