Notice the end of an outage within a short watch

Callers would see: requests to a target up to 2 s after it left, long after an outage.

Cause: after a failed call a watch waited up to 25 s for its first answer and counted as failing until then. Every removal in that time looked like an entry that lapsed in the outage and kept its target in use.

Change: the first watch after a failed call waits 100 ms.

Evidence: TestLongWatchHidesEndOfOutage failed before (a target that left 2 s after an outage may come back) and passes now.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -27,7 +27,8 @@
 	minConfigWait = 1300 * time.Millisecond
 	maxConfigWait = 3500 * time.Millisecond
 	// confirmWait is the wait of the watch after a change of the configuration, as an
-	// answer with changes only confirms the state at the start of its own watch,.
+	// answer with changes only confirms the state at the start of its own watch, and after a
+	// failed call, as a longer one would hide when the platform came back.
 	confirmWait = 100 * time.Millisecond
 	// waitTolerance is how much earlier than requested the platform may end a wait.
 	waitTolerance = 50 * time.Millisecond
@@ -298,7 +299,7 @@
 // watchWait returns how long the next watch should wait for changes.
 func (w *watch) watchWait() time.Duration {
 	switch {
-	case w.behind:
+	case w.behind, w.failing:
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -138,6 +138,22 @@
 	assert.Assert(t, ev.ReturnUntil.Sub(timer.BootClock{}.Now()) < outageGrace)
 }
 
+// TestLongWatchHidesEndOfOutage guards against a watch that counts as failing until its first
+// change after an outage, so that a removal long afterwards looks like a lapsed entry.
+func TestLongWatchHidesEndOfOutage(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	store.SetDown(true)
+	time.Sleep(300 * time.Millisecond) // Lets the watches fail.
+	store.SetDown(false)
+	time.Sleep(outageGrace + maxRetryPause*3/2 + confirmWait + 200*time.Millisecond)
+	store.Remove(caller.KindTargets, "a")
+	ev := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
+	assert.Assert(t, ev.ReturnUntil.IsZero(), "a target that left 2 s after an outage may come back")
+}
+
 // TestConfigChangeIsConfirmedSoon checks that a changed configuration is confirmed
 // without waiting for a full watch, as a change doesn't confirm itself.
 func TestConfigChangeIsConfirmedSoon(t *testing.T) {
