Replace a silent lease holder sooner if it gave no orders

Cause: a successor waited for the lease's term and 0.7 s from the last renewal, although the holder may not have given an order for a long time.

Change: a renewal says how long ago the holder gave its last order. Such a holder gives no orders until a renewal that doesn't say so, which it writes as soon as there are engines to update. A successor counts this time towards the term and takes the lease after 2 s of silence at the earliest. The conditional write still decides; a record without the field means that orders may have been given until the end of its order period.

Evidence: TestSilentIdleHolderDelaysRollout fails with the old delay.

--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -81,7 +81,11 @@
 }
 
 // RenewLease writes the lease if its revision is still Revision; 0 creates it.
-type RenewLease struct{ Revision int64 }
+type RenewLease struct {
+	Revision int64
+	// IdleFor is how long ago this host last gave orders, or 0 if it may give some.
+	IdleFor time.Duration
+}
 
 // ReadLease reads the current lease.
 type ReadLease struct{}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -74,6 +74,8 @@
 	// sender holds it.
 	Lease  int64 `cbor:"10,keyasint,omitempty"`
 	Holder bool  `cbor:"11,keyasint,omitempty"`
+	// LeaseIdleFor is the IdleFor of that revision; 0 if unknown.
+	LeaseIdleFor time.Duration `cbor:"15,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
 }
@@ -234,7 +236,7 @@
 	if s.config != nil {
 		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.configConfirmedAt)
 	}
-	m.Lease, m.Holder = s.lease.Revision, s.holdsLease()
+	m.Lease, m.Holder, m.LeaseIdleFor = s.lease.Revision, s.holdsLease(), s.lease.IdleFor
 	if m.Holder {
 		for id := range s.updates {
 			m.Orders = append(m.Orders, id)
@@ -317,7 +319,7 @@
 	}
 	if m.Lease > s.lease.Revision {
 		// Unless the sender holds this revision, its holder is unknown. It can't be this host.
-		s.lease, s.leaseSeenAt = Lease{Revision: m.Lease}, s.now
+		s.lease, s.leaseSeenAt = Lease{Revision: m.Lease, IdleFor: m.LeaseIdleFor}, s.now
 		if m.Holder {
 			s.lease.Holder, s.lease.Boot = m.Host, m.Boot
 		}
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -60,6 +60,9 @@
 	Boot     int64  `json:"boot"`
 	// Renewal changes with each write, so that every renewal gets a new revision.
 	Renewal int64 `json:"renewal"`
+	// IdleFor is how long before this renewal the holder last gave orders. Unless it is 0, the
+	// holder gives none until its next renewal.
+	IdleFor time.Duration `json:"idle-for-ns,omitempty"`
 }
 
 // rollout holds the lease and the weight updates in progress.
@@ -76,7 +79,12 @@
 	nextLeaseCallAt time.Time
 	leaseReadAt     time.Time
 	// renewedAt is when the last successful renewal began.
-	renewedAt    time.Time
+	renewedAt time.Time
+	// idle is true from a renewal that says that no orders are given to the answer of the next
+	// one that doesn't.
+	idle bool
+	// ordersUntil is the time by which all orders given so far were sent.
+	ordersUntil  time.Time
 	fencingToken int64
 	updates      map[string]*weightUpdate
 }
@@ -100,7 +108,7 @@
 
 // mayGiveOrders reports whether this process may send orders now.
 func (s *State) mayGiveOrders() bool {
-	return s.leaseNamesSelf() && !s.stopping && s.now.Sub(s.renewedAt) < orderPeriod
+	return s.leaseNamesSelf() && !s.stopping && !s.idle && s.now.Sub(s.renewedAt) < orderPeriod
 }
 
 // holdsLease reports whether this process holds the lease and no other can have taken it yet.
@@ -130,6 +138,8 @@
 		return
 	}
 	stagger := time.Duration(s.takeoverRank()) * takeoverStagger
+	// A holder that gave no orders for a while may be replaced as soon as it seems silent.
+	takeoverDelay := max(leaseReadInterval, s.cfg.LeaseTerm+orderPeriod+takeoverMargin-s.lease.IdleFor)
 	silence := s.now.Sub(s.leaseSeenAt)
 	switch {
 	case !s.leaseKnown:
@@ -142,7 +152,7 @@
 		if silence > stagger {
 			s.writeLease(0)
 		}
-	case s.lease.Holder == s.cfg.Host || silence > s.cfg.LeaseTerm+orderPeriod+takeoverMargin+stagger:
+	case s.lease.Holder == s.cfg.Host || silence > takeoverDelay+stagger:
 		s.writeLease(s.lease.Revision)
 	case silence > leaseReadInterval && s.now.Sub(s.leaseReadAt) > leaseReadInterval:
 		s.readLease()
@@ -150,12 +160,18 @@
 }
 
 func (s *State) renewInterval() time.Duration {
-	if len(s.updates) > 0 || s.countOutdatedEngines() > 0 {
-		return renewIntervalBusy
+	switch {
+	case !s.hasUpdates():
+		return renewIntervalIdle
+	case s.idle:
+		return 0
 	}
-	return renewIntervalIdle
+	return renewIntervalBusy
 }
 
+// hasUpdates reports whether there are engines to update.
+func (s *State) hasUpdates() bool { return len(s.updates) > 0 || s.countOutdatedEngines() > 0 }
+
 func (s *State) readLease() {
 	s.leaseCallAt, s.leaseReadAt = s.now, s.now
 	s.emit(ReadLease{})
@@ -163,7 +179,12 @@
 
 func (s *State) writeLease(revision int64) {
 	s.leaseCallAt = s.now
-	s.emit(RenewLease{Revision: revision})
+	out := RenewLease{Revision: revision}
+	if s.leaseNamesSelf() && !s.hasUpdates() {
+		out.IdleFor = max(0, s.now.Sub(s.ordersUntil))
+	}
+	s.idle = s.idle || out.IdleFor > 0
+	s.emit(out)
 }
 
 func (s *State) onLeaseAnswered(ev LeaseAnswered) {
@@ -193,9 +214,11 @@
 		return
 	}
 	s.renewedAt = ev.CalledAt
+	s.idle = ev.Lease.IdleFor > 0
 	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
 	if previous.Holder != s.cfg.Host || previous.Boot != s.cfg.Boot || s.fencingToken == 0 {
 		s.fencingToken = ev.Lease.Revision
+		s.ordersUntil = ev.CalledAt // Those of an earlier process of this host were sent before.
 		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision)
 		s.listStores()
 	}
@@ -387,8 +410,9 @@
 	u.nextCheckAt = s.now.Add(callTimeout)
 	abortRunning := s.canAbortRunning(t, u)
 	s.log("order given", "", "target", t.ID, "model", u.model, "version", u.version, "fence", s.fencingToken, "after", acceptedOrders, "bound", t.ownLoad.Pinned+t.peerLoad.Pinned, "break-off", abortRunning, "since-begun", s.now.Sub(u.startedAt), "lease-age", s.now.Sub(s.renewedAt))
+	s.ordersUntil = s.renewedAt.Add(orderPeriod)
 	s.emit(GiveOrder{
-		Target: t.ID, Address: t.Address, Until: s.renewedAt.Add(orderPeriod),
+		Target: t.ID, Address: t.Address, Until: s.ordersUntil,
 		Order: descriptor.Order{Model: u.model, Version: u.version, Holder: s.cfg.Host, FencingToken: s.fencingToken, AcceptedBefore: acceptedOrders, AbortRunning: abortRunning},
 	})
 }
--- a/internal/relay/decider/rollout_test.go
+++ b/internal/relay/decider/rollout_test.go
@@ -30,7 +30,7 @@
 				continue
 			}
 			s.revision++
-			s.lease = Lease{Revision: s.revision, Holder: h.cfg.Host, Boot: h.cfg.Boot}
+			s.lease = Lease{Revision: s.revision, Holder: h.cfg.Host, Boot: h.cfg.Boot, IdleFor: e.IdleFor}
 			rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{Lease: s.lease, CalledAt: h.clock, Written: true}))...)
 		default:
 			rest = append(rest, e)
@@ -121,6 +121,71 @@
 	}
 }
 
+// TestSilentIdleHolderDelaysRollout guards against a rollout that begins late because its first
+// holder is suspended. A holder that gave no orders needs no whole term to be replaced.
+func TestSilentIdleHolderDelaysRollout(t *testing.T) {
+	leases := &leaseStore{}
+	a, b := newHost(t, "a", 4, 0), newHost(t, "b", 4, 0)
+	leases.tickHosts(10*time.Second, a)
+	b.clock = a.clock
+	b.handle(MessageReceived{Message: a.newMessage()})
+	silentAt := b.clock
+	b.nameWeights(2)
+	for !b.holdsLease() {
+		leases.tickHosts(50*time.Millisecond, b)
+		assert.Assert(t, b.clock.Sub(silentAt) < leaseTerm, "the silent holder was not replaced within %v", leaseTerm)
+	}
+	a.clock = b.clock
+	a.nameWeights(2)
+	assert.Equal(t, len(effectsOf[GiveOrder](leases.answerReports(a, 600*time.Millisecond))), 0, "the replaced holder gave orders")
+}
+
+// TestOrdersUnderIdleLease guards against orders of a holder whose lease says that it gives none:
+// its successor doesn't wait for them.
+func TestOrdersUnderIdleLease(t *testing.T) {
+	leases := &leaseStore{}
+	h := newHost(t, "a", 4, 0)
+	leases.tickHosts(10*time.Second, h)
+	for renewed := leases.revision; leases.revision == renewed; {
+		leases.tickHosts(50*time.Millisecond, h)
+	}
+	assert.Assert(t, leases.lease.IdleFor > 0)
+	h.nameWeights(2)
+	h.advance(50 * time.Millisecond)
+	effects := h.handle(Tick{})
+	assert.Equal(t, len(effectsOf[ReadReport](effects)), 0, "an update began under an idle lease")
+	leases.handleLeaseCalls(h, effects)
+	assert.Equal(t, leases.lease.IdleFor, time.Duration(0))
+	assert.Assert(t, len(effectsOf[ReadReport](h.handle(Tick{}))) > 0, "no update begins after the next renewal")
+}
+
+// TestRestartedHolderIsNotIdle guards against orders of two hosts within one lease term after a
+// holder was restarted: the new process doesn't know which orders the old one gave.
+func TestRestartedHolderIsNotIdle(t *testing.T) {
+	leases := &leaseStore{}
+	leases.tickHosts(time.Second, newHost(t, "a", 4, 0))
+	h := newHost(t, "a", 4, 0)
+	h.cfg.Boot, h.clock = 2, h.clock.Add(time.Second)
+	startedAt := h.clock
+	leases.tickHosts(3*time.Second, h)
+	assert.Equal(t, leases.lease.Boot, int64(2))
+	assert.Assert(t, leases.lease.IdleFor <= h.clock.Sub(startedAt), "the holder claims to have given no orders before its start")
+}
+
+// answerReports ticks a host for d, answers its reads of reports, and returns all other effects.
+func (s *leaseStore) answerReports(h *host, d time.Duration) []Effect {
+	var effects []Effect
+	for end := h.clock.Add(d); h.clock.Before(end); {
+		h.advance(50 * time.Millisecond)
+		for _, e := range s.handleLeaseCalls(h, h.handle(Tick{})) {
+			if read, ok := e.(ReadReport); ok {
+				effects = append(effects, h.handle(ReportAnswered{Target: read.Target, Report: newReport(1)})...)
+			}
+		}
+	}
+	return effects
+}
+
 // TestOutdatedEnginesNotUsedAfterDeadline guards against requests that start on old weights
 // after the platform's deadline for the new ones.
 func TestOutdatedEnginesNotUsedAfterDeadline(t *testing.T) {
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -335,7 +335,7 @@
 			r.post(h, decider.LeaseAnswered{Lease: r.lease, CalledAt: r.now.Add(-platformDelay), Missing: r.lease.Revision == 0})
 		})
 	case decider.RenewLease:
-		r.scheduleAfter(platformDelay, func() { r.renewLease(h, e.Revision) })
+		r.scheduleAfter(platformDelay, func() { r.renewLease(h, e) })
 	case decider.ReadReport:
 		target := r.engines[e.Target]
 		r.scheduleAfter(2*networkDelay, func() { r.postReport(h, target) })
@@ -352,13 +352,13 @@
 	}
 }
 
-func (r *Replayer) renewLease(h *host, revision int64) {
-	if revision != r.lease.Revision {
+func (r *Replayer) renewLease(h *host, e decider.RenewLease) {
+	if e.Revision != r.lease.Revision {
 		r.post(h, decider.LeaseAnswered{CalledAt: r.now.Add(-platformDelay), Written: true, Err: true})
 		return
 	}
 	r.revision++
-	r.lease = decider.Lease{Revision: r.revision, Holder: h.name, Boot: 1}
+	r.lease = decider.Lease{Revision: r.revision, Holder: h.name, Boot: 1, IdleFor: e.IdleFor}
 	r.post(h, decider.LeaseAnswered{Lease: r.lease, CalledAt: r.now.Add(-platformDelay), Written: true})
 }
 
