Add a failing test of the deadline with slow messages

Callers would see prompts that begin on replaced weights after the deadline while messages between hosts take longer than 200 ms.

Cause: hosts announce times that they have from each other and take the latest. Each hop adds the delay beyond the assumed 200 ms, so the time moves on with each exchange.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -1,10 +1,13 @@
 package decider
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
 // TestRestoredStoreDoesNotMoveDeadline guards against a deadline that starts again when the
@@ -18,3 +21,74 @@
 	h.advanceTicking(2100 * time.Millisecond)
 	assert.Assert(t, !h.sendsShort(), "a request is sent to weights replaced 7.1 s ago")
 }
+
+// delayedMessages exchanges the messages of hosts, each delivered after a delay.
+type delayedMessages struct {
+	hosts []*host
+	delay time.Duration
+	queue []delayedMessage
+}
+
+type delayedMessage struct {
+	to *host
+	at time.Time
+	m  Message
+}
+
+// run ticks the hosts for d.
+func (n *delayedMessages) run(d time.Duration) {
+	const every = 50 * time.Millisecond
+	for ; d > 0; d -= every {
+		for _, h := range n.hosts {
+			h.advance(every)
+			n.send(h, h.handle(Tick{}))
+		}
+		due := n.queue
+		n.queue = nil
+		for _, q := range due {
+			if q.at.After(q.to.clock) {
+				n.queue = append(n.queue, q)
+				continue
+			}
+			n.send(q.to, q.to.handle(MessageReceived{Message: q.m}))
+		}
+	}
+}
+
+func (n *delayedMessages) send(from *host, effects []Effect) {
+	for _, sent := range effectsOf[SendMessage](effects) {
+		for i, to := range n.hosts {
+			if to != from && slices.Contains(sent.To, address(50+i)) {
+				n.queue = append(n.queue, delayedMessage{to, from.clock.Add(n.delay), sent.Message})
+			}
+		}
+	}
+}
+
+// newDelayedMessages returns hosts that know each other.
+func newDelayedMessages(t *testing.T, delay time.Duration, names ...string) *delayedMessages {
+	n := &delayedMessages{delay: delay}
+	listed := map[string]descriptor.Host{}
+	for i, name := range names {
+		listed[name] = descriptor.Host{Address: address(50 + i), DataCentre: "a"}
+		n.hosts = append(n.hosts, newHost(t, name, 2, 1))
+	}
+	for _, h := range n.hosts {
+		h.handle(HostsListed{Hosts: listed})
+	}
+	n.run(2 * time.Second)
+	return n
+}
+
+// TestEchoesDoNotMoveDeadline guards against a time that moves each time that hosts announce it
+// to each other, because messages take longer than assumed.
+func TestEchoesDoNotMoveDeadline(t *testing.T) {
+	n := newDelayedMessages(t, 600*time.Millisecond, "a", "b", "c")
+	for _, h := range n.hosts {
+		h.nameWeights(2)
+	}
+	n.run(7200 * time.Millisecond)
+	for _, h := range n.hosts {
+		assert.Check(t, !h.sendsShort(), "host %s sends a request to weights replaced 7.2 s ago", h.cfg.Host)
+	}
+}
