Add a failing test of the age of a configuration with slow messages

Callers with a revoked key would be served for longer than allowed by hosts that can't reach the platform.

Cause: the same as for the deadline of weights: hosts announce the age of a confirmation that they have from each other, and each hop adds the delay beyond the assumed 200 ms.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -92,3 +92,18 @@
 		assert.Check(t, !h.sendsShort(), "host %s sends a request to weights replaced 7.2 s ago", h.cfg.Host)
 	}
 }
+
+// TestEchoesDoNotConfirmConfig guards against the use of revoked keys by hosts that are cut off
+// from the platform and keep confirming the configuration to each other.
+func TestEchoesDoNotConfirmConfig(t *testing.T) {
+	n := newDelayedMessages(t, 600*time.Millisecond, "a", "b", "c")
+	for _, h := range n.hosts {
+		h.handle(ConfigConfirmed{AsOf: h.clock})
+	}
+	n.run(6 * time.Second)
+	for _, h := range n.hosts {
+		effect := requestEffect(h.handle(RequestArrived{Number: 1, ID: "x", Host: "h", Path: "/pay/", Key: key, Timeout: time.Second}))
+		refuse, ok := effect.(Refuse)
+		assert.Check(t, ok && refuse.Kind == RefusalUnconfirmed, "host %s uses a key that the platform last confirmed 6 s ago: %v", h.cfg.Host, effect)
+	}
+}
