Add a failing test of hosts that hear of weights too late

Callers would see prompts that begin on weights replaced long ago, from a host that was suspended for longer than 8 s and whose watch is silent after that.

Cause: a version is announced only while its earliest time of naming is less than 8 s ago, although engines may still have older weights. A host that missed that time hears of the version from the platform only.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -107,3 +107,14 @@
 		assert.Check(t, ok && refuse.Kind == RefusalUnconfirmed, "host %s uses a key that the platform last confirmed 6 s ago: %v", h.cfg.Host, effect)
 	}
 }
+
+// TestLateHostsHearOfNamedWeights guards against a host that hears of new weights from nobody
+// because it was suspended for longer than they are announced.
+func TestLateHostsHearOfNamedWeights(t *testing.T) {
+	n := newDelayedMessages(t, 10*time.Millisecond, "a", "b")
+	n.hosts[0].nameWeights(2)
+	n.hosts[1].advance(9 * time.Second) // Suspended: no ticks, and the messages are lost.
+	n.hosts[0].advanceTicking(9 * time.Second)
+	n.run(3 * time.Second)
+	assert.Assert(t, !n.hosts[1].sendsShort(), "a request is sent to weights that a peer knows to be replaced 12 s ago")
+}
