Add a failing test of the lease when the store is restored

Callers would see no engine get new weights after the store has returned from an older copy: prompts are refused from 7 s after the next naming on.

Cause: answers with a lower revision of the lease than the last known one are ignored, hosts tell each other the higher revision, and renewals name it. The store has only the lower one, so no renewal succeeds again.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -118,3 +118,23 @@
 	n.run(3 * time.Second)
 	assert.Assert(t, !n.hosts[1].sendsShort(), "a request is sent to weights that a peer knows to be replaced 12 s ago")
 }
+
+// TestLeaseSurvivesRestoredStore guards against a rollout that stops for good when the store
+// returns from an older copy, as no host can renew a lease with a revision that the store no
+// longer has.
+func TestLeaseSurvivesRestoredStore(t *testing.T) {
+	leases := &leaseStore{revision: 96}
+	a, b := newHost(t, "a", 4, 0), newHost(t, "b", 4, 0)
+	leases.tickHosts(time.Second, a)
+	copied := *leases
+	leases.tickHosts(3*time.Second, a)
+	assert.Assert(t, a.holdsLease())
+	b.clock = a.clock
+	*leases = copied // Restored from a copy that is 3 s old.
+	for end := a.clock.Add(30 * time.Second); a.clock.Before(end); {
+		leases.tickHosts(50*time.Millisecond, a, b)
+		a.handle(MessageReceived{Message: b.newMessage()})
+		b.handle(MessageReceived{Message: a.newMessage()})
+	}
+	assert.Assert(t, a.holdsLease() || b.holdsLease(), "no host holds the lease 30 s after the store was restored")
+}
