Add a failing test of a lease that the store has lost

Engines would get orders of two hosts within one lease term, the later ones with a lower fencing token, after the store has returned from a copy without the lease.

Cause: a host that reads that no lease exists takes it without waiting for the term of the last one that it knew, and fencing tokens are revisions, which go back.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -119,6 +119,24 @@
 	assert.Assert(t, !n.hosts[1].sendsShort(), "a request is sent to weights that a peer knows to be replaced 12 s ago")
 }
 
+// TestLostLeaseDoesNotShortenTerm guards against orders of two hosts within one lease term when
+// the store returns from a copy without the lease.
+func TestLostLeaseDoesNotShortenTerm(t *testing.T) {
+	leases := &leaseStore{revision: 96}
+	a, b := newHost(t, "a", 4, 0), newHost(t, "b", 4, 0)
+	leases.tickHosts(time.Second, a)
+	assert.Assert(t, a.holdsLease())
+	b.clock = a.clock
+	b.handle(MessageReceived{Message: a.newMessage()})
+	renewed := a.renewedAt
+	leases.lease, leases.revision = Lease{}, 0 // Restored from a copy of before the lease.
+	for !b.holdsLease() && b.clock.Sub(renewed) < leaseTerm {
+		leases.tickHosts(50*time.Millisecond, b)
+	}
+	assert.Check(t, b.clock.Sub(renewed) >= leaseTerm, "a successor took the lease %v after its renewal", b.clock.Sub(renewed))
+	assert.Check(t, !b.holdsLease() || b.fencingToken > a.fencingToken, "fencing token %d follows %d", b.fencingToken, a.fencingToken)
+}
+
 // TestLeaseSurvivesRestoredStore guards against a rollout that stops for good when the store
 // returns from an older copy, as no host can renew a lease with a revision that the store no
 // longer has.
