Add a failing test of updates when the store is restored

Callers with a revoked key would be served, and drained targets used, by hosts of a large deployment after the store has returned from an older copy.

Cause: a host that receives updates of other hosts drops those up to a revision that it knows. After the restore these are new changes. Heartbeats keep it from asking the platform, and the updates confirm its configuration.

--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -86,3 +88,36 @@
 		}
 	}
 }
+
+// TestUpdatesAfterRestoreAreApplied guards against a host that takes the changes of a store that
+// returned from an older copy for known ones, as their revisions are lower.
+func TestUpdatesAfterRestoreAreApplied(t *testing.T) {
+	before, after := imitator.NewStore(), imitator.NewStore()
+	before.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, nil, nil, 0))
+	after.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, nil, nil, 0))
+	for range 20 {
+		before.Put(caller.KindLeases, "l", "{}")
+	}
+	var restored atomic.Bool
+	server := newTestStoreBehind(t, before, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		since, _ := strconv.Atoi(r.URL.Query().Get("watch"))
+		switch {
+		case !restored.Load():
+			before.ServeHTTP(w, r)
+		case since > 10: // The restored store doesn't have this revision.
+			w.WriteHeader(http.StatusGone)
+		default:
+			after.ServeHTTP(w, r)
+		}
+	}))
+	receiver, received := server.start(never, func([]WatchUpdate) {})
+	_, events := server.start(always, receiver.Receive)
+	waitForEvent(t, received, func(ev decider.ConfigConfirmed) bool { return ev.FromPeer })
+	waitForEvent(t, events, func(ev decider.ConfigListed) bool { return true })
+	restored.Store(true)
+	before.SetDown(true) // Ends its watches.
+	time.Sleep(500 * time.Millisecond)
+	after.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(2, nil, nil, 0))
+	waitForEvent(t, events, func(ev decider.ConfigListed) bool { return ev.Config.Version == 2 })
+	waitForEvent(t, received, func(ev decider.ConfigListed) bool { return ev.Config.Version == 2 })
+}
