Add a failing test of updates during a silent call

Callers would see requests sent to targets that have left, from a host whose call to the platform gets no answer, for up to 26 s.

Cause: updates of other hosts are applied between calls only, and a watch of targets, evacuations or weights waits up to 25 s and its timeout.

--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// TestUpdatesAreAppliedDuringSilentCall guards against requests to a target that is draining, from
+// a host whose call gets no answer, although other hosts report the change.
+func TestUpdatesAreAppliedDuringSilentCall(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	silent := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") {
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
+	receiver, events := newTestStoreBehind(t, store, silent).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	newTestStore(t, store).start(always, receiver.Receive)
+	time.Sleep(300 * time.Millisecond) // Lets the other host list the targets.
+	store.Remove(caller.KindTargets, "a")
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
+}
+
 // TestUpdatesAfterRestoreAreApplied guards against a host that takes the changes of a store that
 // returned from an older copy for known ones, as their revisions are lower.
 func TestUpdatesAfterRestoreAreApplied(t *testing.T) {
