Add a failing test of targets missing without an outage

Callers would see requests fail at targets that have left, from a host that learns of it from a list after the store dropped its history.

Cause: each list starts a grace period of 2 s for targets that it lacks, also without an outage, from when the host reads the list. A target that left before serves for 2 s from then.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -119,6 +119,18 @@
 	assert.Assert(t, !n.hosts[1].sendsShort(), "a request is sent to weights that a peer knows to be replaced 12 s ago")
 }
 
+// TestMissingTargetNotUsedWithoutOutage guards against requests to a target that has left, for
+// longer than targets serve after that, when its removal is learned from a list.
+func TestMissingTargetNotUsedWithoutOutage(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	h.handle(TargetsListed{Whole: true, Targets: []descriptor.Target{plainTarget(1)}})
+	h.advanceTicking(1900 * time.Millisecond)
+	for range 5 {
+		_, effect := h.request("/pay/", key, nil)
+		assert.Equal(t, effect.(Send).Target, "plain-1")
+	}
+}
+
 // TestLostLeaseDoesNotShortenTerm guards against orders of two hosts within one lease term when
 // the store returns from a copy without the lease.
 func TestLostLeaseDoesNotShortenTerm(t *testing.T) {
