Add failing tests of a rollout that updates all engines at once

Callers would see all prompts refused while all engines load weights at once, just after these were named.

Cause: the pace counts from when the weights of the engine that is furthest behind were replaced. One engine with much older weights, as after its restart, or weights replaced by a version that is unknown, makes that 5 s or more.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -108,6 +108,40 @@
 	}
 }
 
+// TestLaggingEngineDoesNotHurryRollout guards against updating all engines at once because one
+// of them has weights that were replaced long before.
+func TestLaggingEngineDoesNotHurryRollout(t *testing.T) {
+	leases := &leaseStore{}
+	h := newHost(t, "a", 10, 0)
+	leases.tickHosts(time.Second, h)
+	h.nameWeights(2)
+	for id := range h.targets {
+		if id != "engine-1" {
+			h.handle(ReportAnswered{Target: id, Report: newReport(2)})
+		}
+	}
+	leases.tickHosts(6*time.Second, h)
+	h.nameWeights(3)
+	leases.tickHosts(50*time.Millisecond, h)
+	assert.Assert(t, len(h.updates) <= minConcurrentUpdates+1, "%d of 10 engines are updated at once, just after the weights were named", len(h.updates))
+}
+
+// TestHiddenVersionDoesNotHurryRollout is the same when the version in between isn't known.
+func TestHiddenVersionDoesNotHurryRollout(t *testing.T) {
+	leases := &leaseStore{}
+	h := newHost(t, "a", 10, 0)
+	leases.tickHosts(time.Second, h)
+	for id := range h.targets {
+		if id != "engine-1" {
+			h.handle(ReportAnswered{Target: id, Report: newReport(2)})
+		}
+	}
+	h.handle(RevisionConfirmed{Revision: h.lease.Revision, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 3, Revision: h.lease.Revision + 1, Listed: true})
+	leases.tickHosts(1500*time.Millisecond, h)
+	assert.Assert(t, len(h.updates) <= minConcurrentUpdates+1, "%d of 10 engines are updated at once, just after the weights were named", len(h.updates))
+}
+
 // TestLateHostsHearOfNamedWeights guards against a host that hears of new weights from nobody
 // because it was suspended for longer than they are announced.
 func TestLateHostsHearOfNamedWeights(t *testing.T) {
