Add a failing test of a version announced before it is read

Callers would see prompts refused although the weights were current a moment ago, because a peer that lost the platform announces the version first.

Cause: an answer with a version that a peer has announced is dropped with its revision, so the host's own answers can't limit when the version was named.

--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -142,6 +142,16 @@
 	assert.Assert(t, len(h.updates) <= minConcurrentUpdates+1, "%d of 10 engines are updated at once, just after the weights were named", len(h.updates))
 }
 
+// TestAnnouncedVersionGetsOwnTime guards against engines out of use too early because a peer's
+// announcement came before the host's own answer.
+func TestAnnouncedVersionGetsOwnTime(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.handle(RevisionConfirmed{Revision: 10, AsOf: h.clock})
+	h.handle(MessageReceived{Message: Message{Host: "b", Boot: 1, Number: 1, Named: []NamedVersion{{Model: model, Version: 2, Previous: 1, NotBefore: 6900 * time.Millisecond}}}})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 2, Revision: 12})
+	assert.Assert(t, h.sendsShort(), "an engine is out of use although its weights were current a moment ago")
+}
+
 // TestLateHostsHearOfNamedWeights guards against a host that hears of new weights from nobody
 // because it was suspended for longer than they are announced.
 func TestLateHostsHearOfNamedWeights(t *testing.T) {
