Announce only first-hand times of the naming of weights

Callers would see: requests that begin on replaced weights after the deadline while messages between hosts take longer than 200 ms, or after the store was restored from an older copy.

Cause: hosts announced times that they had from each other and took the latest, so that the delay beyond the assumed 200 ms was added with each hop. A restored store gives out revisions below that of the naming again, which looked like answers of before it.

Change: a host announces only the time from its own answers. A time of after a host saw the version is wrong and is ignored.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -367,3 +367,10 @@
 	}
 	return b
 }
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -24,7 +24,8 @@
 // The platform doesn't say when a version was named, and a host may learn of it late: after a
 // suspension, a restart or a lost connection. So each host keeps the latest time at which it
 // knows the version not to have been named yet, and hosts exchange these times. Deadlines count
-// from there, as a version may have been named at any time since.
+// from there, as a version may have been named at any time since. A host announces only times from
+// its own answers: passed on, a time would move by the delay of each message.
 type naming struct {
 	// desiredWeights maps models to their newest versions.
 	desiredWeights map[string]int
@@ -39,6 +40,7 @@
 type revisionMark struct {
 	revision int64
 	asOf     time.Time
+	fromPeer bool
 }
 
 // namedVersion is a version that operators named.
@@ -49,7 +51,8 @@
 	// revision is that of the platform's store when the version was named; 0 if unknown.
 	revision int64
 	// notBefore is a time at which the version wasn't named yet, or zero if none is known.
-	notBefore time.Time
+	// ownNotBefore is the same from this host's answers only.
+	notBefore, ownNotBefore time.Time
 	// seenAt is the earliest time at which a host is known to have learned of the version.
 	seenAt time.Time
 }
@@ -79,9 +82,7 @@
 		named.previous = ev.Version - 1 // A list hides the versions that were replaced meanwhile.
 	}
 	for _, mark := range s.revisionMarks {
-		if mark.revision < ev.Revision {
-			named.notBefore = latest(named.notBefore, mark.asOf)
-		}
+		named.apply(mark)
 	}
 	s.addNamedVersion(ev.Model, named)
 	fields := []any{"model", ev.Model, "version", ev.Version, "revision", ev.Revision}
@@ -94,6 +95,17 @@
 	s.log("weights named", "", fields...)
 }
 
+// apply applies a revision of the store. A mark of after the version was seen is wrong.
+func (n *namedVersion) apply(mark revisionMark) {
+	if mark.revision >= n.revision || mark.asOf.After(n.seenAt) {
+		return
+	}
+	n.notBefore = latest(n.notBefore, mark.asOf)
+	if !mark.fromPeer {
+		n.ownNotBefore = latest(n.ownNotBefore, mark.asOf)
+	}
+}
+
 // addNamedVersion adds a version, or what is known of it in addition.
 func (s *State) addNamedVersion(model string, named namedVersion) {
 	list := s.namedVersions[model]
@@ -103,11 +115,10 @@
 	} else {
 		n := &list[i]
 		n.previous = min(n.previous, named.previous)
-		n.notBefore = latest(n.notBefore, named.notBefore)
 		n.revision = cmp.Or(n.revision, named.revision)
-		if named.seenAt.Before(n.seenAt) {
-			n.seenAt = named.seenAt
-		}
+		n.seenAt = earliest(n.seenAt, named.seenAt)
+		n.notBefore = earliest(latest(n.notBefore, named.notBefore), n.seenAt)
+		n.ownNotBefore = earliest(latest(n.ownNotBefore, named.ownNotBefore), n.seenAt)
 	}
 	s.namedVersions[model] = list[max(0, len(list)-maxNamedVersions):]
 	s.desiredWeights[model] = max(s.desiredWeights[model], named.version)
@@ -115,7 +126,7 @@
 
 func (s *State) onRevisionConfirmed(ev RevisionConfirmed) {
 	if !ev.FromPeer || s.messageAgesReliable() {
-		s.markRevision(revisionMark{ev.Revision, ev.AsOf})
+		s.markRevision(revisionMark{ev.Revision, ev.AsOf, ev.FromPeer})
 	}
 }
 
@@ -125,9 +136,7 @@
 	s.revisionMarks = s.revisionMarks[max(0, len(s.revisionMarks)-maxRevisionMarks):]
 	for _, list := range s.namedVersions {
 		for i := range list {
-			if mark.revision < list[i].revision {
-				list[i].notBefore = latest(list[i].notBefore, mark.asOf)
-			}
+			list[i].apply(mark)
 		}
 	}
 }
@@ -138,7 +147,7 @@
 	var announced []NamedVersion
 	for _, model := range slices.Sorted(maps.Keys(s.namedVersions)) {
 		for _, n := range s.namedVersions[model] {
-			if age := s.now.Sub(n.notBefore); !n.notBefore.IsZero() && age < s.cfg.WeightsWithin {
+			if age := s.now.Sub(n.ownNotBefore); !n.ownNotBefore.IsZero() && age < s.cfg.WeightsWithin {
 				announced = append(announced, NamedVersion{Model: model, Version: n.version, Previous: n.previous, NotBefore: age, Seen: s.now.Sub(n.seenAt)})
 			}
 		}
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -215,7 +215,7 @@
 	}
 	s.renewedAt = ev.CalledAt
 	s.idle = ev.Lease.IdleFor > 0
-	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
+	s.markRevision(revisionMark{revision: ev.Lease.Revision, asOf: ev.CalledAt})
 	if previous.Holder != s.cfg.Host || previous.Boot != s.cfg.Boot || s.fencingToken == 0 {
 		s.fencingToken = ev.Lease.Revision
 		s.ordersUntil = ev.CalledAt // Those of an earlier process of this host were sent before.
