Announce only first-hand confirmations of the configuration

Callers with a revoked key would be served for longer than allowed by hosts that are cut off from the platform.

Change: a host announces the age of the platform's last answer to itself.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -38,6 +38,8 @@
 	// configConfirmedAt is the latest time at which the configuration was known to be the
 	// newest.
 	configConfirmedAt time.Time
+	// configAnsweredAt is the same by the platform's answers to this host only.
+	configAnsweredAt time.Time
 	targets           map[string]*target
 	// byService lists the targets of each service, sorted by ID.
 	byService            map[string][]*target
@@ -126,15 +128,17 @@
 }
 
 func (s *State) onConfigConfirmed(ev ConfigConfirmed) {
-	if !ev.FromPeer || s.messageAgesReliable() {
+	switch {
+	case !ev.FromPeer:
+		s.configAnsweredAt = latest(s.configAnsweredAt, ev.AsOf)
+		s.confirmConfig(ev.AsOf)
+	case s.messageAgesReliable():
 		s.confirmConfig(ev.AsOf)
 	}
 }
 
 func (s *State) confirmConfig(asOf time.Time) {
-	if asOf.After(s.configConfirmedAt) {
-		s.configConfirmedAt = asOf
-	}
+	s.configConfirmedAt = latest(s.configConfirmedAt, asOf)
 }
 
 func (s *State) onTargetsListed(ev TargetsListed) {
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -67,7 +67,7 @@
 	// Weights holds the model versions of targets that changed recently.
 	Weights map[string]map[string]int `cbor:"7,keyasint,omitempty"`
 	// Config is the configuration version in force at the sender, and ConfigAge the time since
-	// it was last confirmed.
+	// the platform last confirmed it to the sender; both are 0 if it never did.
 	Config    int64         `cbor:"8,keyasint,omitempty"`
 	ConfigAge time.Duration `cbor:"9,keyasint,omitempty"`
 	// Lease is the newest revision of the lease known to the sender. Holder is true if the
@@ -233,8 +233,9 @@
 			m.Down = append(m.Down, id)
 		}
 	}
-	if s.config != nil {
-		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.configConfirmedAt)
+	if s.config != nil && !s.configAnsweredAt.IsZero() {
+		// Passed on, a confirmation by a peer would get younger by the delay of each message.
+		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.configAnsweredAt)
 	}
 	m.Lease, m.Holder, m.LeaseIdleFor = s.lease.Revision, s.holdsLease(), s.lease.IdleFor
 	if m.Holder {
