Pace a rollout by the newest version

Callers would see: all prompts refused while all engines load weights at once, just after these were named.

Cause: since each version has its own deadline, the pace counted from when the weights of the engine furthest behind were replaced. One engine with much older weights, or with a replacement that is unknown, made that 5 s or more.

Change: the pace counts from the naming of the newest version again.

--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -277,7 +277,7 @@
 		}
 		engines++
 		if model, _ := s.outdatedModel(t); model != "" {
-			elapsed = max(elapsed, s.sinceReplaced(t, model))
+			elapsed = max(elapsed, s.sinceNamed(model, s.desiredWeights[model]))
 			if s.updates[t.ID] == nil {
 				waiting = append(waiting, t)
 			}
