Date a version by own answers if a peer announced it first

Callers would see: prompts refused although the weights were current a moment ago, because a peer that had lost the platform announced the version with an early time.

Cause: an answer with a version that a peer had announced was dropped with its revision, so the host's own answers couldn't limit when it was named.

--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -75,6 +75,7 @@
 func (s *State) onDesiredWeightsChanged(ev DesiredWeightsChanged) {
 	before := s.desiredWeights[ev.Model]
 	if ev.Version <= before {
+		s.dateAnnouncedVersion(ev)
 		return
 	}
 	named := namedVersion{version: ev.Version, previous: before, revision: ev.Revision, seenAt: s.now}
@@ -95,6 +96,20 @@
 	s.log("weights named", "", fields...)
 }
 
+// dateAnnouncedVersion applies the revisions that this host knows to a version that a peer has
+// announced before the platform told it.
+func (s *State) dateAnnouncedVersion(ev DesiredWeightsChanged) {
+	list := s.namedVersions[ev.Model]
+	for i := range list {
+		if n := &list[i]; n.version == ev.Version && n.revision == 0 {
+			n.revision = ev.Revision
+			for _, mark := range s.revisionMarks {
+				n.apply(mark)
+			}
+		}
+	}
+}
+
 // apply applies a revision of the store. A mark of after the version was seen is wrong.
 func (n *namedVersion) apply(mark revisionMark) {
 	if mark.revision >= n.revision || mark.asOf.After(n.seenAt) {
