Announce the newest weights version for as long as it is the newest

Callers would see: prompts that begin on weights replaced long ago, from a host that was suspended for longer than 8 s and whose watch is silent after that.

Cause: hosts announced a version only while it may have been named less than 8 s before, although a host may have missed that time.

Change: each broadcast names the newest version of each model, and those before it whose deadlines may lie ahead. A new process is answered at once only while there are outdated engines.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -40,7 +40,7 @@
 	configConfirmedAt time.Time
 	// configAnsweredAt is the same by the platform's answers to this host only.
 	configAnsweredAt time.Time
-	targets           map[string]*target
+	targets          map[string]*target
 	// byService lists the targets of each service, sorted by ID.
 	byService            map[string][]*target
 	evacuatedDataCentres map[string]bool
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -62,8 +62,8 @@
 	Model    string `cbor:"1,keyasint"`
 	Version  int    `cbor:"2,keyasint"`
 	Previous int    `cbor:"3,keyasint"`
-	// NotBefore is the time since the version wasn't named yet, Seen the time since a host
-	// learned of it.
+	// NotBefore is the time since the version wasn't named yet, or 0 if the sender doesn't know.
+	// Seen is the time since a host learned of it.
 	NotBefore time.Duration `cbor:"4,keyasint"`
 	Seen      time.Duration `cbor:"5,keyasint"`
 }
@@ -156,14 +156,18 @@
 	}
 }
 
-// announcedVersions returns the versions that were named recently enough for hosts to need the
-// time.
+// announcedVersions returns the newest version of each model, which a host that lost the platform
+// may have missed, and those before it whose deadlines may lie ahead.
 func (s *State) announcedVersions() []NamedVersion {
 	var announced []NamedVersion
 	for _, model := range slices.Sorted(maps.Keys(s.namedVersions)) {
 		for _, n := range s.namedVersions[model] {
-			if age := s.now.Sub(n.ownNotBefore); !n.ownNotBefore.IsZero() && age < s.cfg.WeightsWithin {
-				announced = append(announced, NamedVersion{Model: model, Version: n.version, Previous: n.previous, NotBefore: age, Seen: s.now.Sub(n.seenAt)})
+			a := NamedVersion{Model: model, Version: n.version, Previous: n.previous, Seen: s.now.Sub(n.seenAt)}
+			if !n.ownNotBefore.IsZero() {
+				a.NotBefore = s.now.Sub(n.ownNotBefore)
+			}
+			if n.version == s.desiredWeights[model] || a.NotBefore > 0 && a.NotBefore < s.cfg.WeightsWithin {
+				announced = append(announced, a)
 			}
 		}
 	}
@@ -174,11 +178,11 @@
 func (s *State) applyAnnouncedVersions(announced []NamedVersion, host string) {
 	for _, a := range announced {
 		named := namedVersion{version: a.Version, previous: a.Previous, seenAt: s.now.Add(-a.Seen)}
-		if s.messageAgesReliable() {
+		if a.NotBefore > 0 && s.messageAgesReliable() {
 			named.notBefore = s.now.Add(-a.NotBefore - maxMessageDelay)
 		}
 		if a.Version > s.desiredWeights[a.Model] {
-			s.log("weights named", "", "model", a.Model, "version", a.Version, "peer", host, "within", a.NotBefore+maxMessageDelay)
+			s.log("weights named", "", "model", a.Model, "version", a.Version, "peer", host, "within", a.NotBefore, "age-used", !named.notBefore.IsZero())
 		}
 		s.addNamedVersion(a.Model, named)
 	}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -257,7 +257,7 @@
 		p = &peer{boot: m.Boot}
 		s.peerByHost[m.Host] = p
 		s.log("peer heard", "", "peer", m.Host, "boot", m.Boot)
-		if len(s.announcedVersions()) > 0 {
+		if s.countOutdatedEngines() > 0 {
 			s.broadcast() // A new process can't know when the weights were named.
 		}
 	}
