Judge the age of an update by when it was received

Cause: an update of another host that waits in the receive buffer during a suspension gets its time of arrival after it, and then waits in the queue of a watch until the watch's call ends.

--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -78,10 +78,11 @@
 type ConfigListed struct{ Config *descriptor.Config }
 
 // ConfigConfirmed reports that the newest configuration listed was still the platform's newest
-// at AsOf. FromPeer is true when another host reported it.
+// at AsOf. FromPeer is true when another host reported it, in a message received at ReceivedAt.
 type ConfigConfirmed struct {
-	AsOf     time.Time
-	FromPeer bool
+	AsOf       time.Time
+	FromPeer   bool
+	ReceivedAt time.Time
 }
 
 // TargetsListed reports changes in the platform's list of targets.
@@ -110,11 +111,12 @@
 }
 
 // RevisionConfirmed reports that the changes of the platform's store after Revision were made
-// after AsOf. FromPeer is true when another host reported it.
+// after AsOf. FromPeer is true when another host reported it, in a message received at ReceivedAt.
 type RevisionConfirmed struct {
-	Revision int64
-	AsOf     time.Time
-	FromPeer bool
+	Revision   int64
+	AsOf       time.Time
+	FromPeer   bool
+	ReceivedAt time.Time
 }
 
 // PartsChanged reports changes in the content of a store. Whole is true when they list all
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -132,7 +132,7 @@
 	case !ev.FromPeer:
 		s.configAnsweredAt = latest(s.configAnsweredAt, ev.AsOf)
 		s.confirmConfig(ev.AsOf)
-	case s.messageAgesReliable():
+	case s.messageAgesReliable(ev.ReceivedAt):
 		s.confirmConfig(ev.AsOf)
 	}
 }
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -140,7 +140,7 @@
 }
 
 func (s *State) onRevisionConfirmed(ev RevisionConfirmed) {
-	if !ev.FromPeer || s.messageAgesReliable() {
+	if !ev.FromPeer || s.messageAgesReliable(ev.ReceivedAt) {
 		s.markRevision(revisionMark{ev.Revision, ev.AsOf, ev.FromPeer})
 	}
 }
@@ -178,7 +178,7 @@
 func (s *State) applyAnnouncedVersions(announced []NamedVersion, host string) {
 	for _, a := range announced {
 		named := namedVersion{version: a.Version, previous: a.Previous, seenAt: s.now.Add(-a.Seen)}
-		if a.NotBefore > 0 && s.messageAgesReliable() {
+		if a.NotBefore > 0 && s.messageAgesReliable(s.now) {
 			named.notBefore = s.now.Add(-a.NotBefore - maxMessageDelay)
 		}
 		if a.Version > s.desiredWeights[a.Model] {
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -301,13 +301,16 @@
 	s.log("host was suspended", "", "for", now.Sub(s.now))
 }
 
-// messageAgesReliable reports whether the ages in messages received now can be relied on.
-func (s *State) messageAgesReliable() bool { return s.now.Sub(s.resumedAt) > suspensionBacklogTime }
+// messageAgesReliable reports whether the ages in a message can be relied on that was received at
+// the given time, and may have been queued since.
+func (s *State) messageAgesReliable(receivedAt time.Time) bool {
+	return receivedAt.Sub(s.resumedAt) > suspensionBacklogTime
+}
 
 // applyPeerState applies the configuration age, named and new weights, lease and updates that a
 // peer announced.
 func (s *State) applyPeerState(m Message) {
-	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable() {
+	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable(s.now) {
 		s.confirmConfig(s.now.Add(-m.ConfigAge - maxMessageDelay))
 	}
 	s.applyAnnouncedVersions(m.Named, m.Host)
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -114,7 +114,7 @@
 		return // Wait for the complete list.
 	}
 	var asOf time.Time // Zero doesn't confirm the content of the store.
-	if s.messageAgesReliable() {
+	if s.messageAgesReliable(s.now) {
 		asOf = s.now.Add(-ev.Age - maxRelayDelay)
 	}
 	s.applyPartChanges(st, PartsChanged{Store: ev.Store, AsOf: asOf, Changes: descriptor.PartChanges{Boot: ev.Boot, Changes: ev.Changes}})
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -140,8 +140,9 @@
 type freshness struct {
 	// asOf is the time at which the answer was known to be current.
 	asOf time.Time
-	// fromPeer is true if another host forwarded the answer.
-	fromPeer bool
+	// fromPeer is true if another host forwarded the answer, in an update received at receivedAt.
+	fromPeer   bool
+	receivedAt time.Time
 	// returnUntil is the time until which entries that lapsed in an outage may come back, or zero.
 	returnUntil time.Time
 }
@@ -251,7 +252,7 @@
 // may be the revision of the last one, rather than of the store.
 func (w *watch) confirmRevision(changes caller.Objects, fresh freshness) {
 	if len(changes.Objects) == 0 {
-		w.cfg.Post(decider.RevisionConfirmed{Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
+		w.cfg.Post(decider.RevisionConfirmed{Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
 	}
 }
 
@@ -353,7 +354,7 @@
 		}
 		w.cfg.Post(decider.ConfigListed{Config: cfg})
 	}
-	w.cfg.Post(decider.ConfigConfirmed{AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
+	w.cfg.Post(decider.ConfigConfirmed{AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
 }
 
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -169,7 +169,7 @@
 	if u.Heartbeat {
 		return
 	}
-	fresh := freshness{asOf: u.receivedAt.Add(-u.Age - maxUpdateDelay), fromPeer: true}
+	fresh := freshness{asOf: u.receivedAt.Add(-u.Age - maxUpdateDelay), fromPeer: true, receivedAt: u.receivedAt}
 	if u.AfterOutage {
 		fresh.returnUntil = u.receivedAt.Add(cmp.Or(u.ReturnWithin, outageGrace))
 	}
