Carry the store's era with the lease

Callers saw nothing of this: it prepares the next changes. The lease record gets the era that its writer knew, and the messages between hosts the era of the lease's revision. A relay of the previous build ignores both fields; what it writes and sends has the era 0. Nothing is decided by them yet.

--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -80,8 +80,9 @@
 	Message Message
 }
 
-// RenewLease writes the lease if its revision is still Revision; 0 creates it.
-type RenewLease struct{ Revision int64 }
+// RenewLease writes the lease if its revision is still Revision; 0 creates it. Era is the era of
+// that revision.
+type RenewLease struct{ Era, Revision int64 }
 
 // ReadLease reads the current lease.
 type ReadLease struct{}
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -142,7 +142,7 @@
 	CalledAt time.Time
 	// Written is true for the result of a write, false for that of a read.
 	Written bool
-	// Missing is true when no lease exists.
+	// Missing is true when no lease exists. Of the Lease, only the Era is then set.
 	Missing bool
 	// Err is true when the call failed.
 	Err bool
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -74,6 +74,8 @@
 	// sender holds it.
 	Lease  int64 `cbor:"10,keyasint,omitempty"`
 	Holder bool  `cbor:"11,keyasint,omitempty"`
+	// LeaseEra is the era of Lease.
+	LeaseEra int64 `cbor:"15,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -55,9 +55,14 @@
 
 // Lease is the stored lease record. Its holder is the only process that orders weight updates.
 type Lease struct {
+	// Era and Revision are the store's at the record's last change. An era begins when the
+	// store goes back to an earlier copy, after which it gives out some revisions again.
+	Era      int64  `json:"-"`
 	Revision int64  `json:"-"`
 	Holder   string `json:"holder"`
 	Boot     int64  `json:"boot"`
+	// WriterEra is the era that the holder knew when it wrote the record.
+	WriterEra int64 `json:"era,omitempty"`
 	// Renewal changes with each write, so that every renewal gets a new revision.
 	Renewal int64 `json:"renewal"`
 }
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -56,7 +56,7 @@
 		object, err := r.caller.Get(ctx, caller.KindLeases, leaseName)
 		r.post(r.leaseEvent(object, err, sentAt, false))
 	case decider.RenewLease:
-		r.renewLease(ctx, e.Revision)
+		r.renewLease(ctx, e)
 	case decider.ReadReport:
 		report, err := r.caller.ReadReport(ctx, e.Address)
 		r.post(decider.ReportAnswered{Target: e.Target, Report: report, Err: err})
@@ -74,15 +74,15 @@
 	}
 }
 
-func (r *Runner) renewLease(ctx context.Context, revision int64) {
+func (r *Runner) renewLease(ctx context.Context, e decider.RenewLease) {
 	sentAt := r.cfg.Clock.Now()
-	spec := decider.Lease{Holder: r.cfg.Settings.Host, Boot: r.cfg.Boot, Renewal: sentAt.UnixNano()}
+	spec := decider.Lease{Holder: r.cfg.Settings.Host, Boot: r.cfg.Boot, Renewal: sentAt.UnixNano(), WriterEra: e.Era}
 	var object caller.Object
 	var err error
-	if revision == 0 {
+	if e.Revision == 0 {
 		object, err = r.caller.Create(ctx, caller.KindLeases, leaseName, spec)
 	} else {
-		object, err = r.caller.Replace(ctx, caller.KindLeases, leaseName, revision, spec)
+		object, err = r.caller.Replace(ctx, caller.KindLeases, leaseName, e.Revision, spec)
 	}
 	r.post(r.leaseEvent(object, err, sentAt, true))
 }
@@ -94,9 +94,9 @@
 		if err := json.Unmarshal(object.Spec, &ev.Lease); err != nil {
 			r.cfg.Logger.Error("failed to decode the lease, assuming no holder", "error", err.Error())
 		}
-		ev.Lease.Revision = object.Revision
+		ev.Lease.Era, ev.Lease.Revision = object.Era, object.Revision
 	case caller.KindOf(err) == caller.KindMissing:
-		ev.Missing = true
+		ev.Missing, ev.Lease.Era = true, object.Era
 	default:
 		ev.Err = true
 		r.cfg.Logger.Warn("lease call failed", "error", err.Error(), "written", written)
