Take a new fencing token with each takeover of the lease

Callers saw nothing of this yet. Engines could get a lower fencing token after a higher one, which breaks the rule ONE where they don't check it.

Cause: a host kept its fencing token when it lost the lease. When the answer to its next takeover was lost, it read that the lease names it, took the first write after that for a renewal, and ordered with the old token, although another host had ordered with a higher one in between.

Change: the lease is recorded in one place, which forgets the fencing token once the lease names another process.

--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -319,10 +319,11 @@
 	}
 	if m.Lease > s.lease.Revision {
 		// Unless the sender holds this revision, its holder is unknown. It can't be this host.
-		s.lease, s.leaseSeenAt = Lease{Revision: m.Lease}, s.now
+		lease := Lease{Revision: m.Lease}
 		if m.Holder {
-			s.lease.Holder, s.lease.Boot = m.Host, m.Boot
+			lease.Holder, lease.Boot = m.Host, m.Boot
 		}
+		s.setLease(lease)
 	}
 	if m.Holder {
 		s.applyUpdatingTargets(m)
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -182,7 +182,7 @@
 	s.leaseMissing = ev.Missing
 	if ev.Missing {
 		if s.lease.Revision != 0 || s.leaseSeenAt.IsZero() {
-			s.lease, s.leaseSeenAt = Lease{}, s.now
+			s.setLease(Lease{})
 		}
 		return
 	}
@@ -190,22 +190,31 @@
 		return
 	}
 	previous := s.lease
-	s.lease = ev.Lease
-	if ev.Lease.Revision != previous.Revision {
-		s.leaseSeenAt = s.now
-	}
+	s.setLease(ev.Lease)
 	if !ev.Written {
 		return
 	}
 	s.renewedAt = ev.CalledAt
 	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
-	if previous.Holder != s.cfg.Host || previous.Boot != s.cfg.Boot || s.fencingToken == 0 {
+	if s.fencingToken == 0 {
 		s.fencingToken = ev.Lease.Revision
 		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision)
 		s.listStores()
 	}
 }
 
+// setLease records the newest known lease. A host that loses the lease also loses its fencing
+// token, as others may have used higher ones when it takes the lease again.
+func (s *State) setLease(lease Lease) {
+	if lease.Revision != s.lease.Revision || s.leaseSeenAt.IsZero() {
+		s.leaseSeenAt = s.now
+	}
+	s.lease = lease
+	if !s.leaseNamesSelf() {
+		s.fencingToken = 0
+	}
+}
+
 // countOutdatedEngines counts the engines without the named weights.
 func (s *State) countOutdatedEngines() int {
 	n := 0
