Order leases by the store's era and revision

Cause: hosts compared leases by revision alone. After the store had gone back, all of them ignored the lease until the revisions caught up, so nobody could give orders. A host that the copy names as the holder could order beside the one that held the lease last, and fencing tokens went down.

Change: leases are ordered by (era, revision), in the store's answers and in messages. The fencing token has the era above the revision; in era 0 it is what it was. A record whose writer knew another era than that of the answer is from the copy, or from a write that was delayed beyond the change. It shows nothing of who ordered last, so every host waits as for a silent holder, also the one that it names. The host that renewed the lease within the last term goes on at once: all others wait for longer than that.

A missing lease counts as such a record after the first era.

--- a/internal/relay/decider/lease_test.go
+++ b/internal/relay/decider/lease_test.go
@@ -218,6 +218,12 @@
 	}
 }
 
+func (l *leaseTrial) run(d time.Duration) {
+	for range d / leaseStep {
+		l.step()
+	}
+}
+
 // disturb suspends or restarts a host at random.
 func (l *leaseTrial) disturb() {
 	i := l.rng.IntN(len(l.hosts))
@@ -232,8 +238,8 @@
 // TestOrdersOfTwoHostsAreATermApart guards against orders of two hosts within one lease term, and
 // against fencing tokens that go down, whatever happens to hosts, calls and store.
 func TestOrdersOfTwoHostsAreATermApart(t *testing.T) {
-	for _, storeGoesBack := range []bool{false} {
-		for seed := range uint64(100) {
+	for _, storeGoesBack := range []bool{false, true} {
+		for seed := range uint64(50) {
 			t.Run(fmt.Sprintf("store-goes-back=%v/seed=%d", storeGoesBack, seed), func(t *testing.T) {
 				l := newLeaseTrial(t, seed, 3)
 				for range 2 * time.Minute / leaseStep {
@@ -247,3 +253,53 @@
 		}
 	}
 }
+
+// TestLeaseIsHeldAgainAfterStoreWentBack guards against a lease that nobody can renew or take
+// until the store's revisions have caught up with those of before.
+func TestLeaseIsHeldAgainAfterStoreWentBack(t *testing.T) {
+	l := newLeaseTrial(t, 1, 2)
+	l.run(40 * time.Second)
+	l.goBack(30 * time.Second)
+	wentBack := l.clock
+	l.run(6 * time.Second)
+	assert.Assert(t, l.lastOrder.After(wentBack.Add(time.Second)), "no host may give orders for %v after the store went back", l.clock.Sub(l.lastOrder))
+}
+
+// TestHolderOrdersOnAfterStoreWentBack guards against a pause of a whole term in the orders of a
+// holder that can't have been replaced.
+func TestHolderOrdersOnAfterStoreWentBack(t *testing.T) {
+	for _, age := range []time.Duration{0, 3 * time.Second, 30 * time.Second} {
+		l := newLeaseTrial(t, 3, 2)
+		l.run(20 * time.Second)
+		holder := l.lastOrderHost
+		l.goBack(age)
+		for range 2 * time.Second / leaseStep {
+			l.step()
+		}
+		assert.Equal(t, l.lastOrderHost, holder)
+		assert.Assert(t, l.clock.Sub(l.lastOrder) < time.Second, "no host may give orders for %v after the store went back by %v", l.clock.Sub(l.lastOrder), age)
+	}
+}
+
+// TestRestartedHolderWaitsAfterStoreWentBack guards against a new process of a host that relies on
+// a record of the copy, although another host may have given orders since.
+func TestRestartedHolderWaitsAfterStoreWentBack(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	h.handle(Tick{})
+	h.handle(LeaseAnswered{Lease: Lease{Era: 1, Revision: 90, Holder: "a", Boot: 0}, CalledAt: h.clock})
+	waits := leaseTerm + orderPeriod + takeoverMargin
+	for range (waits - leaseStep) / leaseStep {
+		h.advance(leaseStep)
+		assert.Equal(t, len(effectsOf[RenewLease](h.handle(Tick{}))), 0, "the lease is taken %v after it was first read", h.clock.Sub(h.leaseSeenAt))
+		h.handle(LeaseAnswered{Lease: Lease{Era: 1, Revision: 90, Holder: "a", Boot: 0}, CalledAt: h.clock})
+	}
+	h.advance(leaseStep)
+	assert.DeepEqual(t, effectsOf[RenewLease](h.handle(Tick{})), []RenewLease{{Era: 1, Revision: 90}})
+}
+
+// TestFencingTokensOfFirstEra guards against tokens that a relay of the previous build, which knows
+// no eras, would not exceed.
+func TestFencingTokensOfFirstEra(t *testing.T) {
+	assert.Equal(t, Lease{Revision: 41}.newFencingToken(), int64(41))
+	assert.Assert(t, Lease{Era: 1, Revision: 1}.newFencingToken() > Lease{Revision: 1 << 30}.newFencingToken())
+}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -236,7 +236,7 @@
 	if s.config != nil {
 		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.configConfirmedAt)
 	}
-	m.Lease, m.Holder = s.lease.Revision, s.holdsLease()
+	m.LeaseEra, m.Lease, m.Holder = s.lease.Era, s.lease.Revision, s.holdsLease()
 	if m.Holder {
 		for id := range s.updates {
 			m.Orders = append(m.Orders, id)
@@ -317,9 +317,8 @@
 			}
 		}
 	}
-	if m.Lease > s.lease.Revision {
+	if lease := (Lease{Era: m.LeaseEra, Revision: m.Lease}); s.lease.olderThan(lease) {
 		// Unless the sender holds this revision, its holder is unknown. It can't be this host.
-		lease := Lease{Revision: m.Lease}
 		if m.Holder {
 			lease.Holder, lease.Boot = m.Host, m.Boot
 		}
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -61,12 +61,30 @@
 	Revision int64  `json:"-"`
 	Holder   string `json:"holder"`
 	Boot     int64  `json:"boot"`
-	// WriterEra is the era that the holder knew when it wrote the record.
+	// WriterEra is the era that the holder knew when it wrote the record. It differs from Era
+	// if the record is from the copy to which the store went back, or from a write that was
+	// meant for the state before that.
 	WriterEra int64 `json:"era,omitempty"`
 	// Renewal changes with each write, so that every renewal gets a new revision.
 	Renewal int64 `json:"renewal"`
 }
 
+// olderThan reports whether l is from before o. Revisions are only comparable within an era.
+func (l Lease) olderThan(o Lease) bool {
+	return cmp.Or(cmp.Compare(l.Era, o.Era), cmp.Compare(l.Revision, o.Revision)) < 0
+}
+
+// inherited reports whether the record wasn't written for the state that the store now has. It then
+// doesn't show who gave orders last.
+func (l Lease) inherited() bool { return l.WriterEra != l.Era }
+
+// eraShift is the position of the era in a fencing token, above all revisions.
+const eraShift = 40
+
+// newFencingToken returns the fencing token of a holder that took the lease by writing l. Tokens
+// increase with each takeover, also when revisions go back.
+func (l Lease) newFencingToken() int64 { return l.Era<<eraShift | l.Revision }
+
 // rollout holds the lease and the weight updates in progress.
 type rollout struct {
 	lease Lease
@@ -134,26 +152,37 @@
 	if !s.leaseCallAt.IsZero() && s.now.Sub(s.leaseCallAt) < callTimeout {
 		return
 	}
-	stagger := time.Duration(s.takeoverRank()) * takeoverStagger
 	silence := s.now.Sub(s.leaseSeenAt)
 	switch {
 	case !s.leaseKnown:
 		s.readLease()
-	case s.leaseNamesSelf():
+	case s.leaseNamesSelf() && !s.lease.inherited():
 		if s.now.Sub(s.renewedAt) >= s.renewInterval() {
-			s.writeLease(s.lease.Revision)
+			s.writeLease()
 		}
-	case s.leaseMissing:
-		if silence > stagger {
-			s.writeLease(0)
-		}
-	case s.lease.Holder == s.cfg.Host || silence > s.cfg.LeaseTerm+orderPeriod+takeoverMargin+stagger:
-		s.writeLease(s.lease.Revision)
+	case silence >= s.takeoverDelay():
+		s.writeLease()
 	case silence > leaseReadInterval && s.now.Sub(s.leaseReadAt) > leaseReadInterval:
 		s.readLease()
 	}
 }
 
+// takeoverDelay returns how long this host must have known the current lease before it takes it.
+// The delay ensures that any earlier holder gave its last order more than a lease term ago.
+func (s *State) takeoverDelay() time.Duration {
+	stagger := time.Duration(s.takeoverRank()) * takeoverStagger
+	switch {
+	case s.lease.inherited() && s.now.Sub(s.renewedAt) < s.cfg.LeaseTerm:
+		return 0 // No other host can have taken the lease since this one renewed it.
+	case s.lease.inherited():
+	case s.leaseMissing:
+		return stagger
+	case s.lease.Holder == s.cfg.Host:
+		return 0
+	}
+	return s.cfg.LeaseTerm + orderPeriod + takeoverMargin + stagger
+}
+
 func (s *State) renewInterval() time.Duration {
 	if len(s.updates) > 0 || s.countOutdatedEngines() > 0 {
 		return renewIntervalBusy
@@ -166,9 +195,9 @@
 	s.emit(ReadLease{})
 }
 
-func (s *State) writeLease(revision int64) {
+func (s *State) writeLease() {
 	s.leaseCallAt = s.now
-	s.emit(RenewLease{Revision: revision})
+	s.emit(RenewLease{Era: s.lease.Era, Revision: s.lease.Revision})
 }
 
 func (s *State) onLeaseAnswered(ev LeaseAnswered) {
@@ -179,38 +208,52 @@
 		return
 	}
 	s.leaseKnown = true
-	s.leaseMissing = ev.Missing
 	if ev.Missing {
-		if s.lease.Revision != 0 || s.leaseSeenAt.IsZero() {
-			s.setLease(Lease{})
-		}
+		s.setMissingLease(ev.Lease.Era)
 		return
 	}
-	if ev.Lease.Revision < s.lease.Revision {
+	if ev.Lease.olderThan(s.lease) {
 		return
 	}
 	previous := s.lease
 	s.setLease(ev.Lease)
-	if !ev.Written {
+	if !ev.Written || ev.Lease.inherited() {
 		return
 	}
 	s.renewedAt = ev.CalledAt
 	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
 	if s.fencingToken == 0 {
-		s.fencingToken = ev.Lease.Revision
-		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision)
+		s.fencingToken = ev.Lease.newFencingToken()
+		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision, "era", ev.Lease.Era)
 		s.listStores()
 	}
 }
 
+// setMissingLease records that there was no lease in an era.
+func (s *State) setMissingLease(era int64) {
+	if era < s.lease.Era {
+		return
+	}
+	if s.lease.Revision != 0 || s.lease.Era != era || s.leaseSeenAt.IsZero() {
+		s.setLease(Lease{Era: era})
+		s.leaseSeenAt = s.now
+	}
+	s.leaseMissing = true
+}
+
 // setLease records the newest known lease. A host that loses the lease also loses its fencing
-// token, as others may have used higher ones when it takes the lease again.
+// token, as others may have used higher ones when it takes the lease again. The same holds if a
+// copy of the store names the host and others may have had the lease in between.
 func (s *State) setLease(lease Lease) {
-	if lease.Revision != s.lease.Revision || s.leaseSeenAt.IsZero() {
+	first := s.leaseSeenAt.IsZero()
+	if first || s.lease.olderThan(lease) {
 		s.leaseSeenAt = s.now
 	}
-	s.lease = lease
-	if !s.leaseNamesSelf() {
+	if !first && lease.Era != s.lease.Era {
+		s.log("store went back to a copy", "", "era", lease.Era, "before", s.lease.Era, "lease", lease.Holder, "revision", lease.Revision, "since-renewed", s.now.Sub(s.renewedAt))
+	}
+	s.lease, s.leaseMissing = lease, false
+	if !s.leaseNamesSelf() || lease.inherited() && s.now.Sub(s.renewedAt) >= s.cfg.LeaseTerm {
 		s.fencingToken = 0
 	}
 }
