List all objects again when the store went back

A host could miss new configurations, targets and evacuations for as long as nothing else changed, and use targets that the store no longer lists.

Cause: after the store has gone back, a watch from a revision that it has given out again is valid and starts after changes that the host hasn't seen. Updates between hosts had the same fault: they name revisions only.

Change: a watch keeps the era of its revision, and updates between hosts state it. An update of an earlier era is ignored and doesn't count as a sign that others watch, as one from a relay of the previous build. An answer of an earlier era is a failed call.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
@@ -76,14 +77,15 @@
 // Follower runs one watch for each kind of platform objects and one poller for each store.
 type Follower struct {
 	cfg     Config
+	newest  newestEra
 	watches []*watch
 }
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg}
+	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
-		f.watches = append(f.watches, &watch{Follower: f, kind: kind, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
 	}
 	return f
 }
@@ -111,6 +113,9 @@
 	}
 }
 
+// unknownEra is the era of a watch that hasn't listed its objects yet.
+const unknownEra = -1
+
 // watch keeps a copy of all objects of one kind, from the platform or from updates of
 // other hosts.
 type watch struct {
@@ -129,8 +134,10 @@
 
 	// mu guards the fields below, which heartbeats read. Only the watch writes them.
 	mu sync.Mutex
-	// revision is the revision up to which all changes are known; 0 before the first list.
+	// revision is the revision up to which all changes are known; 0 before each list.
 	revision int64
+	// era is the store's era of revision; unknownEra before the first list.
+	era int64
 	// failing is true from a failed call to the next successful one.
 	failing bool
 }
@@ -149,6 +156,9 @@
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		w.applyQueued()
+		if w.eraIsOver() {
+			w.setPosition(w.era, 0)
+		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
 			continue
@@ -158,9 +168,12 @@
 			pause = minRetryPause
 			continue
 		}
-		if caller.KindOf(err) == caller.KindCompacted {
-			w.cfg.Logger.Info("changes are compacted, listing again", "kind", w.kind, "after", w.revision)
-			w.setRevision(0)
+		if w.eraIsOver() {
+			continue
+		}
+		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
+			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
+			w.setPosition(w.era, 0)
 			continue
 		}
 		w.recordFailure(ctx, err)
@@ -181,10 +194,11 @@
 	return updateTimeout
 }
 
-func (w *watch) setRevision(revision int64) {
+// setPosition sets the era and the revision up to which all changes are known.
+func (w *watch) setPosition(era, revision int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.revision = revision
+	w.era, w.revision = era, revision
 }
 
 func (w *watch) setFailing(failing bool) {
@@ -209,6 +223,28 @@
 	}
 }
 
+// checkEra records the era of an answer. It returns an error if a newer era is known.
+func (w *watch) checkEra(era int64) error {
+	if newest := w.newest.observe(era); era < newest {
+		return errors.Newf("answer of era %d after one of era %d", era, newest)
+	}
+	return nil
+}
+
+// eraIsOver reports whether a newer era is known than that of the watch.
+func (w *watch) eraIsOver() bool {
+	return w.era != unknownEra && w.era < w.newest.current()
+}
+
+// recordEra records the era of a list. What was written before a new era is partly lost until it is
+// written again, as after an outage.
+func (w *watch) recordEra(era int64) {
+	if w.era != unknownEra && w.era != era {
+		w.recoveredAt = w.cfg.Clock.Now()
+		w.cfg.Logger.Info("store went back to an earlier copy", "kind", w.kind, "era", era, "before", w.era)
+	}
+}
+
 // poll makes one call: it lists all objects if no revision is known, and waits for
 // changes otherwise.
 func (w *watch) poll(ctx context.Context) error {
@@ -218,22 +254,34 @@
 		if err != nil {
 			return err
 		}
+		if err := w.checkEra(all.Era); err != nil {
+			return err
+		}
 		w.recordSuccess()
+		w.recordEra(all.Era)
 		clear(w.objects)
 		w.updateObjects(all.Objects)
 		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
-		w.setRevision(all.Revision)
+		w.setPosition(all.Era, all.Revision)
 		// Updates of the watching hosts are expected from here on.
 		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
 		return nil
 	}
 	after := w.revision
 	wait := w.watchWait()
-	changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, wait)
+	watchCtx, cancel := w.newest.untilRisen(ctx, w.era)
+	defer cancel()
+	changes, err := w.cfg.Caller.Watch(watchCtx, w.kind, after, wait)
 	if err != nil {
 		return err
 	}
+	if err := w.checkEra(changes.Era); err != nil {
+		return err
+	}
+	if w.eraIsOver() {
+		return nil // The watched revision may have been given out again, for other changes.
+	}
 	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), afterOutage: w.recentOutage()}
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
@@ -274,7 +322,7 @@
 	}
 	w.updateObjects(objects)
 	w.postChanges(objects, false, fresh)
-	w.setRevision(max(w.revision, changes.Revision))
+	w.setPosition(w.era, max(w.revision, changes.Revision))
 }
 
 // answerTime returns the time at which an answer is known to be current: the start of the
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -271,7 +271,7 @@
 	clock := &fakeClock{time.Unix(1000, 0)}
 	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: always, SendUpdates: func([]WatchUpdate) {}, Post: func(decider.Event) {}})
 	w := f.watches[1]
-	w.setRevision(5)
+	w.setPosition(0, 5)
 	receiveHeartbeat := func() {
 		w.applyUpdate(receivedUpdate{WatchUpdate{Kind: w.kind, After: 5, UpTo: 5, Heartbeat: true}, clock.now})
 	}
@@ -346,3 +346,77 @@
 		log.mu.Unlock()
 	}
 }
+
+// TestStoreThatWentBackIsListedAgain guards against a host that misses changes because the store
+// gave out the revision of its watch again, and keeps objects that the store has lost.
+func TestStoreThatWentBackIsListedAgain(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[0].ID == "a" && ev.Targets[1].ID == "b"
+	})
+	store.Remove(caller.KindTargets, "a")
+	removed := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) == 1 })
+	assert.Assert(t, removed.AfterOutage, "an entry that may have lapsed counts as removed")
+}
+
+// TestWatchFromLostRevisionIsListedAgain guards against a watch that never recovers from 410.
+func TestWatchFromLostRevisionIsListedAgain(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	store.GoBack(earlier)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 1 })
+}
+
+// TestUpdatesOfOtherErasAreNotApplied guards against changes of one state of the store that are
+// applied to another one, in which the same revisions mean other changes.
+func TestUpdatesOfOtherErasAreNotApplied(t *testing.T) {
+	clock := &fakeClock{time.Unix(1000, 0)}
+	events := &eventLog{}
+	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: never, Post: events.post})
+	w := f.watches[1]
+	w.setPosition(1, 5)
+	change := func(era int64) receivedUpdate {
+		objects := []caller.Object{{Kind: w.kind, Name: "a", Revision: 6, Spec: []byte(targetSpec)}}
+		return receivedUpdate{WatchUpdate{Kind: w.kind, Era: era, After: 5, UpTo: 6, Objects: objects}, clock.now}
+	}
+	w.applyUpdate(change(0))
+	assert.Assert(t, !w.updatedByPeers(), "a host relies on updates of a host that doesn't know the newest era")
+	w.applyUpdate(change(2))
+	assert.Assert(t, w.behind && !w.updatedByPeers(), "a host doesn't call the platform when another host knows a newer era")
+	assert.Equal(t, len(events.events), 0)
+	assert.Equal(t, w.revision, int64(5))
+	w.behind = false
+	w.applyUpdate(change(1))
+	assert.Assert(t, len(events.events) > 0 && w.revision == 6)
+}
+
+// TestUpdatesStateTheEra checks that hosts which don't call the platform learn from the updates of
+// others that the store went back.
+func TestUpdatesStateTheEra(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	server := newTestStore(t, store)
+	receiver, events := server.start(never, func([]WatchUpdate) {})
+	_, watching := server.start(always, receiver.Receive)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	waitForEvent(t, watching, func(ev decider.TargetsListed) bool { return ev.Whole })
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Targets) == 1 && ev.Targets[0].ID == "lost" })
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[1].ID == "b"
+	})
+}
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -41,6 +41,8 @@
 	Heartbeat bool `cbor:"6,keyasint,omitempty"`
 	// AfterOutage is true during and just after an outage: removed entries may come back.
 	AfterOutage bool `cbor:"7,keyasint,omitempty"`
+	// Era is the store's era, in which After and UpTo are revisions.
+	Era int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // receivedUpdate is an update with its time of arrival.
@@ -55,6 +57,7 @@
 func (f *Follower) Receive(updates []WatchUpdate) {
 	now := f.cfg.Clock.Now()
 	for _, u := range updates {
+		f.newest.observe(u.Era)
 		for _, w := range f.watches {
 			if w.kind == u.Kind {
 				w.enqueue(receivedUpdate{u, now})
@@ -111,7 +114,7 @@
 func (w *watch) heartbeat() (WatchUpdate, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return WatchUpdate{Kind: w.kind, After: w.revision, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing
+	return WatchUpdate{Kind: w.kind, Era: w.era, After: w.revision, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing
 }
 
 // forwardChanges sends the platform's answer to a watch after the given revision to
@@ -128,7 +131,7 @@
 		return // The next heartbeat shows the other hosts that they are behind.
 	}
 	w.cfg.SendUpdates([]WatchUpdate{{
-		Kind: w.kind, After: after, UpTo: max(after, changes.Revision), Objects: changes.Objects,
+		Kind: w.kind, Era: w.era, After: after, UpTo: max(after, changes.Revision), Objects: changes.Objects,
 		Age: w.cfg.Clock.Now().Sub(fresh.asOf), AfterOutage: fresh.afterOutage,
 	}})
 }
@@ -154,10 +157,14 @@
 }
 
 // applyUpdate applies an update that continues from the current revision. It skips
-// changes that are known already; a gap makes the watch call the platform.
+// changes that are known already; a gap or a new era makes the watch call the platform. It
+// ignores updates of hosts that don't know the current era.
 func (w *watch) applyUpdate(u receivedUpdate) {
+	if u.Era < w.era {
+		return
+	}
 	w.lastUpdate = u.receivedAt
-	if u.After > w.revision {
+	if u.Era > w.era || u.After > w.revision {
 		w.behind = true
 		return
 	}
