Register a host again when the store has lost its entry

A host that had registered in the seconds that the store lost was unknown to all others until its next start: it got no messages, and limits were divided among too few hosts.

Cause: a host registered once, at its start.

Evidence: TestLostHostIsRegisteredAgain failed before ("no decider.HostsListed within 8 s") and passes now.

Change: the list of hosts that follows a new era shows whether this host's entry is there. If not, the host creates it again.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -59,6 +59,8 @@
 
 // Config configures a Follower.
 type Config struct {
+	// Host is the name of this host.
+	Host   string
 	Caller *caller.Caller
 	Clock  timer.Clock
 	Logger hclog.Logger
@@ -79,11 +81,13 @@
 	cfg     Config
 	newest  newestEra
 	watches []*watch
+	// unregistered receives a value when the store has lost the entry of this host.
+	unregistered chan struct{}
 }
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}}
+	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
 		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
 	}
@@ -236,12 +240,25 @@
 	return w.era != unknownEra && w.era < w.newest.current()
 }
 
-// recordEra records the era of a list. What was written before a new era is partly lost until it is
-// written again, as after an outage.
-func (w *watch) recordEra(era int64) {
-	if w.era != unknownEra && w.era != era {
-		w.recoveredAt = w.cfg.Clock.Now()
-		w.cfg.Logger.Info("store went back to an earlier copy", "kind", w.kind, "era", era, "before", w.era)
+// recordEra records the era of a list and reports whether the store went back since the last one.
+// What was written before that is partly lost until it is written again, as after an outage.
+func (w *watch) recordEra(era int64) bool {
+	if w.era == unknownEra || w.era == era {
+		return false
+	}
+	w.recoveredAt = w.cfg.Clock.Now()
+	w.cfg.Logger.Info("store went back to an earlier copy", "kind", w.kind, "era", era, "before", w.era)
+	return true
+}
+
+// checkRegistration lets Register run again if the store has lost the entry of this host.
+func (w *watch) checkRegistration() {
+	if _, ok := w.objects[w.cfg.Host]; ok {
+		return
+	}
+	select {
+	case w.unregistered <- struct{}{}:
+	default:
 	}
 }
 
@@ -258,9 +275,12 @@
 			return err
 		}
 		w.recordSuccess()
-		w.recordEra(all.Era)
+		wentBack := w.recordEra(all.Era)
 		clear(w.objects)
 		w.updateObjects(all.Objects)
+		if wentBack && w.kind == caller.KindHosts {
+			w.checkRegistration()
+		}
 		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
 		w.setPosition(all.Era, all.Revision)
@@ -449,29 +469,41 @@
 	w.cfg.Post(ev)
 }
 
-// Register adds this host to the platform's list of hosts and retries until it
-// succeeds. If registered is true, it first tries to replace an entry that is
-// probably left from an earlier start.
-func (f *Follower) Register(ctx context.Context, name string, host descriptor.Host, registered bool) {
+// Register adds this host to the platform's list of hosts, and adds it again whenever the store
+// has lost its entry, until ctx ends. If registered is true, it first tries to replace an entry
+// that is probably left from an earlier start.
+func (f *Follower) Register(ctx context.Context, host descriptor.Host, registered bool) {
+	for f.register(ctx, host, registered) {
+		select {
+		case <-f.unregistered:
+			registered = false
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// register retries until it succeeds. It returns false if ctx ends first.
+func (f *Follower) register(ctx context.Context, host descriptor.Host, registered bool) bool {
 	spec := decoder.EncodeHost(host)
 	for {
 		var err error
 		if registered {
-			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, name, 0, spec)
+			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, f.cfg.Host, 0, spec)
 		} else {
-			_, err = f.cfg.Caller.Create(ctx, caller.KindHosts, name, spec)
+			_, err = f.cfg.Caller.Create(ctx, caller.KindHosts, f.cfg.Host, spec)
 		}
 		if kind := caller.KindOf(err); err != nil && (kind == caller.KindConflict || kind == caller.KindMissing) {
 			registered = !registered
 			continue
 		}
 		if err == nil {
-			f.cfg.Logger.Info("host registered", "host", name, "address", host.Address.String())
-			return
+			f.cfg.Logger.Info("host registered", "host", f.cfg.Host, "address", host.Address.String())
+			return true
 		}
 		f.cfg.Logger.Warn("failed to register host", "error", err.Error())
 		if !sleep(ctx, maxRetryPause) {
-			return
+			return false
 		}
 	}
 }
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/timer"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
@@ -33,6 +34,12 @@
 	l.events = append(l.events, ev)
 }
 
+func (l *eventLog) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = nil
+}
+
 // waitForEvent returns the first event for which matches returns true. It fails the
 // test after 8 s.
 func waitForEvent[E decider.Event](t *testing.T, log *eventLog, matches func(E) bool) E {
@@ -81,7 +88,7 @@
 	assert.NilError(s.t, err)
 	events := &eventLog{}
 	f := New(Config{
-		Caller: c, Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), Post: events.post, WatchesPlatform: watches, SendUpdates: send,
+		Host: hostName, Caller: c, Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), Post: events.post, WatchesPlatform: watches, SendUpdates: send,
 		Stores: func() []netip.AddrPort { return nil }, FollowsStore: func(netip.AddrPort) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,6 +104,9 @@
 func always() bool { return true }
 func never() bool  { return false }
 
+// hostName is the name of the followers' host.
+const hostName = "host-1"
+
 // startFollower starts a single follower that watches the platform itself.
 func startFollower(t *testing.T, store *imitator.Store) *eventLog {
 	t.Helper()
@@ -420,3 +430,27 @@
 		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[1].ID == "b"
 	})
 }
+
+// TestLostHostIsRegisteredAgain guards against a host that the others don't know because the store
+// lost its entry.
+func TestLostHostIsRegisteredAgain(t *testing.T) {
+	store := imitator.NewStore()
+	earlier := store.Copy()
+	f, events := newTestStore(t, store).start(always, func([]WatchUpdate) {})
+	own := descriptor.Host{Address: netip.MustParseAddrPort("10.0.0.1:7000"), DataCentre: "a"}
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(done)
+		f.Register(ctx, own, false)
+	}()
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return ev.Hosts[hostName] == own })
+	calls := store.Calls()
+	store.GoBack(earlier)
+	events.clear()
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return len(ev.Hosts) == 0 })
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return ev.Hosts[hostName] == own })
+	assert.Assert(t, store.Calls()-calls < 30, "%d calls to register a host again", store.Calls()-calls)
+	cancel()
+	<-done
+}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	r.follower = follower.New(follower.Config{
-		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
+		Host: cfg.Settings.Host, Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
 		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
@@ -125,10 +125,10 @@
 	return netip.AddrPortFrom(r.cfg.Settings.Address, r.cfg.Settings.FirstPort)
 }
 
-// registerHost adds this host to the platform's list of hosts.
+// registerHost keeps this host in the platform's list of hosts until ctx ends.
 func (r *Runner) registerHost(ctx context.Context) {
 	host := descriptor.Host{Address: r.gossipAddress(), DataCentre: r.cfg.Settings.DataCentre}
-	r.follower.Register(ctx, r.cfg.Settings.Host, host, !r.cfg.Settings.FirstStart)
+	r.follower.Register(ctx, host, !r.cfg.Settings.FirstStart)
 }
 
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
