Keep a target draining until it restarts

Callers saw nothing of this yet. After the store has gone back, its list shows a target that began to drain in the lost seconds as ready, until the target writes again.

Cause: each entry of a target replaced the state of the earlier one.

Evidence: TestOldEntryDoesNotEndDraining failed before ("a request is sent to a draining target") and passes now.

Change: a process that drains never becomes ready again, so only an entry of a newer process ends the draining.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -183,11 +183,14 @@
 	}
 }
 
-// mergeTarget replaces the description of t with a newer one. A running process never goes back
-// to older weights, so a lower version in desc is stale and is ignored.
+// mergeTarget replaces the description of t with another one. A running process never goes back
+// to older weights and never ends its draining. If desc says so, it is stale in that, as after the
+// platform's store went back to an earlier copy.
 func (s *State) mergeTarget(t *target, desc *descriptor.Target) {
 	weights := maps.Clone(desc.Weights)
+	draining := desc.Draining
 	if desc.StartedAt.Equal(t.StartedAt) {
+		draining = draining || t.Draining
 		for model, version := range t.Weights {
 			if weights == nil {
 				weights = map[string]int{}
@@ -198,7 +201,7 @@
 		t.down, t.downCount, t.failureRate = false, 0, 0
 	}
 	t.Target = *desc
-	t.Weights = weights
+	t.Weights, t.Draining = weights, draining
 }
 
 func (s *State) markUnlistedMissing(listed []descriptor.Target) {
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -145,3 +145,28 @@
 	_, sent := effect.(Send)
 	assert.Assert(t, sent)
 }
+
+// sentTo returns the target that gets a request to a plain service, or "".
+func (h *host) sentTo() string {
+	n, effect := h.request("/pay/", key, nil)
+	if sent, ok := effect.(Send); ok {
+		h.handle(AttemptDone{Number: n, Status: 200})
+		return sent.Target
+	}
+	return ""
+}
+
+// TestOldEntryDoesNotEndDraining guards against requests to a draining target after the store went
+// back to a copy in which it is ready. Only a new process of the target is ready again.
+func TestOldEntryDoesNotEndDraining(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	draining := plainTarget(1)
+	draining.Draining = true
+	h.handle(TargetsListed{Targets: []descriptor.Target{draining}})
+	h.handle(TargetsListed{Targets: []descriptor.Target{plainTarget(1)}, Whole: true})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a draining target")
+	restarted := plainTarget(1)
+	restarted.StartedAt = time.UnixMilli(2)
+	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, h.sentTo(), "plain-1")
+}
