Don't use a target that only a copy of the store lists

Callers saw nothing of this yet. A target that left in the seconds that the store lost is listed again by the copy until its entry lapses. A host that had acknowledged its leaving would send it requests (rule DRAIN), and its address may be used by another service by then.

Cause: a target that isn't known was added and used at once.

Evidence: TestOldEntryDoesNotBringTargetBack failed before ("a request is sent to a target that has left") and passes now.

Change: a host remembers for a minute which process of a target left, and in which era of the store. If a list of a later era has that process, the host doesn't use it until it writes again, or for 5 s, in which its entry lapses if it has ended. Entries that return within an era are used at once, as those that lapsed in an outage.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -438,11 +438,12 @@
 		include(t.Weights)
 	}
 	for id, d := range s.departed {
-		if s.now.After(d.until) {
+		switch since := s.now.Sub(d.at); {
+		case since > departureMemory:
 			delete(s.departed, id)
-			continue
+		case since <= departedRetention:
+			include(d.weights)
 		}
-		include(d.weights)
 	}
 	return oldest
 }
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -86,6 +86,9 @@
 
 // TargetsListed reports changes in the platform's list of targets.
 type TargetsListed struct {
+	// Era is the era of the platform's store. It rises when the store goes back to an earlier
+	// copy.
+	Era     int64
 	Targets []descriptor.Target
 	Removed []string
 	// Whole is true when Targets is the complete list, as after a gap in the changes.
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -26,8 +26,14 @@
 	// beyond the rate, and the platform allows five.
 	maxColdSenders = 5
 	// departedRetention is how long hosts that are cut off from the platform may keep using a
-	// target that left the list.
+	// target that left the list. Until then its weights count.
 	departedRetention = 10 * time.Second
+	// departureMemory is how long a target that left the list is remembered. It exceeds the age
+	// of a copy to which the platform's store goes back, and the outage before.
+	departureMemory = time.Minute
+	// copiedEntryGrace is how long a target that had left isn't used when a copy lists it. By
+	// then it is removed again: its entry lapses after three of its heartbeats.
+	copiedEntryGrace = 5 * time.Second
 	// weightsDeadlineMargin is subtracted from WeightsWithin. It covers the queueing time of a
 	// request at its engine.
 	weightsDeadlineMargin = time.Second
@@ -46,16 +52,21 @@
 	// byService lists the targets of each service, sorted by ID.
 	byService            map[string][]*target
 	evacuatedDataCentres map[string]bool
-	// departed holds the weights of targets that recently left the list.
+	// targetsEra is the era of the platform's store in which the targets were last listed.
+	targetsEra int64
+	// departed holds the targets that recently left the list.
 	departed map[string]departure
 	// meanServiceTime is the mean service time of each plain service, in seconds.
 	meanServiceTime map[string]float64
 }
 
-// departure records the weights of a target that left the list, and until when they count.
+// departure records a target that left the list.
 type departure struct {
-	weights map[string]int
-	until   time.Time
+	at time.Time
+	// era is the era of the platform's store at that time.
+	era       int64
+	startedAt time.Time
+	weights   map[string]int
 }
 
 // targetLoad is the load on a target from one or several hosts.
@@ -102,6 +113,9 @@
 	// pausedUntil is the time until which the target gets no requests after it refused one, as
 	// engines do while they change weights.
 	pausedUntil time.Time
+	// copiedUntil is the time until which the target isn't used, as only a copy to which the
+	// platform's store went back lists it after it had left.
+	copiedUntil time.Time
 	// failureRate is the moving average of failed attempts at the target, between 0 and 1.
 	failureRate float64
 }
@@ -141,8 +155,9 @@
 }
 
 func (s *State) onTargetsListed(ev TargetsListed) {
+	s.targetsEra = ev.Era
 	for i := range ev.Targets {
-		s.updateTarget(&ev.Targets[i])
+		s.updateTarget(&ev.Targets[i], ev.Whole)
 	}
 	for _, id := range ev.Removed {
 		if ev.AfterOutage {
@@ -157,12 +172,14 @@
 	s.indexTargets()
 }
 
-func (s *State) updateTarget(desc *descriptor.Target) {
+// updateTarget adds or updates a target. Its entry is a new one unless it is from a list.
+func (s *State) updateTarget(desc *descriptor.Target, fromList bool) {
 	t := s.targets[desc.ID]
 	switch {
 	case t == nil:
 		t = &target{Target: *desc}
 		s.targets[desc.ID] = t
+		s.holdBackCopied(t)
 		for _, p := range s.peerByHost {
 			t.peerLoad.add(p.loads[desc.ID], 1)
 		}
@@ -174,6 +191,9 @@
 		s.mergeTarget(t, desc)
 	}
 	t.missingSince = time.Time{}
+	if !fromList {
+		t.copiedUntil = time.Time{}
+	}
 	t.weightsUnknown = t.weightsUnknown && len(desc.Weights) == 0
 	if desc.ColdFor > 0 {
 		t.coldUntil = s.now.Add(desc.ColdFor)
@@ -183,6 +203,15 @@
 	}
 }
 
+// holdBackCopied keeps t out of use for a while if it had left before the platform's store went back
+// to the copy that lists it.
+func (s *State) holdBackCopied(t *target) {
+	if d, ok := s.departed[t.ID]; ok && d.era < s.targetsEra && !t.StartedAt.After(d.startedAt) {
+		t.copiedUntil = s.now.Add(copiedEntryGrace)
+		s.log("target listed by a copy", "", "target", t.ID, "era", s.targetsEra, "since-removed", s.now.Sub(d.at))
+	}
+}
+
 // mergeTarget replaces the description of t with another one. A running process never goes back
 // to older weights and never ends its draining. If desc says so, it is stale in that, as after the
 // platform's store went back to an earlier copy.
@@ -240,7 +269,7 @@
 		return
 	}
 	delete(s.targets, id)
-	s.departed[id] = departure{t.Weights, s.now.Add(departedRetention)}
+	s.departed[id] = departure{s.now, s.targetsEra, t.StartedAt, t.Weights}
 	delete(s.updates, id)
 	s.log("target removed", "", "target", id, "why", reason)
 }
@@ -274,7 +303,7 @@
 	switch {
 	case t.Draining, t.down, t.weightsUnknown, s.evacuatedDataCentres[t.DataCentre], t.service == nil, r.tried[t.ID]:
 		return false
-	case s.now.Before(t.pausedUntil), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
+	case s.now.Before(t.pausedUntil), s.now.Before(t.copiedUntil), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
 	case len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre]):
 		return false
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -170,3 +170,29 @@
 	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
 	assert.Equal(t, h.sentTo(), "plain-1")
 }
+
+// TestOldEntryDoesNotBringTargetBack guards against requests to a target that has left, after the
+// store went back to a copy that still lists it. If it isn't removed again, or writes again, it
+// runs.
+func TestOldEntryDoesNotBringTargetBack(t *testing.T) {
+	h := newHost(t, "a", 0, 3)
+	h.handle(TargetsListed{Removed: []string{"plain-1", "plain-2", "plain-3"}})
+	h.advanceTicking(12 * time.Second)
+	all := []descriptor.Target{plainTarget(1), plainTarget(2), plainTarget(3)}
+	h.handle(TargetsListed{Era: 1, Targets: all, Whole: true})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a target that has left")
+	h.handle(TargetsListed{Era: 1, Targets: all[:1]})
+	assert.Equal(t, h.sentTo(), "plain-1", "a target that wrote again isn't used")
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-1", "plain-2"}})
+	h.advanceTicking(copiedEntryGrace)
+	assert.Equal(t, h.sentTo(), "plain-3", "a target that is listed for long isn't used")
+
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-3"}})
+	h.handle(TargetsListed{Era: 1, Targets: all[2:]})
+	assert.Equal(t, h.sentTo(), "plain-3", "a target whose entry lapsed isn't used")
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-3"}})
+	restarted := plainTarget(3)
+	restarted.StartedAt = time.UnixMilli(2)
+	h.handle(TargetsListed{Era: 2, Targets: []descriptor.Target{restarted}, Whole: true})
+	assert.Equal(t, h.sentTo(), "plain-3", "a new process isn't used")
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -276,6 +276,7 @@
 		}
 		w.recordSuccess()
 		wentBack := w.recordEra(all.Era)
+		w.setPosition(all.Era, all.Revision)
 		clear(w.objects)
 		w.updateObjects(all.Objects)
 		if wentBack && w.kind == caller.KindHosts {
@@ -283,7 +284,6 @@
 		}
 		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
-		w.setPosition(all.Era, all.Revision)
 		// Updates of the watching hosts are expected from here on.
 		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
 		return nil
@@ -416,7 +416,7 @@
 }
 
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
-	ev := decider.TargetsListed{Whole: full, AfterOutage: fresh.afterOutage}
+	ev := decider.TargetsListed{Era: w.era, Whole: full, AfterOutage: fresh.afterOutage}
 	for _, o := range objects {
 		if o.Removed {
 			ev.Removed = append(ev.Removed, o.Name)
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -368,9 +368,10 @@
 	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
 	store.GoBack(earlier)
 	store.Put(caller.KindTargets, "b", targetSpec)
-	waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+	listed := waitForEvent(t, events, func(ev decider.TargetsListed) bool {
 		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[0].ID == "a" && ev.Targets[1].ID == "b"
 	})
+	assert.Equal(t, listed.Era, int64(1))
 	store.Remove(caller.KindTargets, "a")
 	removed := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) == 1 })
 	assert.Assert(t, removed.AfterOutage, "an entry that may have lapsed counts as removed")
