Keep an evacuated data centre out of use when its entry is lost

After the store has gone back, an evacuation of the lost seconds is missing until operators write it again.

Cause: each list of evacuations replaced the earlier one.

Evidence: TestLostEvacuationIsKept failed before ("a request is sent to an evacuated data centre") and passes now.

Change: a data centre that is missing from the first list of a new era stays out of use for 5 s. If its entry is written again and then removed, it is used at once.

--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -97,8 +97,11 @@
 	AfterOutage bool
 }
 
-// EvacuationsListed reports the data centres that are out of use.
-type EvacuationsListed struct{ DataCentres []string }
+// EvacuationsListed reports the data centres that are out of use, in an era of the platform's store.
+type EvacuationsListed struct {
+	Era         int64
+	DataCentres []string
+}
 
 // DesiredWeightsChanged reports the version that the engines of a model should have.
 type DesiredWeightsChanged struct {
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -34,6 +34,9 @@
 	// copiedEntryGrace is how long a target that had left isn't used when a copy lists it. By
 	// then it is removed again: its entry lapses after three of its heartbeats.
 	copiedEntryGrace = 5 * time.Second
+	// lostEvacuationGrace is how long a data centre stays out of use after the platform's store
+	// went back to a copy that doesn't list it. By then operators have written its entry again.
+	lostEvacuationGrace = 5 * time.Second
 	// weightsDeadlineMargin is subtracted from WeightsWithin. It covers the queueing time of a
 	// request at its engine.
 	weightsDeadlineMargin = time.Second
@@ -50,8 +53,12 @@
 	configConfirmedAt time.Time
 	targets           map[string]*target
 	// byService lists the targets of each service, sorted by ID.
-	byService            map[string][]*target
-	evacuatedDataCentres map[string]bool
+	byService map[string][]*target
+	// evacuatedDataCentres maps the data centres that are out of use to the time until which
+	// they are, or zero as long as they are listed.
+	evacuatedDataCentres map[string]time.Time
+	// evacuationsEra is the era of the platform's store in which they were last listed.
+	evacuationsEra int64
 	// targetsEra is the era of the platform's store in which the targets were last listed.
 	targetsEra int64
 	// departed holds the targets that recently left the list.
@@ -122,7 +129,7 @@
 
 func newFleet() fleet {
 	return fleet{
-		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]bool{},
+		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]time.Time{},
 		departed: map[string]departure{}, meanServiceTime: map[string]float64{},
 	}
 }
@@ -290,18 +297,37 @@
 	s.computePartition()
 }
 
+// onEvacuationsListed keeps data centres out of use for a while if they are missing only from the
+// copy to which the platform's store went back.
 func (s *State) onEvacuationsListed(ev EvacuationsListed) {
-	clear(s.evacuatedDataCentres)
+	wentBack := ev.Era != s.evacuationsEra
+	s.evacuationsEra = ev.Era
+	before := s.evacuatedDataCentres
+	s.evacuatedDataCentres = map[string]time.Time{}
+	for dc, until := range before {
+		if wentBack {
+			until = s.now.Add(lostEvacuationGrace)
+		}
+		if until.After(s.now) {
+			s.evacuatedDataCentres[dc] = until
+		}
+	}
 	for _, dc := range ev.DataCentres {
-		s.evacuatedDataCentres[dc] = true
+		s.evacuatedDataCentres[dc] = time.Time{}
 	}
-	s.log("data centres out", "", "data-centres", ev.DataCentres)
+	s.log("data centres out", "", "data-centres", ev.DataCentres, "unlisted", len(s.evacuatedDataCentres)-len(ev.DataCentres))
+}
+
+// isEvacuated reports whether a data centre is out of use.
+func (s *State) isEvacuated(dc string) bool {
+	until, ok := s.evacuatedDataCentres[dc]
+	return ok && (until.IsZero() || s.now.Before(until))
 }
 
 // usable reports whether t may receive r now.
 func (s *State) usable(t *target, r *request) bool {
 	switch {
-	case t.Draining, t.down, t.weightsUnknown, s.evacuatedDataCentres[t.DataCentre], t.service == nil, r.tried[t.ID]:
+	case t.Draining, t.down, t.weightsUnknown, s.isEvacuated(t.DataCentre), t.service == nil, r.tried[t.ID]:
 		return false
 	case s.now.Before(t.pausedUntil), s.now.Before(t.copiedUntil), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -196,3 +196,24 @@
 	h.handle(TargetsListed{Era: 2, Targets: []descriptor.Target{restarted}, Whole: true})
 	assert.Equal(t, h.sentTo(), "plain-3", "a new process isn't used")
 }
+
+// TestLostEvacuationIsKept guards against requests to an evacuated data centre while its entry is
+// missing after the store went back to a copy.
+func TestLostEvacuationIsKept(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(EvacuationsListed{DataCentres: []string{"a"}})
+	h.handle(EvacuationsListed{Era: 1})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to an evacuated data centre")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"b"}})
+	h.advanceTicking(2 * time.Second)
+	assert.Equal(t, h.sentTo(), "", "a request is sent to an evacuated data centre")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"a"}})
+	h.advanceTicking(lostEvacuationGrace)
+	assert.Equal(t, h.sentTo(), "", "an evacuation that was written again has ended")
+	h.handle(EvacuationsListed{Era: 1})
+	assert.Equal(t, h.sentTo(), "plain-1", "an evacuation that was taken back goes on")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"a"}})
+	h.handle(EvacuationsListed{Era: 2})
+	h.advanceTicking(lostEvacuationGrace)
+	assert.Equal(t, h.sentTo(), "plain-1", "an evacuation that wasn't written again goes on")
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -435,7 +435,7 @@
 }
 
 func (w *watch) postEvacuations() {
-	var ev decider.EvacuationsListed
+	ev := decider.EvacuationsListed{Era: w.era}
 	for name := range w.objects {
 		ev.DataCentres = append(ev.DataCentres, name)
 	}
