Confirm keys only by a store that has the newest configuration

After the store has gone back, a key that a configuration of the lost seconds revokes could be accepted for longer than revokeMs, as each answer of the store counted as a confirmation.

Cause: a confirmation says that the store has nothing newer than what it listed last. After it went back that may be older than the configuration in force, or than one that was acknowledged and lost before any host heard of it.

Evidence: TestOlderConfigConfirmsNothing failed before ("an older configuration confirms the keys of the one in force"), and TestNewEraConfirmsConfigLate ("a store that lost configurations confirms the keys of the one in force"). Both pass now. An older configuration wasn't put in force before either (TestOlderConfigConfirmsNothing).

Change: the store's answers confirm nothing for 2 s after a host learns of a new era, and for 10 s if the store lists an older configuration than the one in force. The second time is bounded so that a configuration that is never written again doesn't end the service. A host that starts after the store went back has no earlier state to compare with, and counts the first answer as before.

--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -78,8 +78,9 @@
 type ConfigListed struct{ Config *descriptor.Config }
 
 // ConfigConfirmed reports that the newest configuration listed was still the platform's newest
-// at AsOf. FromPeer is true when another host reported it.
+// at AsOf, in an era of the platform's store. FromPeer is true when another host reported it.
 type ConfigConfirmed struct {
+	Era      int64
 	AsOf     time.Time
 	FromPeer bool
 }
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -37,6 +37,12 @@
 	// lostEvacuationGrace is how long a data centre stays out of use after the platform's store
 	// went back to a copy that doesn't list it. By then operators have written its entry again.
 	lostEvacuationGrace = 5 * time.Second
+	// rewriteTime is how long operators need to write again what the platform's store lost when
+	// it went back to a copy.
+	rewriteTime = 2 * time.Second
+	// lostConfigGrace is how long a configuration that the store lost is expected to be written
+	// again.
+	lostConfigGrace = 10 * time.Second
 	// weightsDeadlineMargin is subtracted from WeightsWithin. It covers the queueing time of a
 	// request at its engine.
 	weightsDeadlineMargin = time.Second
@@ -51,7 +57,14 @@
 	// configConfirmedAt is the latest time at which the configuration was known to be the
 	// newest.
 	configConfirmedAt time.Time
-	targets           map[string]*target
+	// listedConfigVersion is the version that the platform's store listed last. It is older than
+	// the one in force if the store went back to a copy and lost that one.
+	listedConfigVersion int64
+	// configEra is the store's era at the last confirmation, and configEraAt when this host
+	// learned of it; zero for the era at its start.
+	configEra   int64
+	configEraAt time.Time
+	targets     map[string]*target
 	// byService lists the targets of each service, sorted by ID.
 	byService map[string][]*target
 	// evacuatedDataCentres maps the data centres that are out of use to the time until which
@@ -135,6 +148,7 @@
 }
 
 func (s *State) onConfigListed(ev ConfigListed) {
+	s.listedConfigVersion = ev.Config.Version
 	if s.config != nil && ev.Config.Version < s.config.Version {
 		s.log("old configuration ignored", "", "version", ev.Config.Version, "in-force", s.config.Version)
 		return
@@ -149,7 +163,23 @@
 	}
 }
 
+// onConfigConfirmed ignores confirmations of a store that may lack configurations because it went
+// back to a copy.
 func (s *State) onConfigConfirmed(ev ConfigConfirmed) {
+	if ev.Era != s.configEra {
+		s.configEra = ev.Era
+		if s.config != nil && !s.configConfirmedAt.IsZero() {
+			s.configEraAt = s.now
+			s.log("configuration may be lost", "", "era", ev.Era, "in-force", s.config.Version, "listed", s.listedConfigVersion)
+		}
+	}
+	grace := rewriteTime
+	if s.config != nil && s.listedConfigVersion < s.config.Version {
+		grace = lostConfigGrace
+	}
+	if ev.AsOf.Sub(s.configEraAt) < grace {
+		return
+	}
 	if !ev.FromPeer || s.messageAgesReliable() {
 		s.confirmConfig(ev.AsOf)
 	}
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -217,3 +217,71 @@
 	h.advanceTicking(lostEvacuationGrace)
 	assert.Equal(t, h.sentTo(), "plain-1", "an evacuation that wasn't written again goes on")
 }
+
+// refusalOf returns the refusal of a request with a key, without confirming the configuration
+// first. It is the zero value if the request is sent.
+func (h *host) refusalOf(key string) Refuse {
+	h.lastNumber++
+	effect := requestEffect(h.handle(RequestArrived{Number: h.lastNumber, Host: "h", Path: "/pay/", Key: key, Timeout: time.Second}))
+	refused, _ := effect.(Refuse)
+	if _, sent := effect.(Send); sent {
+		h.handle(AttemptDone{Number: h.lastNumber, Status: 200})
+	}
+	return refused
+}
+
+// TestOlderConfigConfirmsNothing guards against the use of revoked keys while the store has only an
+// older configuration than the one in force.
+func TestOlderConfigConfirmsNothing(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(ConfigListed{Config: testConfig(3)})
+	h.handle(ConfigConfirmed{AsOf: h.clock})
+	confirm := func(version int64) {
+		h.handle(ConfigListed{Config: testConfig(version)})
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	}
+	for range 8 {
+		h.advanceTicking(500 * time.Millisecond)
+		confirm(2)
+		assert.Equal(t, h.config.Version, int64(3))
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+	h.advanceTicking(400 * time.Millisecond)
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalUnconfirmed, "an older configuration confirms the keys of the one in force")
+	confirm(3)
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""), "a configuration that was written again isn't confirmed")
+	for range lostConfigGrace / time.Second {
+		h.advanceTicking(time.Second)
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
+
+// TestOlderConfigIsUsableAfterGrace guards against an outage without end if a lost configuration is
+// never written again.
+func TestOlderConfigIsUsableAfterGrace(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(ConfigListed{Config: testConfig(3)})
+	h.handle(ConfigListed{Config: testConfig(2)})
+	for range lostConfigGrace/time.Second + 1 {
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+		h.advanceTicking(time.Second)
+	}
+	h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
+
+// TestNewEraConfirmsConfigLate guards against the use of keys that a lost configuration revoked, of
+// which the host never heard. Operators need a moment to write it again.
+func TestNewEraConfirmsConfigLate(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.advanceTicking(3 * time.Second)
+	for range (rewriteTime - 100*time.Millisecond) / (100 * time.Millisecond) {
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+		h.advanceTicking(100 * time.Millisecond)
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalUnconfirmed, "a store that lost configurations confirms the keys of the one in force")
+	h.advanceTicking(200 * time.Millisecond)
+	h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -412,7 +412,7 @@
 		}
 		w.cfg.Post(decider.ConfigListed{Config: cfg})
 	}
-	w.cfg.Post(decider.ConfigConfirmed{AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
+	w.cfg.Post(decider.ConfigConfirmed{Era: w.era, AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
 }
 
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
