Date named weights by answers of the same era only

Callers saw nothing of this yet. After the store has gone back, requests could begin on replaced weights after the deadline.

Cause: a host dates a version by answers of the store with a lower revision than the version's. Revisions go back with the store, so an answer of a later era can have a lower one although it came after the naming, and an answer of an earlier era says nothing of changes since.

Evidence: TestMarksOfAnotherEraDateNoVersion ("an answer of a later era moved the deadline") and TestVersionOfNewEraIsNotDatedByOldMarks ("an answer of an earlier era moved the deadline") failed before and pass now. An older version in the copy was ignored before too (TestOlderVersionOfCopyIsIgnored).

Change: marks and versions have the era of their revision. Only those of one era are compared.

--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -108,16 +108,17 @@
 type DesiredWeightsChanged struct {
 	Model   string
 	Version int
-	// Revision is that of the platform's store when the version was named.
-	Revision int64
+	// Era and Revision are those of the platform's store when the version was named.
+	Era, Revision int64
 	// Listed is true when the version is from a list, which hides replaced versions, rather
 	// than from the changes since the last event.
 	Listed bool
 }
 
-// RevisionConfirmed reports that the changes of the platform's store after Revision were made
-// after AsOf. FromPeer is true when another host reported it.
+// RevisionConfirmed reports that the changes of the platform's store after Revision of an era were
+// made after AsOf. FromPeer is true when another host reported it.
 type RevisionConfirmed struct {
+	Era      int64
 	Revision int64
 	AsOf     time.Time
 	FromPeer bool
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -32,19 +32,26 @@
 }
 
 // revisionMark states that the changes after a revision of the platform's store were made after
-// asOf.
+// asOf. It tells nothing of changes in other eras, in which the same revisions are other changes.
 type revisionMark struct {
+	era      int64
 	revision int64
 	asOf     time.Time
 }
 
+// precedes reports whether n was named after m.asOf.
+func (m revisionMark) precedes(n namedVersion) bool {
+	return m.era == n.era && m.revision < n.revision
+}
+
 // namedVersion is a version that operators named.
 type namedVersion struct {
 	version int
 	// previous is the version that it replaced.
 	previous int
-	// revision is that of the platform's store when the version was named; 0 if unknown.
-	revision int64
+	// era and revision are those of the platform's store when the version was named; 0 if
+	// unknown.
+	era, revision int64
 	// notBefore is a time at which the version wasn't named yet, or zero if none is known.
 	notBefore time.Time
 	// seenAt is the earliest time at which a host is known to have learned of the version.
@@ -71,17 +78,17 @@
 	if ev.Version <= before {
 		return
 	}
-	named := namedVersion{version: ev.Version, previous: before, revision: ev.Revision, seenAt: s.now}
+	named := namedVersion{version: ev.Version, previous: before, era: ev.Era, revision: ev.Revision, seenAt: s.now}
 	if ev.Listed {
 		named.previous = ev.Version - 1 // A list hides the versions that were replaced meanwhile.
 	}
 	for _, mark := range s.revisionMarks {
-		if mark.revision < ev.Revision {
+		if mark.precedes(named) {
 			named.notBefore = latest(named.notBefore, mark.asOf)
 		}
 	}
 	s.addNamedVersion(ev.Model, named)
-	fields := []any{"model", ev.Model, "version", ev.Version, "revision", ev.Revision}
+	fields := []any{"model", ev.Model, "version", ev.Version, "era", ev.Era, "revision", ev.Revision}
 	if !named.notBefore.IsZero() {
 		fields = append(fields, "within", s.now.Sub(named.notBefore))
 	}
@@ -101,7 +108,9 @@
 		n := &list[i]
 		n.previous = min(n.previous, named.previous)
 		n.notBefore = latest(n.notBefore, named.notBefore)
-		n.revision = cmp.Or(n.revision, named.revision)
+		if n.revision == 0 {
+			n.era, n.revision = named.era, named.revision
+		}
 		if named.seenAt.Before(n.seenAt) {
 			n.seenAt = named.seenAt
 		}
@@ -112,7 +121,7 @@
 
 func (s *State) onRevisionConfirmed(ev RevisionConfirmed) {
 	if !ev.FromPeer || s.messageAgesReliable() {
-		s.markRevision(revisionMark{ev.Revision, ev.AsOf})
+		s.markRevision(revisionMark{ev.Era, ev.Revision, ev.AsOf})
 	}
 }
 
@@ -122,7 +131,7 @@
 	s.revisionMarks = s.revisionMarks[max(0, len(s.revisionMarks)-maxRevisionMarks):]
 	for _, list := range s.namedVersions {
 		for i := range list {
-			if mark.revision < list[i].revision {
+			if mark.precedes(list[i]) {
 				list[i].notBefore = latest(list[i].notBefore, mark.asOf)
 			}
 		}
--- a/internal/relay/decider/naming_test.go
+++ b/internal/relay/decider/naming_test.go
@@ -136,3 +136,42 @@
 func (h *host) shortRequest() *request {
 	return &request{route: &h.config.Routes[1], service: "engines", prompt: shortPrompt("s")}
 }
+
+// TestMarksOfAnotherEraDateNoVersion guards against a deadline that is late because the store went
+// back and gives out lower revisions than that of a version named before.
+func TestMarksOfAnotherEraDateNoVersion(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.handle(RevisionConfirmed{Revision: 10, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 2, Revision: 12})
+	h.advanceTicking(5 * time.Second)
+	h.handle(RevisionConfirmed{Era: 1, Revision: 9, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 2, Era: 1, Revision: 11})
+	h.advanceTicking(1900 * time.Millisecond)
+	assert.Assert(t, h.sendsShort(), "an engine is out of use before the deadline")
+	h.advanceTicking(200 * time.Millisecond)
+	assert.Assert(t, !h.sendsShort(), "an answer of a later era moved the deadline")
+	h.handle(LeaseAnswered{Lease: Lease{Era: 1, Revision: 10, Holder: "a", Boot: 1, WriterEra: 1}, CalledAt: h.clock, Written: true})
+	assert.Assert(t, !h.sendsShort(), "a renewal of the lease in a later era moved the deadline")
+}
+
+// TestVersionOfNewEraIsNotDatedByOldMarks guards against a deadline that counts from an answer of
+// before the store went back. Its revision says nothing about changes since.
+func TestVersionOfNewEraIsNotDatedByOldMarks(t *testing.T) {
+	h := newHost(t, "a", 2, 0)
+	h.handle(RevisionConfirmed{Era: 1, Revision: 5, AsOf: h.clock})
+	h.advanceTicking(4 * time.Second)
+	h.handle(RevisionConfirmed{Revision: 10, AsOf: h.clock})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 2, Era: 1, Revision: 12})
+	h.advanceTicking(2900 * time.Millisecond)
+	assert.Assert(t, h.sendsShort(), "an engine is out of use before the deadline")
+	h.advanceTicking(200 * time.Millisecond)
+	assert.Assert(t, !h.sendsShort(), "an answer of an earlier era moved the deadline")
+}
+
+// TestOlderVersionOfCopyIsIgnored checks that a named version that the store lost is still wanted.
+func TestOlderVersionOfCopyIsIgnored(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	h.nameWeights(2)
+	h.handle(DesiredWeightsChanged{Model: model, Version: 1, Era: 1, Revision: 1, Listed: true})
+	assert.Equal(t, h.desiredWeights[model], 2)
+}
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -221,7 +221,7 @@
 		return
 	}
 	s.renewedAt = ev.CalledAt
-	s.markRevision(revisionMark{ev.Lease.Revision, ev.CalledAt})
+	s.markRevision(revisionMark{ev.Lease.Era, ev.Lease.Revision, ev.CalledAt})
 	if s.fencingToken == 0 {
 		s.fencingToken = ev.Lease.newFencingToken()
 		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision, "era", ev.Lease.Era)
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -282,7 +282,7 @@
 		if wentBack && w.kind == caller.KindHosts {
 			w.checkRegistration()
 		}
-		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
+		w.cfg.Post(decider.RevisionConfirmed{Era: all.Era, Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, afterOutage: w.recentOutage()})
 		// Updates of the watching hosts are expected from here on.
 		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
@@ -318,7 +318,7 @@
 // may be the revision of the last one, rather than of the store.
 func (w *watch) confirmRevision(changes caller.Objects, fresh freshness) {
 	if len(changes.Objects) == 0 {
-		w.cfg.Post(decider.RevisionConfirmed{Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
+		w.cfg.Post(decider.RevisionConfirmed{Era: w.era, Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer})
 	}
 }
 
@@ -452,7 +452,7 @@
 			w.cfg.Logger.Warn("invalid weights ignored", "name", o.Name, "error", err.Error())
 			continue
 		}
-		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version, Revision: o.Revision, Listed: full})
+		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version, Era: w.era, Revision: o.Revision, Listed: full})
 	}
 }
 
