Notice at once that the store went back

A host with valid watches learned of a new era only from its next answer, up to 3.5 s after the store's return. Until then it missed changes, and it treated removals as after an outage for as much longer.

Change: the first watch after a failed call waits for 100 ms only, and the era in another host's message ends the waiting watches as one in an answer does.

--- a/internal/relay/follower/era.go
+++ b/internal/relay/follower/era.go
@@ -52,5 +52,5 @@
 	return ctx, cancel
 }
 
-// ObserveEra records the era of an answer of the platform's store to a call of another component.
+// ObserveEra records an era of the platform's store that another component or host has seen.
 func (f *Follower) ObserveEra(era int64) { f.newest.observe(era) }
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -358,7 +358,8 @@
 // watchWait returns how long the next watch should wait for changes.
 func (w *watch) watchWait() time.Duration {
 	switch {
-	case w.behind:
+	case w.behind, w.failing:
+		// After an outage, the answer shows at once whether the store went back to a copy.
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -455,3 +455,24 @@
 	cancel()
 	<-done
 }
+
+// TestNewEraIsNoticedAfterOutage guards against a host that learns late that the store went back
+// during an outage, as its watches are valid and wait for changes.
+func TestNewEraIsNoticedAfterOutage(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, `{"version":1}`)
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	time.Sleep(600 * time.Millisecond) // Lets a long watch of the configuration begin.
+	store.SetDown(true)
+	time.Sleep(300 * time.Millisecond) // Lets the watches fail.
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	store.SetDown(false)
+	returned := time.Now()
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Era == 1 })
+	assert.Assert(t, time.Since(returned) < time.Second, "listed %v after the store returned", time.Since(returned))
+}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -112,7 +112,7 @@
 		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
-		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post, ReceiveUpdates: r.follower.Receive,
+		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.postFromPeer, ReceiveUpdates: r.follower.Receive,
 	})
 	if err != nil {
 		return nil, err
@@ -133,6 +133,14 @@
 
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
 
+// postFromPeer posts an event from another host, which may know a newer era of the platform's store.
+func (r *Runner) postFromPeer(ev decider.Event) {
+	if m, ok := ev.(decider.MessageReceived); ok {
+		r.follower.ObserveEra(m.Message.LeaseEra)
+	}
+	r.post(ev)
+}
+
 // sendUpdates forwards changes of the platform's objects to the hosts that receive
 // them from this one.
 func (r *Runner) sendUpdates(updates []follower.WatchUpdate) {
--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/timer"
 	"cardamomscale.example/cardamomscale/platform/caller"
@@ -259,3 +260,31 @@
 	wg.Wait()
 	assert.Equal(t, len(failures), 0, "%s", strings.Join(failures, "\n"))
 }
+
+// TestStoreThatWentBackIsNoticedFromPeers guards against a host that learns seconds late that the
+// store went back because its watches are valid and wait for changes. It registers again once it
+// knows.
+func TestStoreThatWentBackIsNoticedFromPeers(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, fmt.Sprintf(testConfig, 1))
+	store.Put(caller.KindTargets, "idle", `{"service":"plain","addr":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":1}`)
+	renewLease := func() { store.Put(caller.KindLeases, leaseName, `{"holder":"host-2","boot":1}`) }
+	renewLease() // Another host holds the lease, so this one makes no calls for it.
+	earlier := store.Copy()
+	r := startRelayOn(t, store, timer.BootClock{})
+	registered := func() bool {
+		w := httptest.NewRecorder()
+		store.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/objects/"+caller.KindHosts+"/host-1", nil))
+		return w.Code == http.StatusOK
+	}
+	r.waitFor("registered", registered)
+	time.Sleep(600 * time.Millisecond) // Lets a long watch of the configuration begin.
+	store.GoBack(earlier)
+	for range 5 {
+		renewLease()
+	}
+	r.relay.postFromPeer(decider.MessageReceived{Message: decider.Message{Host: "host-2", Boot: 1, Number: 1, LeaseEra: 1, Lease: 9, Holder: true}})
+	wentBack := time.Now()
+	r.waitFor("registered again", registered)
+	assert.Assert(t, time.Since(wentBack) < time.Second, "registered %v after the message", time.Since(wentBack))
+}
