Use a target again that takes back its draining

Change: only the list of a new era is held back: the target isn't used for 5 s, as one that had left. Within that time it writes again that it drains, or that it is ready, which counts at once.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -31,8 +31,9 @@
 	// departureMemory is how long a target that left the list is remembered. It exceeds the age
 	// of a copy to which the platform's store goes back, and the outage before.
 	departureMemory = time.Minute
-	// copiedEntryGrace is how long a target that had left isn't used when a copy lists it. By
-	// then it is removed again: its entry lapses after three of its heartbeats.
+	// copiedEntryGrace is how long a target that had left or was draining isn't used when a copy
+	// lists it as ready. By then it has written again, or its entry has lapsed, which takes three
+	// of its heartbeats.
 	copiedEntryGrace = 5 * time.Second
 	// lostEvacuationGrace is how long a data centre stays out of use after the platform's store
 	// went back to a copy that doesn't list it. By then operators have written its entry again.
@@ -133,8 +134,10 @@
 	// pausedUntil is the time until which the target gets no requests after it refused one, as
 	// engines do while they change weights.
 	pausedUntil time.Time
-	// copiedUntil is the time until which the target isn't used, as only a copy to which the
-	// platform's store went back lists it after it had left.
+	// entryEra is the era of the platform's store in which the target was last listed.
+	entryEra int64
+	// copiedUntil is the time until which the target isn't used because only a copy to which the
+	// store went back says that it is in use.
 	copiedUntil time.Time
 	// failureRate is the moving average of failed attempts at the target, between 0 and 1.
 	failureRate float64
@@ -216,7 +219,9 @@
 	case t == nil:
 		t = &target{Target: *desc}
 		s.targets[desc.ID] = t
-		s.holdBackCopied(t)
+		if s.hadLeft(desc) {
+			s.holdBack(t, "it had left")
+		}
 		for _, p := range s.peerByHost {
 			t.peerLoad.add(p.loads[desc.ID], 1)
 		}
@@ -224,10 +229,14 @@
 	case desc.StartedAt.Before(t.StartedAt):
 		return
 	case !t.EqualExceptCold(desc):
+		if s.wasDraining(t, desc) {
+			s.holdBack(t, "it was draining")
+		}
 		s.log("target changed", "", "target", desc.ID, "draining", desc.Draining, "cold", desc.ColdFor, "restarted", desc.StartedAt.After(t.StartedAt), "weights", desc.Weights)
 		s.mergeTarget(t, desc)
 	}
 	t.missingSince = time.Time{}
+	t.entryEra = s.targetsEra
 	if !fromList {
 		t.copiedUntil = time.Time{}
 	}
@@ -240,23 +249,31 @@
 	}
 }
 
-// holdBackCopied keeps t out of use for a while if it had left before the platform's store went back
-// to the copy that lists it.
-func (s *State) holdBackCopied(t *target) {
-	if d, ok := s.departed[t.ID]; ok && d.era < s.targetsEra && !t.StartedAt.After(d.startedAt) {
-		t.copiedUntil = s.now.Add(copiedEntryGrace)
-		s.log("target listed by a copy", "", "target", t.ID, "era", s.targetsEra, "since-removed", s.now.Sub(d.at))
-	}
+// holdBack keeps t out of use for a while because only the copy to which the platform's store went
+// back says that it is in use. If it is, it stays listed or writes again.
+func (s *State) holdBack(t *target, reason string) {
+	t.copiedUntil = s.now.Add(copiedEntryGrace)
+	s.log("target held back", "", "target", t.ID, "why", reason, "era", s.targetsEra)
+}
+
+// hadLeft reports whether the process of desc left before the store went back to the copy that
+// lists it.
+func (s *State) hadLeft(desc *descriptor.Target) bool {
+	d, ok := s.departed[desc.ID]
+	return ok && d.era < s.targetsEra && !desc.StartedAt.After(d.startedAt)
+}
+
+// wasDraining reports whether the process of desc drained before the store went back to the copy in
+// which it is ready.
+func (s *State) wasDraining(t *target, desc *descriptor.Target) bool {
+	return t.Draining && !desc.Draining && t.entryEra < s.targetsEra && desc.StartedAt.Equal(t.StartedAt)
 }
 
 // mergeTarget replaces the description of t with another one. A running process never goes back
-// to older weights and never ends its draining. If desc says so, it is stale in that, as after the
-// platform's store went back to an earlier copy.
+// to older weights, so a lower version in desc is stale and is ignored.
 func (s *State) mergeTarget(t *target, desc *descriptor.Target) {
 	weights := maps.Clone(desc.Weights)
-	draining := desc.Draining
 	if desc.StartedAt.Equal(t.StartedAt) {
-		draining = draining || t.Draining
 		for model, version := range t.Weights {
 			if weights == nil {
 				weights = map[string]int{}
@@ -267,7 +284,7 @@
 		t.down, t.downCount, t.failureRate = false, 0, 0
 	}
 	t.Target = *desc
-	t.Weights, t.Draining = weights, draining
+	t.Weights = weights
 }
 
 func (s *State) markUnlistedMissing(listed []descriptor.Target) {
