--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -80,9 +80,10 @@
 	Message Message
 }
 
-// RenewLease writes the lease if its revision is still Revision; 0 creates it.
+// RenewLease writes the lease if its revision is still Revision; 0 creates it. Era is the era of
+// that revision.
 type RenewLease struct {
-	Revision int64
+	Era, Revision int64
 	// IdleFor is how long ago this host last gave orders, or 0 if it may give some.
 	IdleFor time.Duration
 }
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -78,8 +78,10 @@
 type ConfigListed struct{ Config *descriptor.Config }
 
 // ConfigConfirmed reports that the newest configuration listed was still the platform's newest
-// at AsOf. FromPeer is true when another host reported it, in a message received at ReceivedAt.
+// at AsOf, in an era of the platform's store. FromPeer is true when another host reported it, in a
+// message received at ReceivedAt.
 type ConfigConfirmed struct {
+	Era        int64
 	AsOf       time.Time
 	FromPeer   bool
 	ReceivedAt time.Time
@@ -87,6 +89,9 @@
 
 // TargetsListed reports changes in the platform's list of targets.
 type TargetsListed struct {
+	// Era is the era of the platform's store. It rises when the store goes back to an earlier
+	// copy.
+	Era     int64
 	Targets []descriptor.Target
 	Removed []string
 	// Whole is true when Targets is the complete list, as after a gap in the changes.
@@ -96,23 +101,28 @@
 	ReturnUntil time.Time
 }
 
-// EvacuationsListed reports the data centres that are out of use.
-type EvacuationsListed struct{ DataCentres []string }
+// EvacuationsListed reports the data centres that are out of use, in an era of the platform's store.
+type EvacuationsListed struct {
+	Era         int64
+	DataCentres []string
+}
 
 // DesiredWeightsChanged reports the version that the engines of a model should have.
 type DesiredWeightsChanged struct {
 	Model   string
 	Version int
-	// Revision is that of the platform's store when the version was named.
-	Revision int64
+	// Era and Revision are those of the platform's store when the version was named.
+	Era, Revision int64
 	// Listed is true when the version is from a list, which hides replaced versions, rather
 	// than from the changes since the last event.
 	Listed bool
 }
 
-// RevisionConfirmed reports that the changes of the platform's store after Revision were made
-// after AsOf. FromPeer is true when another host reported it, in a message received at ReceivedAt.
+// RevisionConfirmed reports that the changes of the platform's store after Revision of an era were
+// made after AsOf. FromPeer is true when another host reported it, in a message received at
+// ReceivedAt.
 type RevisionConfirmed struct {
+	Era        int64
 	Revision   int64
 	AsOf       time.Time
 	FromPeer   bool
@@ -145,7 +155,7 @@
 	CalledAt time.Time
 	// Written is true for the result of a write, false for that of a read.
 	Written bool
-	// Missing is true when no lease exists.
+	// Missing is true when no lease exists. Of the Lease, only the Era is then set.
 	Missing bool
 	// Err is true when the call failed.
 	Err bool
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -22,8 +22,24 @@
 	// beyond the rate, and the platform allows five.
 	maxColdSenders = 5
 	// departedRetention is how long hosts that are cut off from the platform may keep using a
-	// target that left the list.
+	// target that left the list. Until then its weights count.
 	departedRetention = 10 * time.Second
+	// departureMemory is how long a target that left the list is remembered. It exceeds the age
+	// of a copy to which the platform's store goes back, and the outage before.
+	departureMemory = time.Minute
+	// copiedEntryGrace is how long a target that had left or was draining isn't used when a copy
+	// lists it as ready. By then it has written again, or its entry has lapsed, which takes three
+	// of its heartbeats.
+	copiedEntryGrace = 5 * time.Second
+	// lostEvacuationGrace is how long a data centre stays out of use after the platform's store
+	// went back to a copy that doesn't list it. By then operators have written its entry again.
+	lostEvacuationGrace = 5 * time.Second
+	// rewriteTime is how long operators need to write again what the platform's store lost when
+	// it went back to a copy.
+	rewriteTime = 2 * time.Second
+	// lostConfigGrace is how long a configuration that the store lost is expected to be written
+	// again.
+	lostConfigGrace = 10 * time.Second
 	// weightsDeadlineMargin is subtracted from WeightsWithin. It covers the queueing time of a
 	// request at its engine.
 	weightsDeadlineMargin = time.Second
@@ -40,20 +56,36 @@
 	configConfirmedAt time.Time
 	// configAnsweredAt is the same by the platform's answers to this host only.
 	configAnsweredAt time.Time
-	targets          map[string]*target
+	// listedConfigVersion is the version that the platform's store listed last. It is older than
+	// the one in force if the store went back to a copy and lost that one.
+	listedConfigVersion int64
+	// configEra is the store's era at the last confirmation, and configEraAt when this host
+	// learned of it; zero for the era at its start.
+	configEra   int64
+	configEraAt time.Time
+	targets     map[string]*target
 	// byService lists the targets of each service, sorted by ID.
-	byService            map[string][]*target
-	evacuatedDataCentres map[string]bool
-	// departed holds the weights of targets that recently left the list.
+	byService map[string][]*target
+	// evacuatedDataCentres maps the data centres that are out of use to the time until which
+	// they are, or zero as long as they are listed.
+	evacuatedDataCentres map[string]time.Time
+	// evacuationsEra is the era of the platform's store in which they were last listed.
+	evacuationsEra int64
+	// targetsEra is the era of the platform's store in which the targets were last listed.
+	targetsEra int64
+	// departed holds the targets that recently left the list.
 	departed map[string]departure
 	// meanServiceTime is the mean service time of each plain service, in seconds.
 	meanServiceTime map[string]float64
 }
 
-// departure records the weights of a target that left the list, and until when they count.
+// departure records a target that left the list.
 type departure struct {
-	weights map[string]int
-	until   time.Time
+	at time.Time
+	// era is the era of the platform's store at that time.
+	era       int64
+	startedAt time.Time
+	weights   map[string]int
 }
 
 // targetLoad is the load on a target from one or several hosts.
@@ -101,18 +133,24 @@
 	// pausedUntil is the time until which the target gets no requests after it refused one, as
 	// engines do while they change weights.
 	pausedUntil time.Time
+	// entryEra is the era of the platform's store in which the target was last listed.
+	entryEra int64
+	// copiedUntil is the time until which the target isn't used because only a copy to which the
+	// store went back says that it is in use.
+	copiedUntil time.Time
 	// failureRate is the moving average of failed attempts at the target, between 0 and 1.
 	failureRate float64
 }
 
 func newFleet() fleet {
 	return fleet{
-		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]bool{},
+		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]time.Time{},
 		departed: map[string]departure{}, meanServiceTime: map[string]float64{},
 	}
 }
 
 func (s *State) onConfigListed(ev ConfigListed) {
+	s.listedConfigVersion = ev.Config.Version
 	if s.config != nil && ev.Config.Version < s.config.Version {
 		s.log("old configuration ignored", "", "version", ev.Config.Version, "in-force", s.config.Version)
 		return
@@ -127,7 +165,23 @@
 	}
 }
 
+// onConfigConfirmed ignores confirmations of a store that may lack configurations because it went
+// back to a copy.
 func (s *State) onConfigConfirmed(ev ConfigConfirmed) {
+	if ev.Era != s.configEra {
+		s.configEra = ev.Era
+		if s.config != nil && !s.configConfirmedAt.IsZero() {
+			s.configEraAt = s.now
+			s.log("configuration may be lost", "", "era", ev.Era, "in-force", s.config.Version, "listed", s.listedConfigVersion)
+		}
+	}
+	grace := rewriteTime
+	if s.config != nil && s.listedConfigVersion < s.config.Version {
+		grace = lostConfigGrace
+	}
+	if ev.AsOf.Sub(s.configEraAt) < grace {
+		return
+	}
 	switch {
 	case !ev.FromPeer:
 		s.configAnsweredAt = latest(s.configAnsweredAt, ev.AsOf)
@@ -142,8 +196,9 @@
 }
 
 func (s *State) onTargetsListed(ev TargetsListed) {
+	s.targetsEra = ev.Era
 	for i := range ev.Targets {
-		s.updateTarget(&ev.Targets[i])
+		s.updateTarget(&ev.Targets[i], ev.Whole)
 	}
 	for _, id := range ev.Removed {
 		s.onTargetRemoved(id, ev.ReturnUntil)
@@ -154,12 +209,16 @@
 	s.indexTargets()
 }
 
-func (s *State) updateTarget(desc *descriptor.Target) {
+// updateTarget adds or updates a target. Its entry is a new one unless it is from a list.
+func (s *State) updateTarget(desc *descriptor.Target, fromList bool) {
 	t := s.targets[desc.ID]
 	switch {
 	case t == nil:
 		t = &target{Target: *desc}
 		s.targets[desc.ID] = t
+		if s.hadLeft(desc) {
+			s.holdBack(t, "it had left")
+		}
 		for _, p := range s.peerByHost {
 			t.peerLoad.add(p.loads[desc.ID], 1)
 		}
@@ -167,10 +226,17 @@
 	case desc.StartedAt.Before(t.StartedAt):
 		return
 	case !t.EqualExceptCold(desc):
+		if s.wasDraining(t, desc) {
+			s.holdBack(t, "it was draining")
+		}
 		s.log("target changed", "", "target", desc.ID, "draining", desc.Draining, "cold", desc.ColdFor, "restarted", desc.StartedAt.After(t.StartedAt), "weights", desc.Weights)
 		s.mergeTarget(t, desc)
 	}
 	t.missingUntil = time.Time{}
+	t.entryEra = s.targetsEra
+	if !fromList {
+		t.copiedUntil = time.Time{}
+	}
 	t.weightsUnknown = t.weightsUnknown && len(desc.Weights) == 0
 	if desc.ColdFor > 0 {
 		t.coldUntil = s.now.Add(desc.ColdFor)
@@ -180,7 +246,27 @@
 	}
 }
 
-// mergeTarget replaces the description of t with a newer one. A running process never goes back
+// holdBack keeps t out of use for a while because only the copy to which the platform's store went
+// back says that it is in use. If it is, it stays listed or writes again.
+func (s *State) holdBack(t *target, reason string) {
+	t.copiedUntil = s.now.Add(copiedEntryGrace)
+	s.log("target held back", "", "target", t.ID, "why", reason, "era", s.targetsEra)
+}
+
+// hadLeft reports whether the process of desc left before the store went back to the copy that
+// lists it.
+func (s *State) hadLeft(desc *descriptor.Target) bool {
+	d, ok := s.departed[desc.ID]
+	return ok && d.era < s.targetsEra && !desc.StartedAt.After(d.startedAt)
+}
+
+// wasDraining reports whether the process of desc drained before the store went back to the copy in
+// which it is ready.
+func (s *State) wasDraining(t *target, desc *descriptor.Target) bool {
+	return t.Draining && !desc.Draining && t.entryEra < s.targetsEra && desc.StartedAt.Equal(t.StartedAt)
+}
+
+// mergeTarget replaces the description of t with another one. A running process never goes back
 // to older weights, so a lower version in desc is stale and is ignored.
 func (s *State) mergeTarget(t *target, desc *descriptor.Target) {
 	weights := maps.Clone(desc.Weights)
@@ -244,7 +330,7 @@
 		return
 	}
 	delete(s.targets, id)
-	s.departed[id] = departure{t.Weights, s.now.Add(departedRetention)}
+	s.departed[id] = departure{s.now, s.targetsEra, t.StartedAt, t.Weights}
 	delete(s.updates, id)
 	s.log("target removed", "", "target", id, "why", reason)
 }
@@ -265,20 +351,41 @@
 	s.computePartition()
 }
 
+// onEvacuationsListed keeps data centres out of use for a while if they are missing only from the
+// copy to which the platform's store went back.
 func (s *State) onEvacuationsListed(ev EvacuationsListed) {
-	clear(s.evacuatedDataCentres)
+	wentBack := ev.Era != s.evacuationsEra
+	s.evacuationsEra = ev.Era
+	before := s.evacuatedDataCentres
+	s.evacuatedDataCentres = map[string]time.Time{}
+	for dc, until := range before {
+		if wentBack {
+			until = s.now.Add(lostEvacuationGrace)
+		}
+		if until.After(s.now) {
+			s.evacuatedDataCentres[dc] = until
+		}
+	}
 	for _, dc := range ev.DataCentres {
-		s.evacuatedDataCentres[dc] = true
+		s.evacuatedDataCentres[dc] = time.Time{}
 	}
-	s.log("data centres out", "", "data-centres", ev.DataCentres)
+	s.log("data centres out", "", "data-centres", ev.DataCentres, "unlisted", len(s.evacuatedDataCentres)-len(ev.DataCentres))
+}
+
+// isEvacuated reports whether a data centre is out of use.
+func (s *State) isEvacuated(dc string) bool {
+	until, ok := s.evacuatedDataCentres[dc]
+	return ok && (until.IsZero() || s.now.Before(until))
 }
 
 // usable reports whether t may receive r now.
 func (s *State) usable(t *target, r *request) bool {
 	switch {
-	case t.Draining, t.down, t.weightsUnknown, s.evacuatedDataCentres[t.DataCentre], t.service == nil, r.tried[t.ID]:
+	case t.Draining, t.down, t.weightsUnknown, s.isEvacuated(t.DataCentre), t.service == nil, r.tried[t.ID]:
+		return false
+	case s.now.Before(t.pausedUntil), s.now.Before(t.copiedUntil), s.graceEnded(t):
 		return false
-	case s.now.Before(t.pausedUntil), s.graceEnded(t), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
+	case s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
 	case len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre]):
 		return false
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -164,3 +164,174 @@
 	_, sent := effect.(Send)
 	assert.Assert(t, sent)
 }
+
+// sentTo returns the target that gets a request to a plain service, or "".
+func (h *host) sentTo() string {
+	n, effect := h.request("/pay/", key, nil)
+	if sent, ok := effect.(Send); ok {
+		h.handle(AttemptDone{Number: n, Status: 200})
+		return sent.Target
+	}
+	return ""
+}
+
+// TestOldEntryDoesNotEndDraining guards against requests to a draining target after the store went
+// back to a copy in which it is ready. It writes again that it drains.
+func TestOldEntryDoesNotEndDraining(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	ready, draining := plainTarget(1), plainTarget(1)
+	draining.Draining = true
+	h.handle(TargetsListed{Targets: []descriptor.Target{draining}})
+	h.handle(TargetsListed{Era: 1, Targets: []descriptor.Target{ready}, Whole: true})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a draining target")
+	h.advanceTicking(copiedEntryGrace / 2)
+	h.handle(TargetsListed{Era: 1, Targets: []descriptor.Target{ready}, Whole: true})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a draining target")
+	h.handle(TargetsListed{Era: 1, Targets: []descriptor.Target{draining}})
+	h.advanceTicking(copiedEntryGrace)
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a draining target")
+	h.handle(TargetsListed{Era: 2, Targets: []descriptor.Target{ready}, Whole: true})
+	restarted := plainTarget(1)
+	restarted.StartedAt = time.UnixMilli(2)
+	h.handle(TargetsListed{Era: 2, Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, h.sentTo(), "plain-1", "a new process isn't used")
+}
+
+// TestDrainingEndsWhenTargetSaysSo guards against a target that is never used again although it
+// has taken back that it drains.
+func TestDrainingEndsWhenTargetSaysSo(t *testing.T) {
+	ready, draining := plainTarget(1), plainTarget(1)
+	draining.Draining = true
+	for _, tc := range []struct {
+		name string
+		ev   TargetsListed
+		wait time.Duration
+	}{
+		{"change", TargetsListed{}, 0},
+		{"list", TargetsListed{Whole: true}, 0},
+		{"change after the store went back", TargetsListed{Era: 1}, 0},
+		{"list after the store went back", TargetsListed{Era: 1, Whole: true}, copiedEntryGrace},
+	} {
+		h := newHost(t, "a", 0, 1)
+		h.handle(TargetsListed{Targets: []descriptor.Target{draining}})
+		tc.ev.Targets = []descriptor.Target{ready}
+		h.handle(tc.ev)
+		h.advanceTicking(tc.wait)
+		assert.Equal(t, h.sentTo(), "plain-1", tc.name)
+	}
+}
+
+// TestOldEntryDoesNotBringTargetBack guards against requests to a target that has left, after the
+// store went back to a copy that still lists it. If it isn't removed again, or writes again, it
+// runs.
+func TestOldEntryDoesNotBringTargetBack(t *testing.T) {
+	h := newHost(t, "a", 0, 3)
+	h.handle(TargetsListed{Removed: []string{"plain-1", "plain-2", "plain-3"}})
+	h.advanceTicking(12 * time.Second)
+	all := []descriptor.Target{plainTarget(1), plainTarget(2), plainTarget(3)}
+	h.handle(TargetsListed{Era: 1, Targets: all, Whole: true})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to a target that has left")
+	h.handle(TargetsListed{Era: 1, Targets: all[:1]})
+	assert.Equal(t, h.sentTo(), "plain-1", "a target that wrote again isn't used")
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-1", "plain-2"}})
+	h.advanceTicking(copiedEntryGrace)
+	assert.Equal(t, h.sentTo(), "plain-3", "a target that is listed for long isn't used")
+
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-3"}})
+	h.handle(TargetsListed{Era: 1, Targets: all[2:]})
+	assert.Equal(t, h.sentTo(), "plain-3", "a target whose entry lapsed isn't used")
+	h.handle(TargetsListed{Era: 1, Removed: []string{"plain-3"}})
+	restarted := plainTarget(3)
+	restarted.StartedAt = time.UnixMilli(2)
+	h.handle(TargetsListed{Era: 2, Targets: []descriptor.Target{restarted}, Whole: true})
+	assert.Equal(t, h.sentTo(), "plain-3", "a new process isn't used")
+}
+
+// TestLostEvacuationIsKept guards against requests to an evacuated data centre while its entry is
+// missing after the store went back to a copy.
+func TestLostEvacuationIsKept(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(EvacuationsListed{DataCentres: []string{"a"}})
+	h.handle(EvacuationsListed{Era: 1})
+	assert.Equal(t, h.sentTo(), "", "a request is sent to an evacuated data centre")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"b"}})
+	h.advanceTicking(2 * time.Second)
+	assert.Equal(t, h.sentTo(), "", "a request is sent to an evacuated data centre")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"a"}})
+	h.advanceTicking(lostEvacuationGrace)
+	assert.Equal(t, h.sentTo(), "", "an evacuation that was written again has ended")
+	h.handle(EvacuationsListed{Era: 1})
+	assert.Equal(t, h.sentTo(), "plain-1", "an evacuation that was taken back goes on")
+	h.handle(EvacuationsListed{Era: 1, DataCentres: []string{"a"}})
+	h.handle(EvacuationsListed{Era: 2})
+	h.advanceTicking(lostEvacuationGrace)
+	assert.Equal(t, h.sentTo(), "plain-1", "an evacuation that wasn't written again goes on")
+}
+
+// refusalOf returns the refusal of a request with a key, without confirming the configuration
+// first. It is the zero value if the request is sent.
+func (h *host) refusalOf(key string) Refuse {
+	h.lastNumber++
+	effect := requestEffect(h.handle(RequestArrived{Number: h.lastNumber, Host: "h", Path: "/pay/", Key: key, Timeout: time.Second}))
+	refused, _ := effect.(Refuse)
+	if _, sent := effect.(Send); sent {
+		h.handle(AttemptDone{Number: h.lastNumber, Status: 200})
+	}
+	return refused
+}
+
+// TestOlderConfigConfirmsNothing guards against the use of revoked keys while the store has only an
+// older configuration than the one in force.
+func TestOlderConfigConfirmsNothing(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(ConfigListed{Config: testConfig(3)})
+	h.handle(ConfigConfirmed{AsOf: h.clock})
+	confirm := func(version int64) {
+		h.handle(ConfigListed{Config: testConfig(version)})
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	}
+	for range 8 {
+		h.advanceTicking(500 * time.Millisecond)
+		confirm(2)
+		assert.Equal(t, h.config.Version, int64(3))
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+	h.advanceTicking(400 * time.Millisecond)
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalUnconfirmed, "an older configuration confirms the keys of the one in force")
+	confirm(3)
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""), "a configuration that was written again isn't confirmed")
+	for range lostConfigGrace / time.Second {
+		h.advanceTicking(time.Second)
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
+
+// TestOlderConfigIsUsableAfterGrace guards against an outage without end if a lost configuration is
+// never written again.
+func TestOlderConfigIsUsableAfterGrace(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.handle(ConfigListed{Config: testConfig(3)})
+	h.handle(ConfigListed{Config: testConfig(2)})
+	for range lostConfigGrace/time.Second + 1 {
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+		h.advanceTicking(time.Second)
+	}
+	h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
+
+// TestNewEraConfirmsConfigLate guards against the use of keys that a lost configuration revoked, of
+// which the host never heard. Operators need a moment to write it again.
+func TestNewEraConfirmsConfigLate(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	h.advanceTicking(3 * time.Second)
+	for range (rewriteTime - 100*time.Millisecond) / (100 * time.Millisecond) {
+		h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+		h.advanceTicking(100 * time.Millisecond)
+	}
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalUnconfirmed, "a store that lost configurations confirms the keys of the one in force")
+	h.advanceTicking(200 * time.Millisecond)
+	h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
+	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
+}
--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -185,7 +185,7 @@
 	b.clock = a.clock
 	b.handle(MessageReceived{Message: a.newMessage()})
 	renewed := a.renewedAt
-	leases.lease, leases.revision = Lease{}, 0 // Restored from a copy of before the lease.
+	leases.lease, leases.revision, leases.era = Lease{}, 0, 1 // Restored from a copy of before the lease.
 	for !b.holdsLease() && b.clock.Sub(renewed) < leaseTerm {
 		leases.tickHosts(50*time.Millisecond, b)
 	}
@@ -204,6 +204,7 @@
 	leases.tickHosts(3*time.Second, a)
 	assert.Assert(t, a.holdsLease())
 	b.clock = a.clock
+	copied.era++
 	*leases = copied // Restored from a copy that is 3 s old.
 	for end := a.clock.Add(30 * time.Second); a.clock.Before(end); {
 		leases.tickHosts(50*time.Millisecond, a, b)
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -36,20 +36,27 @@
 }
 
 // revisionMark states that the changes after a revision of the platform's store were made after
-// asOf.
+// asOf. It tells nothing of changes in other eras, in which the same revisions are other changes.
 type revisionMark struct {
+	era      int64
 	revision int64
 	asOf     time.Time
 	fromPeer bool
 }
 
+// precedes reports whether n was named after m.asOf.
+func (m revisionMark) precedes(n namedVersion) bool {
+	return m.era == n.era && m.revision < n.revision
+}
+
 // namedVersion is a version that operators named.
 type namedVersion struct {
 	version int
 	// previous is the version that it replaced.
 	previous int
-	// revision is that of the platform's store when the version was named; 0 if unknown.
-	revision int64
+	// era and revision are those of the platform's store when the version was named; 0 if
+	// unknown.
+	era, revision int64
 	// notBefore is a time at which the version wasn't named yet, or zero if none is known.
 	// ownNotBefore is the same from this host's answers only.
 	notBefore, ownNotBefore time.Time
@@ -78,7 +85,7 @@
 		s.dateAnnouncedVersion(ev)
 		return
 	}
-	named := namedVersion{version: ev.Version, previous: before, revision: ev.Revision, seenAt: s.now}
+	named := namedVersion{version: ev.Version, previous: before, era: ev.Era, revision: ev.Revision, seenAt: s.now}
 	if ev.Listed {
 		named.previous = ev.Version - 1 // A list hides the versions that were replaced meanwhile.
 	}
@@ -86,7 +93,7 @@
 		named.apply(mark)
 	}
 	s.addNamedVersion(ev.Model, named)
-	fields := []any{"model", ev.Model, "version", ev.Version, "revision", ev.Revision}
+	fields := []any{"model", ev.Model, "version", ev.Version, "era", ev.Era, "revision", ev.Revision}
 	if !named.notBefore.IsZero() {
 		fields = append(fields, "within", s.now.Sub(named.notBefore))
 	}
@@ -102,7 +109,7 @@
 	list := s.namedVersions[ev.Model]
 	for i := range list {
 		if n := &list[i]; n.version == ev.Version && n.revision == 0 {
-			n.revision = ev.Revision
+			n.era, n.revision = ev.Era, ev.Revision
 			for _, mark := range s.revisionMarks {
 				n.apply(mark)
 			}
@@ -112,7 +119,7 @@
 
 // apply applies a revision of the store. A mark of after the version was seen is wrong.
 func (n *namedVersion) apply(mark revisionMark) {
-	if mark.revision >= n.revision || mark.asOf.After(n.seenAt) {
+	if !mark.precedes(*n) || mark.asOf.After(n.seenAt) {
 		return
 	}
 	n.notBefore = latest(n.notBefore, mark.asOf)
@@ -130,7 +137,9 @@
 	} else {
 		n := &list[i]
 		n.previous = min(n.previous, named.previous)
-		n.revision = cmp.Or(n.revision, named.revision)
+		if n.revision == 0 {
+			n.era, n.revision = named.era, named.revision
+		}
 		n.seenAt = earliest(n.seenAt, named.seenAt)
 		n.notBefore = earliest(latest(n.notBefore, named.notBefore), n.seenAt)
 		n.ownNotBefore = earliest(latest(n.ownNotBefore, named.ownNotBefore), n.seenAt)
@@ -141,7 +150,7 @@
 
 func (s *State) onRevisionConfirmed(ev RevisionConfirmed) {
 	if !ev.FromPeer || s.messageAgesReliable(ev.ReceivedAt) {
-		s.markRevision(revisionMark{ev.Revision, ev.AsOf, ev.FromPeer})
+		s.markRevision(revisionMark{ev.Era, ev.Revision, ev.AsOf, ev.FromPeer})
 	}
 }
 
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -74,8 +74,10 @@
 	// sender holds it.
 	Lease  int64 `cbor:"10,keyasint,omitempty"`
 	Holder bool  `cbor:"11,keyasint,omitempty"`
+	// LeaseEra is the era of Lease.
+	LeaseEra int64 `cbor:"15,keyasint,omitempty"`
 	// LeaseIdleFor is the IdleFor of that revision; 0 if unknown.
-	LeaseIdleFor time.Duration `cbor:"15,keyasint,omitempty"`
+	LeaseIdleFor time.Duration `cbor:"16,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
 }
@@ -237,7 +239,7 @@
 		// Passed on, a confirmation by a peer would get younger by the delay of each message.
 		m.Config, m.ConfigAge = s.config.Version, s.now.Sub(s.configAnsweredAt)
 	}
-	m.Lease, m.Holder, m.LeaseIdleFor = s.lease.Revision, s.holdsLease(), s.lease.IdleFor
+	m.LeaseEra, m.Lease, m.Holder, m.LeaseIdleFor = s.lease.Era, s.lease.Revision, s.holdsLease(), s.lease.IdleFor
 	if m.Holder {
 		for id := range s.updates {
 			m.Orders = append(m.Orders, id)
@@ -321,12 +323,12 @@
 			}
 		}
 	}
-	if m.Lease > s.lease.Revision {
+	if lease := (Lease{Era: m.LeaseEra, Revision: m.Lease}); s.lease.olderThan(lease) {
 		// Unless the sender holds this revision, its holder is unknown. It can't be this host.
-		s.lease, s.leaseSeenAt = Lease{Revision: m.Lease, IdleFor: m.LeaseIdleFor}, s.now
 		if m.Holder {
-			s.lease.Holder, s.lease.Boot = m.Host, m.Boot
+			lease.Holder, lease.Boot = m.Host, m.Boot
 		}
+		s.setLease(lease)
 	}
 	if m.Holder {
 		s.applyUpdatingTargets(m)
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -55,9 +55,16 @@
 
 // Lease is the stored lease record. Its holder is the only process that orders weight updates.
 type Lease struct {
+	// Era and Revision are the store's at the record's last change. An era begins when the
+	// store goes back to an earlier copy, after which it gives out some revisions again.
+	Era      int64  `json:"-"`
 	Revision int64  `json:"-"`
 	Holder   string `json:"holder"`
 	Boot     int64  `json:"boot"`
+	// WriterEra is the era that the holder knew when it wrote the record. It differs from Era
+	// if the record is from the copy to which the store went back, or from a write that was
+	// meant for the state before that.
+	WriterEra int64 `json:"era,omitempty"`
 	// Renewal changes with each write, so that every renewal gets a new revision.
 	Renewal int64 `json:"renewal"`
 	// IdleFor is how long before this renewal the holder last gave orders. Unless it is 0, the
@@ -65,6 +72,22 @@
 	IdleFor time.Duration `json:"idle-for-ns,omitempty"`
 }
 
+// olderThan reports whether l is from before o. Revisions are only comparable within an era.
+func (l Lease) olderThan(o Lease) bool {
+	return cmp.Or(cmp.Compare(l.Era, o.Era), cmp.Compare(l.Revision, o.Revision)) < 0
+}
+
+// inherited reports whether the record wasn't written for the state that the store now has. It then
+// doesn't show who gave orders last.
+func (l Lease) inherited() bool { return l.WriterEra != l.Era }
+
+// eraShift is the position of the era in a fencing token, above all revisions.
+const eraShift = 40
+
+// newFencingToken returns the fencing token of a holder that took the lease by writing l. Tokens
+// increase with each takeover, also when revisions go back.
+func (l Lease) newFencingToken() int64 { return l.Era<<eraShift | l.Revision }
+
 // rollout holds the lease and the weight updates in progress.
 type rollout struct {
 	lease Lease
@@ -78,8 +101,9 @@
 	leaseCallAt     time.Time
 	nextLeaseCallAt time.Time
 	leaseReadAt     time.Time
-	// renewedAt is when the last successful renewal began.
-	renewedAt time.Time
+	// renewedAt is when the last successful renewal began, and renewedIdleFor its IdleFor.
+	renewedAt      time.Time
+	renewedIdleFor time.Duration
 	// idle is true from a renewal that says that no orders are given to the answer of the next
 	// one that doesn't.
 	idle bool
@@ -113,7 +137,7 @@
 
 // holdsLease reports whether this process holds the lease and no other can have taken it yet.
 func (s *State) holdsLease() bool {
-	return s.leaseNamesSelf() && !s.stopping && s.now.Sub(s.renewedAt) < s.cfg.LeaseTerm
+	return s.leaseNamesSelf() && !s.stopping && s.now.Sub(s.renewedAt) < s.heldFor()
 }
 
 // takeoverRank is this host's rank among the hosts that may take over the lease.
@@ -137,28 +161,50 @@
 	if !s.leaseCallAt.IsZero() && s.now.Sub(s.leaseCallAt) < callTimeout {
 		return
 	}
-	stagger := time.Duration(s.takeoverRank()) * takeoverStagger
-	// A holder that gave no orders for a while may be replaced as soon as it seems silent.
-	takeoverDelay := max(leaseReadInterval, s.cfg.LeaseTerm+orderPeriod+takeoverMargin-s.lease.IdleFor)
 	silence := s.now.Sub(s.leaseSeenAt)
 	switch {
 	case !s.leaseKnown:
 		s.readLease()
-	case s.leaseNamesSelf():
+	case s.leaseNamesSelf() && !s.lease.inherited():
 		if s.now.Sub(s.renewedAt) >= s.renewInterval() {
-			s.writeLease(s.lease.Revision)
-		}
-	case s.leaseMissing:
-		if silence > stagger {
-			s.writeLease(0)
+			s.writeLease()
 		}
-	case s.lease.Holder == s.cfg.Host || silence > takeoverDelay+stagger:
-		s.writeLease(s.lease.Revision)
+	case silence >= s.takeoverDelay():
+		s.writeLease()
 	case silence > leaseReadInterval && s.now.Sub(s.leaseReadAt) > leaseReadInterval:
 		s.readLease()
 	}
 }
 
+// takeoverDelay returns how long this host must have known the current lease before it takes it.
+// The delay ensures that any earlier holder gave its last order more than a lease term ago.
+func (s *State) takeoverDelay() time.Duration {
+	stagger := time.Duration(s.takeoverRank()) * takeoverStagger
+	switch {
+	case s.lease.inherited() && s.now.Sub(s.renewedAt) < s.heldFor():
+		return 0 // No other host can have taken the lease since this one renewed it.
+	case s.lease.inherited():
+	case s.leaseMissing:
+		return stagger
+	case s.lease.Holder == s.cfg.Host:
+		return 0
+	default:
+		return s.takeoverAfter(s.lease.IdleFor) + stagger
+	}
+	return s.takeoverAfter(0) + stagger
+}
+
+// takeoverAfter returns how long after a renewal other hosts may take the lease. A holder that
+// gave no orders for a while may be replaced as soon as it seems silent.
+func (s *State) takeoverAfter(idleFor time.Duration) time.Duration {
+	return max(leaseReadInterval, s.cfg.LeaseTerm+orderPeriod+takeoverMargin-idleFor)
+}
+
+// heldFor returns how long after its last renewal this host surely holds the lease.
+func (s *State) heldFor() time.Duration {
+	return min(s.cfg.LeaseTerm, s.takeoverAfter(s.renewedIdleFor))
+}
+
 func (s *State) renewInterval() time.Duration {
 	switch {
 	case !s.hasUpdates():
@@ -177,10 +223,10 @@
 	s.emit(ReadLease{})
 }
 
-func (s *State) writeLease(revision int64) {
+func (s *State) writeLease() {
 	s.leaseCallAt = s.now
-	out := RenewLease{Revision: revision}
-	if s.leaseNamesSelf() && !s.hasUpdates() {
+	out := RenewLease{Era: s.lease.Era, Revision: s.lease.Revision}
+	if s.leaseNamesSelf() && !s.lease.inherited() && !s.hasUpdates() {
 		out.IdleFor = max(0, s.now.Sub(s.ordersUntil))
 	}
 	s.idle = s.idle || out.IdleFor > 0
@@ -195,35 +241,59 @@
 		return
 	}
 	s.leaseKnown = true
-	s.leaseMissing = ev.Missing
 	if ev.Missing {
-		if s.lease.Revision != 0 || s.leaseSeenAt.IsZero() {
-			s.lease, s.leaseSeenAt = Lease{}, s.now
-		}
+		s.setMissingLease(ev.Lease.Era)
 		return
 	}
-	if ev.Lease.Revision < s.lease.Revision {
+	if ev.Lease.olderThan(s.lease) {
 		return
 	}
 	previous := s.lease
-	s.lease = ev.Lease
-	if ev.Lease.Revision != previous.Revision {
-		s.leaseSeenAt = s.now
-	}
-	if !ev.Written {
+	s.setLease(ev.Lease)
+	if !ev.Written || ev.Lease.inherited() {
 		return
 	}
 	s.renewedAt = ev.CalledAt
+	s.renewedIdleFor = ev.Lease.IdleFor
 	s.idle = ev.Lease.IdleFor > 0
-	s.markRevision(revisionMark{revision: ev.Lease.Revision, asOf: ev.CalledAt})
-	if previous.Holder != s.cfg.Host || previous.Boot != s.cfg.Boot || s.fencingToken == 0 {
-		s.fencingToken = ev.Lease.Revision
+	s.markRevision(revisionMark{era: ev.Lease.Era, revision: ev.Lease.Revision, asOf: ev.CalledAt})
+	if s.fencingToken == 0 {
+		s.fencingToken = ev.Lease.newFencingToken()
 		s.ordersUntil = ev.CalledAt // Those of an earlier process of this host were sent before.
-		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision)
+		s.log("lease taken", "", "fence", s.fencingToken, "before", previous.Holder, "revision", previous.Revision, "era", ev.Lease.Era)
 		s.listStores()
 	}
 }
 
+// setMissingLease records that there was no lease in an era.
+func (s *State) setMissingLease(era int64) {
+	if era < s.lease.Era {
+		return
+	}
+	if s.lease.Revision != 0 || s.lease.Era != era || s.leaseSeenAt.IsZero() {
+		s.setLease(Lease{Era: era})
+		s.leaseSeenAt = s.now
+	}
+	s.leaseMissing = true
+}
+
+// setLease records the newest known lease. A host that loses the lease also loses its fencing
+// token, as others may have used higher ones when it takes the lease again. The same holds if a
+// copy of the store names the host and others may have had the lease in between.
+func (s *State) setLease(lease Lease) {
+	first := s.leaseSeenAt.IsZero()
+	if first || s.lease.olderThan(lease) {
+		s.leaseSeenAt = s.now
+	}
+	if !first && lease.Era != s.lease.Era {
+		s.log("store went back to a copy", "", "era", lease.Era, "before", s.lease.Era, "lease", lease.Holder, "revision", lease.Revision, "since-renewed", s.now.Sub(s.renewedAt))
+	}
+	s.lease, s.leaseMissing = lease, false
+	if !s.leaseNamesSelf() || lease.inherited() && s.now.Sub(s.renewedAt) >= s.heldFor() {
+		s.fencingToken = 0
+	}
+}
+
 // countOutdatedEngines counts the engines without the named weights.
 func (s *State) countOutdatedEngines() int {
 	n := 0
--- a/internal/relay/decider/rollout_test.go
+++ b/internal/relay/decider/rollout_test.go
@@ -15,6 +15,7 @@
 type leaseStore struct {
 	lease    Lease
 	revision int64
+	era      int64
 }
 
 // handleLeaseCalls carries out the lease calls among effects and returns all other effects.
@@ -23,15 +24,15 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case ReadLease:
-			rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{Lease: s.lease, CalledAt: h.clock, Missing: s.revision == 0}))...)
+			rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{Lease: s.answer(), CalledAt: h.clock, Missing: s.lease.Revision == 0}))...)
 		case RenewLease:
 			if e.Revision != s.lease.Revision {
 				rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{CalledAt: h.clock, Written: true, Err: true}))...)
 				continue
 			}
 			s.revision++
-			s.lease = Lease{Revision: s.revision, Holder: h.cfg.Host, Boot: h.cfg.Boot, IdleFor: e.IdleFor}
-			rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{Lease: s.lease, CalledAt: h.clock, Written: true}))...)
+			s.lease = Lease{Revision: s.revision, Holder: h.cfg.Host, Boot: h.cfg.Boot, WriterEra: e.Era, IdleFor: e.IdleFor}
+			rest = append(rest, s.handleLeaseCalls(h, h.handle(LeaseAnswered{Lease: s.answer(), CalledAt: h.clock, Written: true}))...)
 		default:
 			rest = append(rest, e)
 		}
@@ -39,6 +40,13 @@
 	return rest
 }
 
+// answer returns the lease as the store answers it in its era.
+func (s *leaseStore) answer() Lease {
+	lease := s.lease
+	lease.Era = s.era
+	return lease
+}
+
 // tickHosts ticks the hosts for d and returns the orders with the host and time of each.
 func (s *leaseStore) tickHosts(d time.Duration, hosts ...*host) []hostOrder {
 	var given []hostOrder
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
@@ -59,6 +60,8 @@
 
 // Config configures a Follower.
 type Config struct {
+	// Host is the name of this host.
+	Host   string
 	Caller *caller.Caller
 	Clock  timer.Clock
 	Logger hclog.Logger
@@ -77,14 +80,17 @@
 // Follower runs one watch for each kind of platform objects and one poller for each store.
 type Follower struct {
 	cfg     Config
+	newest  newestEra
 	watches []*watch
+	// unregistered receives a value when the store has lost the entry of this host.
+	unregistered chan struct{}
 }
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg}
+	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
-		f.watches = append(f.watches, &watch{Follower: f, kind: kind, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
 	}
 	return f
 }
@@ -112,6 +118,9 @@
 	}
 }
 
+// unknownEra is the era of a watch that hasn't listed its objects yet.
+const unknownEra = -1
+
 // watch keeps a copy of all objects of one kind, from the platform or from updates of
 // other hosts.
 type watch struct {
@@ -130,8 +139,10 @@
 
 	// mu guards the fields below, which heartbeats read. Only the watch writes them.
 	mu sync.Mutex
-	// revision is the revision up to which all changes are known; 0 before the first list.
+	// revision is the revision up to which all changes are known; 0 before each list.
 	revision int64
+	// era is the store's era of revision; unknownEra before the first list.
+	era int64
 	// failing is true from a failed call to the next successful one.
 	failing bool
 }
@@ -151,6 +162,9 @@
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		w.applyQueued()
+		if w.eraIsOver() {
+			w.setPosition(w.era, 0)
+		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
 			continue
@@ -160,9 +174,12 @@
 			pause = minRetryPause
 			continue
 		}
-		if caller.KindOf(err) == caller.KindCompacted {
-			w.cfg.Logger.Info("changes are compacted, listing again", "kind", w.kind, "after", w.revision)
-			w.setRevision(0)
+		if w.eraIsOver() {
+			continue
+		}
+		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
+			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
+			w.setPosition(w.era, 0)
 			continue
 		}
 		w.recordFailure(ctx, err)
@@ -183,10 +200,11 @@
 	return updateTimeout
 }
 
-func (w *watch) setRevision(revision int64) {
+// setPosition sets the era and the revision up to which all changes are known.
+func (w *watch) setPosition(era, revision int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.revision = revision
+	w.era, w.revision = era, revision
 }
 
 func (w *watch) setFailing(failing bool) {
@@ -211,6 +229,41 @@
 	}
 }
 
+// checkEra records the era of an answer. It returns an error if a newer era is known.
+func (w *watch) checkEra(era int64) error {
+	if newest := w.newest.observe(era); era < newest {
+		return errors.Newf("answer of era %d after one of era %d", era, newest)
+	}
+	return nil
+}
+
+// eraIsOver reports whether a newer era is known than that of the watch.
+func (w *watch) eraIsOver() bool {
+	return w.era != unknownEra && w.era < w.newest.current()
+}
+
+// recordEra records the era of a list and reports whether the store went back since the last one.
+// What was written before that is partly lost until it is written again, as after an outage.
+func (w *watch) recordEra(era int64) bool {
+	if w.era == unknownEra || w.era == era {
+		return false
+	}
+	w.recoveredAt = w.cfg.Clock.Now()
+	w.cfg.Logger.Info("store went back to an earlier copy", "kind", w.kind, "era", era, "before", w.era)
+	return true
+}
+
+// checkRegistration lets Register run again if the store has lost the entry of this host.
+func (w *watch) checkRegistration() {
+	if _, ok := w.objects[w.cfg.Host]; ok {
+		return
+	}
+	select {
+	case w.unregistered <- struct{}{}:
+	default:
+	}
+}
+
 // poll makes one call: it lists all objects if no revision is known, and waits for
 // changes otherwise.
 func (w *watch) poll(ctx context.Context) error {
@@ -220,22 +273,37 @@
 		if err != nil {
 			return err
 		}
+		if err := w.checkEra(all.Era); err != nil {
+			return err
+		}
 		w.recordSuccess()
+		wentBack := w.recordEra(all.Era)
+		w.setPosition(all.Era, all.Revision)
 		clear(w.objects)
 		w.updateObjects(all.Objects)
-		w.cfg.Post(decider.RevisionConfirmed{Revision: all.Revision, AsOf: sentAt})
+		if wentBack && w.kind == caller.KindHosts {
+			w.checkRegistration()
+		}
+		w.cfg.Post(decider.RevisionConfirmed{Era: all.Era, Revision: all.Revision, AsOf: sentAt})
 		w.postChanges(all.Objects, true, freshness{asOf: sentAt, returnUntil: w.returnUntil()})
-		w.setRevision(all.Revision)
 		// Updates of the watching hosts are expected from here on.
 		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
 		return nil
 	}
 	after := w.revision
 	wait := w.watchWait()
-	changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, wait)
+	watchCtx, cancel := w.newest.untilRisen(ctx, w.era)
+	defer cancel()
+	changes, err := w.cfg.Caller.Watch(watchCtx, w.kind, after, wait)
 	if err != nil {
 		return err
 	}
+	if err := w.checkEra(changes.Era); err != nil {
+		return err
+	}
+	if w.eraIsOver() {
+		return nil // The watched revision may have been given out again, for other changes.
+	}
 	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), returnUntil: w.returnUntil()}
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
@@ -252,7 +320,7 @@
 // may be the revision of the last one, rather than of the store.
 func (w *watch) confirmRevision(changes caller.Objects, fresh freshness) {
 	if len(changes.Objects) == 0 {
-		w.cfg.Post(decider.RevisionConfirmed{Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
+		w.cfg.Post(decider.RevisionConfirmed{Era: w.era, Revision: changes.Revision, AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
 	}
 }
 
@@ -284,7 +352,7 @@
 	}
 	w.updateObjects(objects)
 	w.postChanges(objects, false, fresh)
-	w.setRevision(max(w.revision, changes.Revision))
+	w.setPosition(w.era, max(w.revision, changes.Revision))
 }
 
 // answerTime returns the time at which an answer is known to be current: the start of the
@@ -301,6 +369,7 @@
 func (w *watch) watchWait() time.Duration {
 	switch {
 	case w.behind, w.failing:
+		// After an outage, the answer shows at once whether the store went back to a copy.
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
@@ -354,11 +423,11 @@
 		}
 		w.cfg.Post(decider.ConfigListed{Config: cfg})
 	}
-	w.cfg.Post(decider.ConfigConfirmed{AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
+	w.cfg.Post(decider.ConfigConfirmed{Era: w.era, AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
 }
 
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
-	ev := decider.TargetsListed{Whole: full, ReturnUntil: fresh.returnUntil}
+	ev := decider.TargetsListed{Era: w.era, Whole: full, ReturnUntil: fresh.returnUntil}
 	for _, o := range objects {
 		if o.Removed {
 			ev.Removed = append(ev.Removed, o.Name)
@@ -377,7 +446,7 @@
 }
 
 func (w *watch) postEvacuations() {
-	var ev decider.EvacuationsListed
+	ev := decider.EvacuationsListed{Era: w.era}
 	for name := range w.objects {
 		ev.DataCentres = append(ev.DataCentres, name)
 	}
@@ -394,7 +463,7 @@
 			w.cfg.Logger.Warn("invalid weights ignored", "name", o.Name, "error", err.Error())
 			continue
 		}
-		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version, Revision: o.Revision, Listed: full})
+		w.cfg.Post(decider.DesiredWeightsChanged{Model: model, Version: version, Era: w.era, Revision: o.Revision, Listed: full})
 	}
 }
 
@@ -411,29 +480,41 @@
 	w.cfg.Post(ev)
 }
 
-// Register adds this host to the platform's list of hosts and retries until it
-// succeeds. If registered is true, it first tries to replace an entry that is
-// probably left from an earlier start.
-func (f *Follower) Register(ctx context.Context, name string, host descriptor.Host, registered bool) {
+// Register adds this host to the platform's list of hosts, and adds it again whenever the store
+// has lost its entry, until ctx ends. If registered is true, it first tries to replace an entry
+// that is probably left from an earlier start.
+func (f *Follower) Register(ctx context.Context, host descriptor.Host, registered bool) {
+	for f.register(ctx, host, registered) {
+		select {
+		case <-f.unregistered:
+			registered = false
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// register retries until it succeeds. It returns false if ctx ends first.
+func (f *Follower) register(ctx context.Context, host descriptor.Host, registered bool) bool {
 	spec := decoder.EncodeHost(host)
 	for {
 		var err error
 		if registered {
-			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, name, 0, spec)
+			_, err = f.cfg.Caller.Replace(ctx, caller.KindHosts, f.cfg.Host, 0, spec)
 		} else {
-			_, err = f.cfg.Caller.Create(ctx, caller.KindHosts, name, spec)
+			_, err = f.cfg.Caller.Create(ctx, caller.KindHosts, f.cfg.Host, spec)
 		}
 		if kind := caller.KindOf(err); err != nil && (kind == caller.KindConflict || kind == caller.KindMissing) {
 			registered = !registered
 			continue
 		}
 		if err == nil {
-			f.cfg.Logger.Info("host registered", "host", name, "address", host.Address.String())
-			return
+			f.cfg.Logger.Info("host registered", "host", f.cfg.Host, "address", host.Address.String())
+			return true
 		}
 		f.cfg.Logger.Warn("failed to register host", "error", err.Error())
 		if !sleep(ctx, maxRetryPause) {
-			return
+			return false
 		}
 	}
 }
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/timer"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
@@ -33,6 +34,12 @@
 	l.events = append(l.events, ev)
 }
 
+func (l *eventLog) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = nil
+}
+
 // waitForEvent returns the first event for which matches returns true. It fails the
 // test after 8 s.
 func waitForEvent[E decider.Event](t *testing.T, log *eventLog, matches func(E) bool) E {
@@ -81,7 +88,7 @@
 	assert.NilError(s.t, err)
 	events := &eventLog{}
 	f := New(Config{
-		Caller: c, Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), Post: events.post, WatchesPlatform: watches, SendUpdates: send,
+		Host: hostName, Caller: c, Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), Post: events.post, WatchesPlatform: watches, SendUpdates: send,
 		Stores: func() []netip.AddrPort { return nil }, FollowsStore: func(netip.AddrPort) bool { return true },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,6 +104,9 @@
 func always() bool { return true }
 func never() bool  { return false }
 
+// hostName is the name of the followers' host.
+const hostName = "host-1"
+
 // startFollower starts a single follower that watches the platform itself.
 func startFollower(t *testing.T, store *imitator.Store) *eventLog {
 	t.Helper()
@@ -288,7 +298,7 @@
 	clock := &fakeClock{time.Unix(1000, 0)}
 	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: always, SendUpdates: func([]WatchUpdate) {}, Post: func(decider.Event) {}})
 	w := f.watches[1]
-	w.setRevision(5)
+	w.setPosition(0, 5)
 	receiveHeartbeat := func() {
 		w.applyUpdate(receivedUpdate{WatchUpdate{Kind: w.kind, After: 5, UpTo: 5, Heartbeat: true}, clock.now})
 	}
@@ -363,3 +373,123 @@
 		log.mu.Unlock()
 	}
 }
+
+// TestStoreThatWentBackIsListedAgain guards against a host that misses changes because the store
+// gave out the revision of its watch again, and keeps objects that the store has lost.
+func TestStoreThatWentBackIsListedAgain(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	listed := waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[0].ID == "a" && ev.Targets[1].ID == "b"
+	})
+	assert.Equal(t, listed.Era, int64(1))
+	store.Remove(caller.KindTargets, "a")
+	removed := waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) == 1 })
+	assert.Assert(t, !removed.ReturnUntil.IsZero(), "an entry that may have lapsed counts as removed")
+}
+
+// TestWatchFromLostRevisionIsListedAgain guards against a watch that never recovers from 410.
+func TestWatchFromLostRevisionIsListedAgain(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	store.GoBack(earlier)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 1 })
+}
+
+// TestUpdatesOfOtherErasAreNotApplied guards against changes of one state of the store that are
+// applied to another one, in which the same revisions mean other changes.
+func TestUpdatesOfOtherErasAreNotApplied(t *testing.T) {
+	clock := &fakeClock{time.Unix(1000, 0)}
+	events := &eventLog{}
+	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: never, Post: events.post})
+	w := f.watches[1]
+	w.setPosition(1, 5)
+	change := func(era int64) receivedUpdate {
+		objects := []caller.Object{{Kind: w.kind, Name: "a", Revision: 6, Spec: []byte(targetSpec)}}
+		return receivedUpdate{WatchUpdate{Kind: w.kind, Era: era, After: 5, UpTo: 6, Objects: objects}, clock.now}
+	}
+	w.applyUpdate(change(0))
+	assert.Assert(t, !w.updatedByPeers(), "a host relies on updates of a host that doesn't know the newest era")
+	w.applyUpdate(change(2))
+	assert.Assert(t, w.behind && !w.updatedByPeers(), "a host doesn't call the platform when another host knows a newer era")
+	assert.Equal(t, len(events.events), 0)
+	assert.Equal(t, w.revision, int64(5))
+	w.behind = false
+	w.applyUpdate(change(1))
+	assert.Assert(t, len(events.events) > 0 && w.revision == 6)
+}
+
+// TestUpdatesStateTheEra checks that hosts which don't call the platform learn from the updates of
+// others that the store went back.
+func TestUpdatesStateTheEra(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	server := newTestStore(t, store)
+	receiver, events := server.start(never, func([]WatchUpdate) {})
+	_, watching := server.start(always, receiver.Receive)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	waitForEvent(t, watching, func(ev decider.TargetsListed) bool { return ev.Whole })
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Targets) == 1 && ev.Targets[0].ID == "lost" })
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+		return ev.Whole && len(ev.Targets) == 2 && ev.Targets[1].ID == "b"
+	})
+}
+
+// TestLostHostIsRegisteredAgain guards against a host that the others don't know because the store
+// lost its entry.
+func TestLostHostIsRegisteredAgain(t *testing.T) {
+	store := imitator.NewStore()
+	earlier := store.Copy()
+	f, events := newTestStore(t, store).start(always, func([]WatchUpdate) {})
+	own := descriptor.Host{Address: netip.MustParseAddrPort("10.0.0.1:7000"), DataCentre: "a"}
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(done)
+		f.Register(ctx, own, false)
+	}()
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return ev.Hosts[hostName] == own })
+	calls := store.Calls()
+	store.GoBack(earlier)
+	events.clear()
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return len(ev.Hosts) == 0 })
+	waitForEvent(t, events, func(ev decider.HostsListed) bool { return ev.Hosts[hostName] == own })
+	assert.Assert(t, store.Calls()-calls < 30, "%d calls to register a host again", store.Calls()-calls)
+	cancel()
+	<-done
+}
+
+// TestNewEraIsNoticedAfterOutage guards against a host that learns late that the store went back
+// during an outage, as its watches are valid and wait for changes.
+func TestNewEraIsNoticedAfterOutage(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, `{"version":1}`)
+	store.Put(caller.KindTargets, "a", targetSpec)
+	earlier := store.Copy()
+	store.Put(caller.KindTargets, "lost", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 2 })
+	time.Sleep(600 * time.Millisecond) // Lets a long watch of the configuration begin.
+	store.SetDown(true)
+	time.Sleep(300 * time.Millisecond) // Lets the watches fail.
+	store.GoBack(earlier)
+	store.Put(caller.KindTargets, "b", targetSpec)
+	store.SetDown(false)
+	returned := time.Now()
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Era == 1 })
+	assert.Assert(t, time.Since(returned) < time.Second, "listed %v after the store returned", time.Since(returned))
+}
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -76,7 +76,7 @@
 
 func (r *Runner) renewLease(ctx context.Context, e decider.RenewLease) {
 	sentAt := r.cfg.Clock.Now()
-	spec := decider.Lease{Holder: r.cfg.Settings.Host, Boot: r.cfg.Boot, Renewal: sentAt.UnixNano(), IdleFor: e.IdleFor}
+	spec := decider.Lease{Holder: r.cfg.Settings.Host, Boot: r.cfg.Boot, Renewal: sentAt.UnixNano(), WriterEra: e.Era, IdleFor: e.IdleFor}
 	var object caller.Object
 	var err error
 	if e.Revision == 0 {
@@ -88,15 +88,16 @@
 }
 
 func (r *Runner) leaseEvent(object caller.Object, err error, sentAt time.Time, written bool) decider.LeaseAnswered {
+	r.follower.ObserveEra(object.Era)
 	ev := decider.LeaseAnswered{CalledAt: sentAt, Written: written}
 	switch {
 	case err == nil:
 		if err := json.Unmarshal(object.Spec, &ev.Lease); err != nil {
 			r.cfg.Logger.Error("failed to decode the lease, assuming no holder", "error", err.Error())
 		}
-		ev.Lease.Revision = object.Revision
+		ev.Lease.Era, ev.Lease.Revision = object.Era, object.Revision
 	case caller.KindOf(err) == caller.KindMissing:
-		ev.Missing = true
+		ev.Missing, ev.Lease.Era = true, object.Era
 	default:
 		ev.Err = true
 		r.cfg.Logger.Warn("lease call failed", "error", err.Error(), "written", written)
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -108,11 +108,11 @@
 		return nil, err
 	}
 	r.follower = follower.New(follower.Config{
-		Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
+		Host: cfg.Settings.Host, Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
 		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
-		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.post, ReceiveUpdates: r.follower.Receive,
+		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.postFromPeer, ReceiveUpdates: r.follower.Receive,
 	})
 	if err != nil {
 		return nil, err
@@ -125,14 +125,22 @@
 	return netip.AddrPortFrom(r.cfg.Settings.Address, r.cfg.Settings.FirstPort)
 }
 
-// registerHost adds this host to the platform's list of hosts.
+// registerHost keeps this host in the platform's list of hosts until ctx ends.
 func (r *Runner) registerHost(ctx context.Context) {
 	host := descriptor.Host{Address: r.gossipAddress(), DataCentre: r.cfg.Settings.DataCentre}
-	r.follower.Register(ctx, r.cfg.Settings.Host, host, !r.cfg.Settings.FirstStart)
+	r.follower.Register(ctx, host, !r.cfg.Settings.FirstStart)
 }
 
 func (r *Runner) post(ev decider.Event) { r.executor.Post(ev) }
 
+// postFromPeer posts an event from another host, which may know a newer era of the platform's store.
+func (r *Runner) postFromPeer(ev decider.Event) {
+	if m, ok := ev.(decider.MessageReceived); ok {
+		r.follower.ObserveEra(m.Message.LeaseEra)
+	}
+	r.post(ev)
+}
+
 // sendUpdates forwards changes of the platform's objects to the hosts that receive
 // them from this one.
 func (r *Runner) sendUpdates(updates []follower.WatchUpdate) {
