Stop sending to targets that say that they leave

Callers would see: requests sent to a target up to its exit, and broken off there, while the list of targets still says that it is ready.

Cause: the header was passed on but not read; only the list counted.

Change: the header is decoded once into a Notice. The forwarder posts it before the response is returned, for refusals, errors, broken responses and those to other requests too. The reducer keeps it for the process, by the time of its start, apart from the list: a ready entry of the same process, or one that lapses and returns, changes nothing; a new process is used. A late answer of an older process doesn't count against the new one.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -199,7 +199,7 @@
 	r.sends++
 	r.sentAt, r.predicted, r.sources = s.now, predicted, nil
 	out := Send{
-		Number: r.number, Target: t.ID, Address: t.Address, Service: t.Service, Deadline: r.deadline,
+		Number: r.number, Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Service: t.Service, Deadline: r.deadline,
 		Urgency: r.urgency(), Repeatable: r.route.Repeatable(), Stream: r.route.Kind == descriptor.KindStream,
 	}
 	if r.team != nil {
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -42,6 +42,7 @@
 
 	fleet
 	naming
+	noticing
 	requests
 	cacheDirectory
 	peers
@@ -54,7 +55,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
-		fleet: newFleet(), naming: newNaming(), requests: newRequests(), cacheDirectory: newCacheDirectory(), peers: newPeers(),
+		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), peers: newPeers(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
 	}
 }
@@ -121,6 +122,8 @@
 		s.onOrderAnswered(ev)
 	case ProbeAnswered:
 		s.onProbeAnswered(ev)
+	case NoticeReceived:
+		s.onNoticeReceived(ev)
 	}
 }
 
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -12,9 +12,11 @@
 
 // Send sends a request to a target.
 type Send struct {
-	Number  int64
-	Target  string
-	Address netip.AddrPort
+	Number int64
+	Target string
+	// StartedAt identifies the target's process.
+	StartedAt time.Time
+	Address   netip.AddrPort
 	// Service is the target's service.
 	Service string
 	// Deadline is the time by which the response must be complete.
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -179,6 +179,14 @@
 	Alive  bool
 }
 
+// NoticeReceived reports what a target said about itself in an answer.
+type NoticeReceived struct {
+	Target string
+	// StartedAt identifies the process that the answered request was sent to.
+	StartedAt time.Time
+	Notice    descriptor.Notice
+}
+
 // StopRequested requests a graceful shutdown.
 type StopRequested struct{}
 
@@ -205,5 +213,6 @@
 func (ReportAnswered) isEvent()        {}
 func (OrderAnswered) isEvent()         {}
 func (ProbeAnswered) isEvent()         {}
+func (NoticeReceived) isEvent()        {}
 func (StopRequested) isEvent()         {}
 func (Tick) isEvent()                  {}
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -157,7 +157,8 @@
 	s.indexTargets()
 }
 
-func (s *State) updateTarget(desc *descriptor.Target) {
+func (s *State) updateTarget(listed *descriptor.Target) {
+	desc := s.withNotice(listed)
 	t := s.targets[desc.ID]
 	switch {
 	case t == nil:
@@ -239,6 +240,7 @@
 	delete(s.targets, id)
 	s.departed[id] = departure{t.Weights, s.now.Add(departedRetention)}
 	delete(s.updates, id)
+	s.expireNotices()
 	s.log("target removed", "", "target", id, "why", reason)
 }
 
--- /dev/null
+++ b/internal/relay/decider/noticing_test.go
@@ -0,0 +1,96 @@
+package decider
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+// noticeFrom lets a process of a target say something about itself.
+func (h *host) noticeFrom(t descriptor.Target, n descriptor.Notice) []Effect {
+	return h.handle(NoticeReceived{Target: t.ID, StartedAt: t.StartedAt, Notice: n})
+}
+
+// targetOf sends a request and returns the target that it is sent to, or "".
+func (h *host) targetOf(path string) string {
+	n, effect := h.request(path, key, nil)
+	sent, _ := effect.(Send)
+	h.handle(AttemptDone{Number: n, Status: 200})
+	return sent.Target
+}
+
+// TestLeavingTargetStaysOutOfUse guards against requests to a target that said that it is
+// leaving, because of an entry in the list that says that it is ready. The entry may lapse and
+// return meanwhile. A new process of the target must be used.
+func TestLeavingTargetStaysOutOfUse(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	leaving := plainTarget(1)
+	h.noticeFrom(leaving, descriptor.Notice{Leaving: true})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2")
+
+	h.handle(TargetsListed{Targets: []descriptor.Target{leaving}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "a ready entry brought a leaving target back")
+
+	h.handle(TargetsListed{Removed: []string{leaving.ID}})
+	h.advance(noticeRetention)
+	h.handle(TargetsListed{Targets: []descriptor.Target{leaving}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "an entry that returned brought a leaving target back")
+
+	restarted := leaving
+	restarted.StartedAt = leaving.StartedAt.Add(time.Millisecond)
+	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-1", "a new process of the target is not used")
+}
+
+// TestLateNoticeSparesNewProcess guards against taking a new process out of use because of an
+// answer of the process before it that arrives late.
+func TestLateNoticeSparesNewProcess(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	old, restarted := plainTarget(1), plainTarget(1)
+	restarted.StartedAt = old.StartedAt.Add(time.Millisecond)
+	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	h.noticeFrom(old, descriptor.Notice{Leaving: true})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-1")
+
+	h.noticeFrom(restarted, descriptor.Notice{Leaving: true})
+	h.handle(TargetsListed{Removed: []string{old.ID}})
+	h.noticeFrom(old, descriptor.Notice{Leaving: true})
+	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "a late notice replaced that of the new process")
+}
+
+// TestNoticeOfUnlistedTargetCounts guards against requests to a target whose entry had lapsed
+// when it said that it is leaving.
+func TestNoticeOfUnlistedTargetCounts(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	leaving := plainTarget(1)
+	h.handle(TargetsListed{Removed: []string{leaving.ID}})
+	h.noticeFrom(leaving, descriptor.Notice{Leaving: true})
+	h.handle(TargetsListed{Targets: []descriptor.Target{leaving}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2")
+}
+
+// TestRetryAvoidsLeavingTarget guards against the retry of a request at a target that said that
+// it is leaving while the request was under way at another one.
+func TestRetryAvoidsLeavingTarget(t *testing.T) {
+	h := newHost(t, "a", 0, 3)
+	n, effect := h.request("/look/", key, nil)
+	assert.Equal(t, effect.(Send).Target, "plain-1")
+	h.noticeFrom(plainTarget(2), descriptor.Notice{Leaving: true})
+	retried := requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureBroken}))
+	assert.Equal(t, retried.(Send).Target, "plain-3")
+}
+
+// TestOldNoticesAreForgotten guards against a map that grows with each target that leaves.
+func TestOldNoticesAreForgotten(t *testing.T) {
+	h := newHost(t, "a", 0, 3)
+	h.noticeFrom(plainTarget(1), descriptor.Notice{Leaving: true})
+	h.noticeFrom(plainTarget(2), descriptor.Notice{Leaving: true})
+	h.handle(TargetsListed{Removed: []string{"plain-1"}})
+	h.advance(noticeRetention + time.Second)
+	h.handle(TargetsListed{Removed: []string{"plain-3"}})
+	assert.Equal(t, len(h.notices), 1, "only the listed target's notice must be kept")
+}
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -188,6 +188,12 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// Notice is what a target says about itself in an answer.
+type Notice struct {
+	// Leaving is true if the target will stop soon and wants no new requests.
+	Leaving bool
+}
+
 // Report is the state of an engine, as the engine returns it.
 type Report struct {
 	Weights map[string]int
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/platform/translator"
 )
 
@@ -43,6 +44,8 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Now is the clock that request deadlines refer to.
 	Now func() time.Time
+	// Post receives what targets say about themselves, before their responses are returned.
+	Post func(decider.Event)
 }
 
 // Forwarder sends requests over a pool of connections to targets. It is safe for
@@ -54,8 +57,8 @@
 
 // New returns a Forwarder, or an Error of KindInvalid.
 func New(cfg Config) (*Forwarder, error) {
-	if cfg.Dial == nil || cfg.Now == nil {
-		return nil, &Error{failer.Detail[Kind]{Op: "new forwarder", Kind: KindInvalid, Err: errors.New("dialer and clock are needed")}}
+	if cfg.Dial == nil || cfg.Now == nil || cfg.Post == nil {
+		return nil, &Error{failer.Detail[Kind]{Op: "new forwarder", Kind: KindInvalid, Err: errors.New("dialer, clock and receiver of events are needed")}}
 	}
 	return &Forwarder{cfg: cfg, pool: newPool(cfg.Now)}, nil
 }
@@ -109,7 +112,7 @@
 		r.Abort()
 		return nil, f.failure(ctx, "write", err)
 	}
-	return f.readHead(ctx, r, req)
+	return f.readHead(ctx, r, req, &send)
 }
 
 // connect returns an idle connection, or a new one. Non-repeatable requests reuse a
@@ -148,7 +151,7 @@
 
 // readHead reads the head of the response to req. It skips responses to other
 // requests, which a target may still send on a reused connection.
-func (f *Forwarder) readHead(ctx context.Context, r *Response, req *translator.Request) (*Response, *Failure) {
+func (f *Forwarder) readHead(ctx context.Context, r *Response, req *translator.Request, send *decider.Send) (*Response, *Failure) {
 	for range maxStrayResponses {
 		resp, err := readFinalResponse(r.conn.r, req.Method)
 		if err != nil {
@@ -156,6 +159,9 @@
 			return nil, f.failure(ctx, "read answer", err)
 		}
 		head := translator.ParseResponse(resp)
+		if head.Notice != (descriptor.Notice{}) {
+			f.cfg.Post(decider.NoticeReceived{Target: send.Target, StartedAt: send.StartedAt, Notice: head.Notice})
+		}
 		if head.ID != "" && head.ID != req.ID {
 			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody)); err != nil || n == maxStrayBody || head.Close {
 				r.Abort()
--- a/internal/relay/forwarder/forwarder_test.go
+++ b/internal/relay/forwarder/forwarder_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/dialer"
 	"cardamomscale.example/cardamomscale/platform/translator"
 )
@@ -67,16 +68,19 @@
 
 func newForwarder(t *testing.T) *Forwarder {
 	t.Helper()
-	f, err := New(Config{Dial: dialer.New(dialer.Config{}).Dial, Now: time.Now})
+	f, err := New(Config{Dial: dialer.New(dialer.Config{}).Dial, Now: time.Now, Post: func(decider.Event) {}})
 	assert.NilError(t, err)
 	t.Cleanup(f.CloseIdle)
 	return f
 }
 
+// startedAt is the start of the process that requests are sent to.
+var startedAt = time.UnixMilli(1)
+
 // roundTrip sends a POST request with a deadline of 5 s.
 func roundTrip(f *Forwarder, addr netip.AddrPort, id string, repeatable bool, body []byte) (*Response, *Failure) {
 	req := &translator.Request{ID: id, Method: http.MethodPost, Host: "h", URI: "/p", Header: http.Header{"Request-Id": {id}}}
-	send := decider.Send{Target: "i", Address: addr, Deadline: time.Now().Add(5 * time.Second), Repeatable: repeatable}
+	send := decider.Send{Target: "i", StartedAt: startedAt, Address: addr, Deadline: time.Now().Add(5 * time.Second), Repeatable: repeatable}
 	return f.RoundTrip(context.Background(), send, req, body, "")
 }
 
@@ -167,6 +171,31 @@
 	}
 }
 
+// TestNoticesAreTakenFromAllResponses guards against requests to a target that is leaving because
+// it said so in a refusal, an error, a broken response or one to another request.
+func TestNoticesAreTakenFromAllResponses(t *testing.T) {
+	for name, raw := range map[string]string{
+		"success":         "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nReply-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"refusal":         "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"error":           "HTTP/1.1 500 Error\r\nRequest-Id: a\r\nReply-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"truncated":       "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nReply-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 100\r\n\r\nhalf",
+		"another request": "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nReply-Seal: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		s := newScriptedTarget(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(conn, raw)
+			}
+		})
+		f := newForwarder(t)
+		var events []decider.Event
+		f.cfg.Post = func(ev decider.Event) { events = append(events, ev) }
+		roundTrip(f, s.addr, "a", true, []byte("x"))
+		want := decider.NoticeReceived{Target: "i", StartedAt: startedAt, Notice: descriptor.Notice{Leaving: true}}
+		assert.Equal(t, len(events), 1, name)
+		assert.Equal(t, events[0], want, name)
+	}
+}
+
 // TestTruncatedBodies guards against passing a truncated body on as complete, whether
 // the connection is closed early or reset.
 func TestTruncatedBodies(t *testing.T) {
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -104,7 +104,7 @@
 	if r.caller, err = caller.New(caller.Config{Platform: cfg.Settings.Platform, Dial: dial.Dial, Timeout: callTimeout}); err != nil {
 		return nil, err
 	}
-	if r.forwarder, err = forwarder.New(forwarder.Config{Dial: dial.Dial, Now: cfg.Clock.Now}); err != nil {
+	if r.forwarder, err = forwarder.New(forwarder.Config{Dial: dial.Dial, Now: cfg.Clock.Now, Post: r.post}); err != nil {
 		return nil, err
 	}
 	r.follower = follower.New(follower.Config{
--- a/internal/relay/runner/weights_test.go
+++ b/internal/relay/runner/weights_test.go
@@ -59,8 +59,9 @@
 	return 0
 }
 
-// addWorker starts a worker with weights of version 1 and lists it in the store.
-func addWorker(t *testing.T, store *imitator.Store, id, service string, runs *runLog) {
+// addWorker starts a worker with weights of version 1 and lists it in the store. The entry is
+// returned with the worker.
+func addWorker(t *testing.T, store *imitator.Store, id, service string, runs *runLog) (*imitator.Worker, descriptor.Target) {
 	t.Helper()
 	cfg := imitator.WorkerConfig{ID: id, Observer: runs}
 	d := descriptor.Target{ID: id, Service: service, DataCentre: "a", Slots: 8, StartedAt: time.UnixMilli(1)}
@@ -68,10 +69,12 @@
 		cfg.Model, cfg.Weights, cfg.Events = imitator.Model, 1, 1
 		d.Weights = map[string]int{imitator.Model: 1}
 	}
-	srv := httptest.NewServer(imitator.NewWorker(cfg))
+	w := imitator.NewWorker(cfg)
+	srv := httptest.NewServer(w)
 	t.Cleanup(srv.Close)
 	d.Address = srv.Listener.Addr().(*net.TCPAddr).AddrPort()
 	store.Put(caller.KindTargets, id, imitator.TargetSpec(d))
+	return w, d
 }
 
 // sendPrompt sends a request with a prompt to an engine and returns the status.
