Heed targets that say in reports, orders or probes that they leave

Callers would see: their first requests after a report, an order or a health check sent to a target that had just said that it leaves. An engine that leaves was also ordered to load new weights, which takes one of the few places of a rollout.

Cause: the calls read the body of an answer and none of its headers.

Evidence: TestReportOfLeavingEngineCounts failed before: notices_test.go:92: assertion failed: 1 (int) != 0 (int): requests reached a leaving engine and with the notice but without the end of the update notices_test.go:93: assertion failed: 2 (int) != 1 (int): a leaving engine was ordered to load weights Both pass now.

Change: the calls to targets return the notice of any answer, also with an error. A report names the start of its process, which the notice is counted for, as another process may have the address. The update of a target that leaves ends.

--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -90,23 +90,29 @@
 
 // ReadReport reads the state of an engine.
 type ReadReport struct {
-	Target  string
-	Address netip.AddrPort
+	Target string
+	// StartedAt identifies the target's process.
+	StartedAt time.Time
+	Address   netip.AddrPort
 }
 
 // GiveOrder orders an engine to load other weights. It must not be sent after Until.
 type GiveOrder struct {
-	Target  string
-	Address netip.AddrPort
-	Order   descriptor.Order
-	Until   time.Time
+	Target string
+	// StartedAt identifies the target's process.
+	StartedAt time.Time
+	Address   netip.AddrPort
+	Order     descriptor.Order
+	Until     time.Time
 }
 
 // Probe checks whether a target answers. Path is the health path; it is empty for engines.
 type Probe struct {
-	Target  string
-	Address netip.AddrPort
-	Path    string
+	Target string
+	// StartedAt identifies the target's process.
+	StartedAt time.Time
+	Address   netip.AddrPort
+	Path      string
 }
 
 // FreeParts deletes parts from a store if its boot is still Boot.
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -341,7 +341,7 @@
 		if t.service != nil && t.service.Engine == nil {
 			path = t.service.HealthPath
 		}
-		s.emit(Probe{Target: t.ID, Address: t.Address, Path: path})
+		s.emit(Probe{Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Path: path})
 	}
 }
 
--- a/internal/relay/decider/noticing.go
+++ b/internal/relay/decider/noticing.go
@@ -34,8 +34,8 @@
 	return notice{startedAt: startedAt}
 }
 
-// onNoticeReceived takes a target out of use that is leaving. It ignores a notice of a process
-// that a newer one has replaced.
+// onNoticeReceived takes a target out of use that is leaving, and gives it no orders for weights
+// that it will hardly use. It ignores a notice of a process that a newer one has replaced.
 func (s *State) onNoticeReceived(ev NoticeReceived) {
 	t := s.targets[ev.Target]
 	if t != nil && !t.StartedAt.Equal(ev.StartedAt) || s.notices[ev.Target].startedAt.After(ev.StartedAt) {
@@ -46,6 +46,7 @@
 	n.receivedAt = s.now
 	if ev.Notice.Leaving && !n.leaving {
 		n.leaving = true
+		delete(s.updates, ev.Target)
 		s.log("target leaving", "", "target", ev.Target, "listed", t != nil, "draining", t != nil && t.Draining)
 	}
 	s.notices[ev.Target] = n
--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -84,6 +84,17 @@
 	assert.Equal(t, retried.(Send).Target, "plain-3")
 }
 
+// TestCallsNameProcess guards against taking the answer to a call for that of another process.
+func TestCallsNameProcess(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	n, _ := h.request("/pay/", key, nil)
+	h.handle(AttemptFailed{Number: n, Reason: FailureUnreachable, NotRun: true})
+	h.advance(maxProbeBackoff)
+	probes := effectsOf[Probe](h.handle(Tick{}))
+	assert.Equal(t, len(probes), 1)
+	assert.Equal(t, probes[0].StartedAt, plainTarget(1).StartedAt)
+}
+
 // TestOldNoticesAreForgotten guards against a map that grows with each target that leaves.
 func TestOldNoticesAreForgotten(t *testing.T) {
 	h := newHost(t, "a", 0, 3)
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -191,7 +191,7 @@
 		s.observeWeights(t, r.prompt.Model, ev.Weights)
 		if t.Weights[r.prompt.Model] == before {
 			t.weightsUnknown = true
-			s.emit(ReadReport{Target: t.ID, Address: t.Address})
+			s.emit(ReadReport{Target: t.ID, StartedAt: t.StartedAt, Address: t.Address})
 		}
 	case FailureBroken, FailureErrorResponse:
 		if s.isUpdating(t) {
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -300,7 +300,7 @@
 		return
 	}
 	u.nextCheckAt = s.now.Add(callTimeout)
-	s.emit(ReadReport{Target: t.ID, Address: t.Address})
+	s.emit(ReadReport{Target: t.ID, StartedAt: t.StartedAt, Address: t.Address})
 }
 
 func (s *State) onReportAnswered(ev ReportAnswered) {
@@ -379,7 +379,7 @@
 	abortRunning := s.canAbortRunning(t, u)
 	s.log("order given", "", "target", t.ID, "model", u.model, "version", u.version, "fence", s.fencingToken, "after", acceptedOrders, "bound", t.ownLoad.Pinned+t.peerLoad.Pinned, "break-off", abortRunning, "since-begun", s.now.Sub(u.startedAt), "lease-age", s.now.Sub(s.renewedAt))
 	s.emit(GiveOrder{
-		Target: t.ID, Address: t.Address, Until: s.renewedAt.Add(orderPeriod),
+		Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Until: s.renewedAt.Add(orderPeriod),
 		Order: descriptor.Order{Model: u.model, Version: u.version, Holder: s.cfg.Host, FencingToken: s.fencingToken, AcceptedBefore: acceptedOrders, AbortRunning: abortRunning},
 	})
 }
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -196,7 +196,9 @@
 
 // Report is the state of an engine, as the engine returns it.
 type Report struct {
-	Weights map[string]int
+	// StartedAt is the start of the engine's process; zero if the report doesn't state it.
+	StartedAt time.Time
+	Weights   map[string]int
 	// Busy is true while the engine executes an order.
 	Busy bool
 	// Orders is the number of accepted orders since the engine's start.
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/platform/caller"
 )
 
@@ -58,7 +59,7 @@
 	case decider.RenewLease:
 		r.renewLease(ctx, e.Revision)
 	case decider.ReadReport:
-		report, err := r.caller.ReadReport(ctx, e.Address)
+		report, err := r.readReport(ctx, e.Target, e.StartedAt, e.Address)
 		r.post(decider.ReportAnswered{Target: e.Target, Report: report, Err: err})
 	case decider.GiveOrder:
 		r.sendOrder(ctx, e)
@@ -74,6 +75,23 @@
 	}
 }
 
+// readReport reads an engine's report and posts what the engine says about itself.
+func (r *Runner) readReport(ctx context.Context, target string, startedAt time.Time, addr netip.AddrPort) (descriptor.Report, error) {
+	report, notice, err := r.caller.ReadReport(ctx, addr)
+	if !report.StartedAt.IsZero() {
+		startedAt = report.StartedAt // Another process may have answered.
+	}
+	r.postNotice(target, startedAt, notice)
+	return report, err
+}
+
+// postNotice posts what a target says about itself, if anything.
+func (r *Runner) postNotice(target string, startedAt time.Time, notice descriptor.Notice) {
+	if notice != (descriptor.Notice{}) {
+		r.post(decider.NoticeReceived{Target: target, StartedAt: startedAt, Notice: notice})
+	}
+}
+
 func (r *Runner) renewLease(ctx context.Context, revision int64) {
 	sentAt := r.cfg.Clock.Now()
 	spec := decider.Lease{Holder: r.cfg.Settings.Host, Boot: r.cfg.Boot, Renewal: sentAt.UnixNano()}
@@ -109,7 +127,8 @@
 		r.post(decider.OrderAnswered{Target: e.Target, Outcome: decider.OrderRefused, Detail: "not sent: the lease has expired"})
 		return
 	}
-	err := r.caller.Order(ctx, e.Address, e.Target, e.Order)
+	notice, err := r.caller.Order(ctx, e.Address, e.Target, e.Order)
+	r.postNotice(e.Target, e.StartedAt, notice)
 	ev := decider.OrderAnswered{Target: e.Target, Outcome: decider.OrderAccepted}
 	switch {
 	case err == nil:
@@ -125,9 +144,11 @@
 func (r *Runner) probe(ctx context.Context, e decider.Probe) {
 	var err error
 	if e.Path == "" {
-		_, err = r.caller.ReadReport(ctx, e.Address)
+		_, err = r.readReport(ctx, e.Target, e.StartedAt, e.Address)
 	} else {
-		err = r.caller.CheckHealth(ctx, e.Address, e.Path, e.Target)
+		var notice descriptor.Notice
+		notice, err = r.caller.CheckHealth(ctx, e.Address, e.Path, e.Target)
+		r.postNotice(e.Target, e.StartedAt, notice)
 	}
 	alive := err == nil || caller.KindOf(err) != caller.KindUnanswered
 	r.post(decider.ProbeAnswered{Target: e.Target, Alive: alive})
--- a/internal/relay/runner/notices_test.go
+++ b/internal/relay/runner/notices_test.go
@@ -74,3 +74,21 @@
 	r.store.Put(caller.KindTargets, restarted.ID, imitator.TargetSpec(restarted))
 	r.lookUpUntil("the new process serves", func() bool { return workers[0].Requests() > before })
 }
+
+// TestReportOfLeavingEngineCounts guards against prompts and orders to an engine that said that
+// it is leaving in a report, before it got any request.
+func TestReportOfLeavingEngineCounts(t *testing.T) {
+	r, workers, _ := startRelayWithWorkers(t, imitator.ServiceLLM)
+	workers[0].Leave()
+	for _, w := range workers {
+		w.SetMaxVersion(2)
+	}
+	r.store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(2))
+	r.waitFor("the other engine has new weights", func() bool { return workers[1].Weights() == 2 })
+	for i := range 10 {
+		r.waitFor("prompts are served", func() bool { return r.sendPrompt(fmt.Sprint("prompt-", i)) == http.StatusOK })
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Equal(t, workers[0].Requests(), 0, "requests reached a leaving engine")
+	assert.Equal(t, workers[0].Weights(), 1, "a leaving engine was ordered to load weights")
+}
