Leave a target alone for the Retry-After of its refusal

Callers would see: requests that a full target refuses again and again, each of which costs a retry and time.

Cause: a target that refused a request was left alone for 60 ms, whatever it said.

Change: the Retry-After of a 503 is part of the notice. A pause never gets shorter. It holds for the process, like leaving: an entry that lapses and returns keeps it, a new process ends it. The pauses of other statuses don't count, as no rule gives them a meaning.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -100,7 +100,7 @@
 	// weightsChangedAt is when this host last learned of new weights of the target.
 	weightsChangedAt time.Time
 	// pausedUntil is the time until which the target gets no requests after it refused one, as
-	// engines do while they change weights.
+	// engines do while they change weights: that of its Retry-After, if it gave any.
 	pausedUntil time.Time
 	// failureRate is the moving average of failed attempts at the target, between 0 and 1.
 	failureRate float64
@@ -175,6 +175,7 @@
 		s.mergeTarget(t, desc)
 	}
 	t.missingSince = time.Time{}
+	t.pausedUntil = latest(t.pausedUntil, s.noticeOf(t.ID, t.StartedAt).pausedUntil)
 	t.weightsUnknown = t.weightsUnknown && len(desc.Weights) == 0
 	if desc.ColdFor > 0 {
 		t.coldUntil = s.now.Add(desc.ColdFor)
@@ -197,6 +198,7 @@
 		}
 	} else {
 		t.down, t.downCount, t.failureRate = false, 0, 0
+		t.pausedUntil = time.Time{}
 	}
 	t.Target = *desc
 	t.Weights = weights
--- a/internal/relay/decider/noticing.go
+++ b/internal/relay/decider/noticing.go
@@ -22,6 +22,8 @@
 	startedAt  time.Time
 	receivedAt time.Time
 	leaving    bool
+	// pausedUntil is when the target wants requests again.
+	pausedUntil time.Time
 }
 
 func newNoticing() noticing { return noticing{notices: map[string]notice{}} }
@@ -35,11 +37,12 @@
 }
 
 // onNoticeReceived takes a target out of use that is leaving, and gives it no orders for weights
-// that it will hardly use. It ignores a notice of a process that a newer one has replaced.
+// that it will hardly use. A target that wants no requests for a while gets none until then. It
+// ignores a notice of a process that a newer one has replaced.
 func (s *State) onNoticeReceived(ev NoticeReceived) {
 	t := s.targets[ev.Target]
 	if t != nil && !t.StartedAt.Equal(ev.StartedAt) || s.notices[ev.Target].startedAt.After(ev.StartedAt) {
-		s.log("notice of another process ignored", "", "target", ev.Target, "leaving", ev.Notice.Leaving)
+		s.log("notice of another process ignored", "", "target", ev.Target, "leaving", ev.Notice.Leaving, "retry-after", ev.Notice.RetryAfter)
 		return
 	}
 	n := s.noticeOf(ev.Target, ev.StartedAt)
@@ -49,9 +52,14 @@
 		delete(s.updates, ev.Target)
 		s.log("target leaving", "", "target", ev.Target, "listed", t != nil, "draining", t != nil && t.Draining)
 	}
+	if ev.Notice.RetryAfter > 0 {
+		n.pausedUntil = latest(n.pausedUntil, s.now.Add(ev.Notice.RetryAfter))
+		s.log("target paused", "", "target", ev.Target, "retry-after", ev.Notice.RetryAfter, "left", n.pausedUntil.Sub(s.now))
+	}
 	s.notices[ev.Target] = n
 	if t != nil {
 		t.Target = *s.withNotice(&t.Target)
+		t.pausedUntil = latest(t.pausedUntil, n.pausedUntil)
 	}
 }
 
@@ -65,7 +73,7 @@
 // expireNotices removes the old notices of targets that are not listed.
 func (s *State) expireNotices() {
 	for id, n := range s.notices {
-		if s.targets[id] == nil && s.now.Sub(n.receivedAt) > noticeRetention {
+		if s.targets[id] == nil && s.now.Sub(n.receivedAt) > noticeRetention && s.now.After(n.pausedUntil) {
 			delete(s.notices, id)
 		}
 	}
--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -45,6 +45,39 @@
 	assert.Equal(t, h.targetOf("/pay/"), "plain-1", "a new process of the target is not used")
 }
 
+// TestPauseLastsForRetryAfter guards against requests to a target that wants none for a while:
+// after a refusal that names no or less time, or when its entry lapses and returns. A new process
+// of the target must be used.
+func TestPauseLastsForRetryAfter(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	paused := plainTarget(1)
+	n, effect := h.request("/look/", key, nil)
+	assert.Equal(t, effect.(Send).Target, paused.ID)
+	h.noticeFrom(paused, descriptor.Notice{RetryAfter: 5 * time.Second})
+	retried := requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureRefused, NotRun: true}))
+	assert.Equal(t, retried.(Send).Target, "plain-2")
+	h.handle(AttemptDone{Number: n, Status: 200})
+	h.advance(refusalPause)
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "a refusal without Retry-After shortened the pause")
+
+	h.noticeFrom(paused, descriptor.Notice{RetryAfter: time.Second})
+	h.advance(2 * time.Second)
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "a shorter Retry-After shortened the pause")
+
+	h.handle(TargetsListed{Removed: []string{paused.ID}})
+	h.handle(TargetsListed{Targets: []descriptor.Target{paused}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-2", "an entry that returned ended the pause")
+
+	h.advance(3 * time.Second)
+	assert.Equal(t, h.targetOf("/pay/"), "plain-1", "the pause didn't end")
+
+	h.noticeFrom(paused, descriptor.Notice{RetryAfter: time.Hour})
+	restarted := paused
+	restarted.StartedAt = paused.StartedAt.Add(time.Millisecond)
+	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, h.targetOf("/pay/"), "plain-1", "a new process of the target is not used")
+}
+
 // TestLateNoticeSparesNewProcess guards against taking a new process out of use because of an
 // answer of the process before it that arrives late.
 func TestLateNoticeSparesNewProcess(t *testing.T) {
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -19,7 +19,8 @@
 	failureRateWeight = 0.1
 	// serviceTimeWeight is the weight of one request in a service's mean service time.
 	serviceTimeWeight = 0.05
-	// refusalPause is how long a target gets no requests after it refused one.
+	// refusalPause is how long a target gets no requests after it refused one without
+	// Retry-After.
 	refusalPause = 60 * time.Millisecond
 )
 
@@ -181,7 +182,7 @@
 	case FailureUnreachable, FailureSilent:
 		s.markDown(t, ev.Detail)
 	case FailureRefused:
-		t.pausedUntil = s.now.Add(refusalPause)
+		t.pausedUntil = latest(t.pausedUntil, s.now.Add(refusalPause))
 	case FailureMisdirected:
 		if r.prompt == nil {
 			s.markDown(t, "another process answered")
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -192,6 +192,8 @@
 type Notice struct {
 	// Leaving is true if the target will stop soon and wants no new requests.
 	Leaving bool
+	// RetryAfter is how long the target wants no requests from this host; 0 if it refused none.
+	RetryAfter time.Duration
 }
 
 // Report is the state of an engine, as the engine returns it.
--- a/internal/relay/runner/notices_test.go
+++ b/internal/relay/runner/notices_test.go
@@ -92,3 +92,21 @@
 	assert.Equal(t, workers[0].Requests(), 0, "requests reached a leaving engine")
 	assert.Equal(t, workers[0].Weights(), 1, "a leaving engine was ordered to load weights")
 }
+
+// TestTargetIsLeftAloneForRetryAfter guards against requests to a target before the Retry-After of
+// its refusal has passed, and against leaving it alone for longer.
+func TestTargetIsLeftAloneForRetryAfter(t *testing.T) {
+	const retryAfter = 1500 * time.Millisecond
+	r, workers, _ := startRelayWithWorkers(t, imitator.ServicePlain)
+	r.lookUpUntil("the first worker serves", func() bool { return workers[0].Requests() > 0 })
+	workers[0].Refuse("1.5")
+	before, refusedAt := workers[0].Requests(), time.Now()
+	for i := 0; time.Since(refusedAt) < retryAfter-100*time.Millisecond; i++ {
+		assert.Equal(t, r.sendLookup(fmt.Sprint("lookup-", i)), http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, workers[0].Requests(), before+1, "requests reached a worker that had refused one with Retry-After")
+	workers[0].Refuse("")
+	r.lookUpUntil("the first worker serves again", func() bool { return workers[0].Requests() > before+1 })
+	assert.Assert(t, time.Since(refusedAt) < 2*retryAfter)
+}
