Hold back probes of targets that want nothing for a while

Callers would see: less room at a full target. A health check waits for a slot like a request, and the target had just asked to be left alone.

Cause: probes of targets that are down didn't consider pauses.

Evidence: TestNoProbesDuringPause failed before: noticing_test.go:128: assertion failed: 1 (int) != 0 (int): 5s before the end of the pause It passes now.

Change: a target that is down is probed after its pause.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -332,10 +332,11 @@
 	s.broadcast()
 }
 
-// probeDownTargets probes the targets that are down and due.
+// probeDownTargets probes the targets that are down and due. One that wants no requests for a
+// while gets no probe either.
 func (s *State) probeDownTargets() {
 	for _, t := range s.targets {
-		if !t.down || s.now.Before(t.nextProbeAt) {
+		if !t.down || s.now.Before(t.nextProbeAt) || s.now.Before(t.pausedUntil) {
 			continue
 		}
 		t.nextProbeAt = s.now.Add(maxProbeBackoff)
--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -117,6 +117,20 @@
 	assert.Equal(t, retried.(Send).Target, "plain-3")
 }
 
+// TestNoProbesDuringPause guards against probes of a target that wants nothing for a while: a
+// health check waits for a slot as requests do.
+func TestNoProbesDuringPause(t *testing.T) {
+	const pause = 5 * time.Second
+	h := newHost(t, "a", 0, 1)
+	h.noticeFrom(plainTarget(1), descriptor.Notice{RetryAfter: pause})
+	h.handle(MessageReceived{Message: Message{Host: "b", Boot: 1, Number: 1, Down: []string{"plain-1"}}})
+	for left := pause; left > 0; left -= 100 * time.Millisecond {
+		assert.Equal(t, len(effectsOf[Probe](h.handle(Tick{}))), 0, "%s before the end of the pause", left)
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(effectsOf[Probe](h.handle(Tick{}))), 1)
+}
+
 // TestCallsNameProcess guards against taking the answer to a call for that of another process.
 func TestCallsNameProcess(t *testing.T) {
 	h := newHost(t, "a", 0, 1)
