Tell callers when the first paused target wants requests again

Callers saw: 503 with a Retry-After of 0.25 to 0.33 s while all targets that could run the request had asked for seconds without requests. They returned in vain, and used up their tries.

Cause: a refusal without a usable target always named the time that hosts need to learn of targets from each other.

Evidence: TestRefusalNamesEndOfPause and TestRefusedRetryNamesEndOfPause failed before: both paused: Retry-After 309.776277ms, want 3s to 3.9s no other target: Retry-After 309.776277ms (no-target) Both pass now.

Change: if all targets that work and may run the request are paused, the refusal names the soonest end of a pause, plus the usual jitter. If one of them may be usable earlier, as when it only lacks a connection, the time is as before. Nothing is held.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -148,7 +148,7 @@
 func (s *State) dispatch(r *request) {
 	best, predicted := s.selectTarget(r)
 	if best == nil {
-		s.refuse(r, RefusalNoTarget, transientRetryAfter)
+		s.refuse(r, RefusalNoTarget, s.retryAfter(r))
 		return
 	}
 	// A stream that has started is never shed: the caller already has a part of it.
@@ -160,6 +160,22 @@
 	s.send(r, best, predicted)
 }
 
+// retryAfter returns when the caller of a request that can't be sent may return: when the first
+// target wants requests again if all that could run it are paused.
+func (s *State) retryAfter(r *request) time.Duration {
+	soonest := time.Duration(math.MaxInt64)
+	for _, t := range s.byService[r.service] {
+		if t.down || !s.eligible(t, r) {
+			continue
+		}
+		soonest = min(soonest, t.pausedUntil.Sub(s.now))
+	}
+	if soonest == math.MaxInt64 {
+		return transientRetryAfter
+	}
+	return max(transientRetryAfter, soonest)
+}
+
 // shedRetryAfter prevents a queue from building up when prompts arrive faster than engines can
 // prefill them, which would make every later response late too. The recent lateness of
 // responses counts as additional wait. It returns the Retry-After if r must be shed, and 0
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -270,15 +270,21 @@
 	s.log("data centres out", "", "data-centres", ev.DataCentres)
 }
 
+// eligible reports whether t may receive requests like r while it works and has room.
+func (s *State) eligible(t *target, r *request) bool {
+	if t.Draining || t.service == nil || s.evacuatedDataCentres[t.DataCentre] {
+		return false
+	}
+	return len(r.route.Regions) == 0 || slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre])
+}
+
 // usable reports whether t may receive r now.
 func (s *State) usable(t *target, r *request) bool {
 	switch {
-	case t.Draining, t.down, t.weightsUnknown, s.evacuatedDataCentres[t.DataCentre], t.service == nil, r.tried[t.ID]:
+	case !s.eligible(t, r), t.down, t.weightsUnknown, r.tried[t.ID]:
 		return false
 	case s.now.Before(t.pausedUntil), s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
-	case len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre]):
-		return false
 	case t.service.MaxConnections > 0 && t.ownLoad.Requests >= s.connectionShare(t.service):
 		return false
 	}
--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -117,6 +117,58 @@
 	assert.Equal(t, retried.(Send).Target, "plain-3")
 }
 
+// TestRefusalNamesEndOfPause guards against callers that return while all targets of their service
+// want no requests, or long after one does. Targets that may be usable earlier count as such.
+func TestRefusalNamesEndOfPause(t *testing.T) {
+	seconds := func(n int) descriptor.Notice { return descriptor.Notice{RetryAfter: time.Duration(n) * time.Second} }
+	leaving := descriptor.Notice{Leaving: true}
+	full := func(h *host) {
+		h.config.Services["plain"].MaxConnections = 1
+		_, effect := h.request("/look/", key, nil)
+		assert.Equal(h.t, effect.(Send).Target, "plain-2")
+	}
+	for name, c := range map[string]struct {
+		first, second descriptor.Notice
+		before        func(*host)
+		want          time.Duration
+	}{
+		"both paused":          {first: seconds(5), second: seconds(3), want: 3 * time.Second},
+		"one leaving":          {first: leaving, second: seconds(3), want: 3 * time.Second},
+		"both leaving":         {first: leaving, second: leaving, want: transientRetryAfter},
+		"one paused, one full": {first: seconds(5), before: full, want: transientRetryAfter},
+		"paused for a moment":  {first: descriptor.Notice{RetryAfter: time.Millisecond}, second: seconds(3), want: transientRetryAfter},
+	} {
+		h := newHost(t, "a", 0, 2)
+		h.noticeFrom(plainTarget(1), c.first)
+		if c.before != nil {
+			c.before(h)
+		}
+		h.noticeFrom(plainTarget(2), c.second)
+		_, effect := h.request("/pay/", key, nil)
+		refused, ok := effect.(Refuse)
+		assert.Assert(t, ok, "%s: %T", name, effect)
+		assert.Assert(t, refused.NotRun, name)
+		longest := c.want + time.Duration(retryAfterJitter*float64(c.want))
+		assert.Assert(t, refused.RetryAfter >= c.want && refused.RetryAfter <= longest, "%s: Retry-After %s, want %s to %s", name, refused.RetryAfter, c.want, longest)
+	}
+}
+
+// TestRefusedRetryNamesEndOfPause guards against an untrue Retry-After for a request that its
+// last target refused.
+func TestRefusedRetryNamesEndOfPause(t *testing.T) {
+	for name, spent := range map[string]bool{"no other target": false, "retry budget spent": true} {
+		h := newHost(t, "a", 0, 1)
+		n, _ := h.request("/look/", key, nil)
+		for spent && h.tryWithdrawRetry("plain") {
+		}
+		h.noticeFrom(plainTarget(1), descriptor.Notice{RetryAfter: 2 * time.Second})
+		effect := requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureRefused, NotRun: true}))
+		refused, ok := effect.(Refuse)
+		assert.Assert(t, ok, "%s: %T", name, effect)
+		assert.Assert(t, refused.RetryAfter >= 2*time.Second, "%s: Retry-After %s (%s)", name, refused.RetryAfter, refused.Kind)
+	}
+}
+
 // TestNoProbesDuringPause guards against probes of a target that wants nothing for a while: a
 // health check waits for a slot as requests do.
 func TestNoProbesDuringPause(t *testing.T) {
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -153,7 +153,7 @@
 		s.log("attempt failed", r.id, "target", t.ID, "reason", string(ev.Reason), "detail", ev.Detail, "not-run", ev.NotRun, "begun", ev.ResponseStarted, "after", s.now.Sub(r.sentAt))
 	}
 	if kind := s.retryRefusal(r, ev); kind != "" {
-		s.refuse(r, kind, transientRetryAfter)
+		s.refuse(r, kind, s.retryAfter(r))
 		return
 	}
 	s.dispatch(r)
