Tell peers which targets say that they leave

Callers would see: with sixty hosts, up to sixty first requests to a target that leaves, some of them just before its exit.

Cause: a host kept to itself what a target had said.

Evidence: TestPeersLearnOfLeavingTarget failed before: noticing_test.go:138: assertion failed: plain-1 (string) != plain-2 (string): a peer sent to a leaving target It passes now.

Change: the next two broadcasts name the target and the start of its process. They are sent anyway, once a second by each host; no message is added. What the list has said before is not announced. Pauses aren't announced: a target asks one host for one.

--- a/internal/relay/decider/noticing.go
+++ b/internal/relay/decider/noticing.go
@@ -6,9 +6,14 @@
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
-// noticeRetention is how long the notice of a target that is not listed is kept, as its entry
-// may return.
-const noticeRetention = 10 * time.Minute
+const (
+	// noticeRetention is how long the notice of a target that is not listed is kept, as its entry
+	// may return.
+	noticeRetention = 10 * time.Minute
+	// leavingAnnounceTime is how long a host announces that a target is leaving, which covers
+	// two broadcasts. Hosts that miss both learn of it from the target or the list.
+	leavingAnnounceTime = 2*broadcastInterval + minBroadcastInterval
+)
 
 // noticing holds what targets said about themselves in their answers. Their entries in the list
 // may say otherwise, lapse, or return.
@@ -22,7 +27,9 @@
 	startedAt  time.Time
 	receivedAt time.Time
 	leaving    bool
-	// pausedUntil is when the target wants requests again.
+	// announceUntil is until when this host announces to its peers that the target is leaving.
+	announceUntil time.Time
+	// pausedUntil is when the target wants requests from this host again.
 	pausedUntil time.Time
 }
 
@@ -36,28 +43,60 @@
 	return notice{startedAt: startedAt}
 }
 
-// onNoticeReceived takes a target out of use that is leaving, and gives it no orders for weights
-// that it will hardly use. A target that wants no requests for a while gets none until then. It
-// ignores a notice of a process that a newer one has replaced.
+// hasOtherProcess reports whether a target is known to have another process than the one that
+// started at the given time.
+func (s *State) hasOtherProcess(target string, startedAt time.Time) bool {
+	t := s.targets[target]
+	return t != nil && !t.StartedAt.Equal(startedAt) || s.notices[target].startedAt.After(startedAt)
+}
+
+// onNoticeReceived takes a target out of use that is leaving, for good, or that wants no requests
+// for a while. It ignores a notice of another process.
 func (s *State) onNoticeReceived(ev NoticeReceived) {
-	t := s.targets[ev.Target]
-	if t != nil && !t.StartedAt.Equal(ev.StartedAt) || s.notices[ev.Target].startedAt.After(ev.StartedAt) {
+	if s.hasOtherProcess(ev.Target, ev.StartedAt) {
 		s.log("notice of another process ignored", "", "target", ev.Target, "leaving", ev.Notice.Leaving, "retry-after", ev.Notice.RetryAfter)
 		return
 	}
 	n := s.noticeOf(ev.Target, ev.StartedAt)
-	n.receivedAt = s.now
+	t := s.targets[ev.Target]
 	if ev.Notice.Leaving && !n.leaving {
+		draining := t != nil && t.Draining
 		n.leaving = true
-		delete(s.updates, ev.Target)
-		s.log("target leaving", "", "target", ev.Target, "listed", t != nil, "draining", t != nil && t.Draining)
+		if !draining {
+			n.announceUntil = s.now.Add(leavingAnnounceTime)
+		}
+		s.log("target leaving", "", "target", ev.Target, "listed", t != nil, "draining", draining)
 	}
 	if ev.Notice.RetryAfter > 0 {
 		n.pausedUntil = latest(n.pausedUntil, s.now.Add(ev.Notice.RetryAfter))
 		s.log("target paused", "", "target", ev.Target, "retry-after", ev.Notice.RetryAfter, "left", n.pausedUntil.Sub(s.now))
 	}
-	s.notices[ev.Target] = n
-	if t != nil {
+	s.setNotice(ev.Target, n)
+}
+
+// applyLeavingTargets takes the targets out of use that have told a peer that they are leaving.
+func (s *State) applyLeavingTargets(leaving map[string]int64, host string) {
+	for id, startedAtMillis := range leaving {
+		startedAt := time.UnixMilli(startedAtMillis)
+		n := s.noticeOf(id, startedAt)
+		if n.leaving || s.hasOtherProcess(id, startedAt) {
+			continue
+		}
+		n.leaving = true
+		s.log("target leaving", "", "target", id, "listed", s.targets[id] != nil, "peer", host)
+		s.setNotice(id, n)
+	}
+}
+
+// setNotice records the notice of a target's newest process and applies it. A target that is
+// leaving gets no order for weights that it would hardly use.
+func (s *State) setNotice(target string, n notice) {
+	n.receivedAt = s.now
+	s.notices[target] = n
+	if n.leaving {
+		delete(s.updates, target)
+	}
+	if t := s.targets[target]; t != nil {
 		t.Target = *s.withNotice(&t.Target)
 		t.pausedUntil = latest(t.pausedUntil, n.pausedUntil)
 	}
@@ -70,6 +109,18 @@
 	return &desc
 }
 
+// leavingTargets returns the targets to announce as leaving, with the start of their process in
+// Unix milliseconds.
+func (s *State) leavingTargets() map[string]int64 {
+	leaving := map[string]int64{}
+	for id, n := range s.notices {
+		if s.now.Before(n.announceUntil) {
+			leaving[id] = n.startedAt.UnixMilli()
+		}
+	}
+	return leaving
+}
+
 // expireNotices removes the old notices of targets that are not listed.
 func (s *State) expireNotices() {
 	for id, n := range s.notices {
--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -117,6 +117,48 @@
 	assert.Equal(t, retried.(Send).Target, "plain-3")
 }
 
+// TestPeersLearnOfLeavingTarget guards against a request from each host to a target that has told
+// one of them that it is leaving. A new process of the target must be used.
+func TestPeersLearnOfLeavingTarget(t *testing.T) {
+	a, b := newHost(t, "a", 0, 2), newHost(t, "b", 0, 2)
+	hosts := map[string]descriptor.Host{"a": {Address: address(1), DataCentre: "a"}, "b": {Address: address(2), DataCentre: "a"}}
+	a.handle(HostsListed{Hosts: hosts})
+	b.handle(HostsListed{Hosts: hosts})
+	leaving, restarted := plainTarget(1), plainTarget(1)
+	restarted.StartedAt = leaving.StartedAt.Add(time.Millisecond)
+	a.noticeFrom(leaving, descriptor.Notice{Leaving: true, RetryAfter: time.Hour})
+	announced := 0
+	for range 100 {
+		a.advance(100 * time.Millisecond)
+		for _, sent := range effectsOf[SendMessage](a.handle(Tick{})) {
+			b.handle(MessageReceived{Message: sent.Message})
+			announced += len(sent.Message.Leaving)
+		}
+	}
+	assert.Equal(t, b.targetOf("/pay/"), "plain-2", "a peer sent to a leaving target")
+	assert.Assert(t, announced > 0 && announced <= 3, "announced %d times", announced)
+
+	b.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
+	assert.Equal(t, b.targetOf("/pay/"), "plain-1", "a new process of the target is not used")
+	b.handle(MessageReceived{Message: Message{Host: "a", Boot: 1, Number: 1000, Leaving: map[string]int64{leaving.ID: leaving.StartedAt.UnixMilli()}}})
+	assert.Equal(t, b.targetOf("/pay/"), "plain-1", "a late message took a new process out of use")
+}
+
+// TestListedDrainIsNotAnnounced guards against messages about what all hosts have from the list.
+func TestListedDrainIsNotAnnounced(t *testing.T) {
+	h := newHost(t, "a", 0, 2)
+	draining := plainTarget(1)
+	draining.Draining = true
+	h.handle(TargetsListed{Targets: []descriptor.Target{draining}})
+	h.noticeFrom(draining, descriptor.Notice{Leaving: true})
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		for _, sent := range effectsOf[SendMessage](h.handle(Tick{})) {
+			assert.Equal(t, len(sent.Message.Leaving), 0)
+		}
+	}
+}
+
 // TestRefusalNamesEndOfPause guards against callers that return while all targets of their service
 // want no requests, or long after one does. Targets that may be usable earlier count as such.
 func TestRefusalNamesEndOfPause(t *testing.T) {
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -76,6 +76,9 @@
 	Holder bool  `cbor:"11,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
+	// Leaving maps the targets that recently said in an answer that they are leaving to the start
+	// of their process, in Unix milliseconds.
+	Leaving map[string]int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // peers holds the state received from other hosts, and when messages to them were last sent.
@@ -177,7 +180,7 @@
 		m = s.newLoadMessage()
 		s.lastLoadBroadcastAt = s.now
 	}
-	m.Named = s.announcedVersions()
+	m.Named, m.Leaving = s.announcedVersions(), s.leavingTargets()
 	if s.holdsLease() {
 		m.Weights = s.recentWeights()
 	}
@@ -301,13 +304,14 @@
 // messageAgesReliable reports whether the ages in messages received now can be relied on.
 func (s *State) messageAgesReliable() bool { return s.now.Sub(s.resumedAt) > suspensionBacklogTime }
 
-// applyPeerState applies the configuration age, named and new weights, lease and updates that a
-// peer announced.
+// applyPeerState applies the configuration age, named and new weights, leaving targets, lease and
+// updates that a peer announced.
 func (s *State) applyPeerState(m Message) {
 	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable() {
 		s.confirmConfig(s.now.Add(-m.ConfigAge - maxMessageDelay))
 	}
 	s.applyAnnouncedVersions(m.Named, m.Host)
+	s.applyLeavingTargets(m.Leaving, m.Host)
 	for id, weights := range m.Weights {
 		for model, version := range weights {
 			if t := s.targets[id]; t != nil {
