Keep the test of Retry-After apart from the machine's pace

Nobody outside saw this. The test compared the number of requests after a fixed part of the pause, and failed if a request took longer than the rest.

Change: each request is checked by itself, and only if it ended within the pause; the check is as strict as before. The exact end of a pause is checked by TestPauseLastsForRetryAfter.

--- a/internal/relay/runner/notices_test.go
+++ b/internal/relay/runner/notices_test.go
@@ -101,12 +101,16 @@
 	r.lookUpUntil("the first worker serves", func() bool { return workers[0].Requests() > 0 })
 	workers[0].Refuse("1.5")
 	before, refusedAt := workers[0].Requests(), time.Now()
-	for i := 0; time.Since(refusedAt) < retryAfter-100*time.Millisecond; i++ {
-		assert.Equal(t, r.sendLookup(fmt.Sprint("lookup-", i)), http.StatusOK)
+	for i := 0; ; i++ {
+		status, requests := r.sendLookup(fmt.Sprint("lookup-", i)), workers[0].Requests()
+		if time.Since(refusedAt) >= retryAfter {
+			break
+		}
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, requests, before+1, "requests reached a worker that had refused one with Retry-After")
 		time.Sleep(20 * time.Millisecond)
 	}
-	assert.Equal(t, workers[0].Requests(), before+1, "requests reached a worker that had refused one with Retry-After")
 	workers[0].Refuse("")
-	r.lookUpUntil("the first worker serves again", func() bool { return workers[0].Requests() > before+1 })
-	assert.Assert(t, time.Since(refusedAt) < 2*retryAfter)
+	before = workers[0].Requests()
+	r.lookUpUntil("the first worker serves again", func() bool { return workers[0].Requests() > before })
 }
