--- a/internal/relay/decider/noticing_test.go
+++ b/internal/relay/decider/noticing_test.go
@@ -85,7 +85,7 @@
 	old, restarted := plainTarget(1), plainTarget(1)
 	restarted.StartedAt = old.StartedAt.Add(time.Millisecond)
 	h.handle(TargetsListed{Targets: []descriptor.Target{restarted}})
-	h.noticeFrom(old, descriptor.Notice{Leaving: true})
+	h.noticeFrom(old, descriptor.Notice{Leaving: true, RetryAfter: time.Hour})
 	assert.Equal(t, h.targetOf("/pay/"), "plain-1")
 
 	h.noticeFrom(restarted, descriptor.Notice{Leaving: true})
