--- a/internal/relay/decider/noticing.go
+++ b/internal/relay/decider/noticing.go
@@ -97,7 +97,7 @@
 		delete(s.updates, target)
 	}
 	if t := s.targets[target]; t != nil {
-		t.Target = *s.withNotice(&t.Target)
+		t.Draining = t.Draining || n.leaving
 		t.pausedUntil = latest(t.pausedUntil, n.pausedUntil)
 	}
 }
