Return the retry of a request that no other target could take

Callers would see: 503 for a spent retry budget although retries are left, after some time in which the only target that worked refused requests. With targets that ask for seconds without requests this lasts longer than before.

Cause: a retry was withdrawn before a target was looked for, and kept when there was none. The budget counts requests that reach targets.

Evidence: TestRefusedRetryLeavesBudget failed before: retrying_test.go:146: assertion failed: retry-budget != no-target It passes now; TestRetriesStayWithinBudget and TestRetryBudgetMayBeSpentAtOnce still do.

Change: a retry that wasn't sent is returned in the same step.

--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -83,6 +83,12 @@
 	return true
 }
 
+// returnRetry returns a retry that was just withdrawn and not used.
+func (s *State) returnRetry(service string) {
+	b := s.retryBudgetOf(service)
+	b.retries[b.bucket%retryBuckets]--
+}
+
 func (s *State) onResponseStarted(ev ResponseStarted) {
 	r := s.byNumber[ev.Number]
 	if r == nil || r.target == nil {
@@ -157,6 +163,9 @@
 		return
 	}
 	s.dispatch(r)
+	if r.target == nil {
+		s.returnRetry(r.service) // No target could take it.
+	}
 }
 
 // retryRefusal returns the reason why r must not be retried, or "".
--- a/internal/relay/decider/retrying_test.go
+++ b/internal/relay/decider/retrying_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
 // TestErrorResponsesAreRetried guards against error responses that another target would have
@@ -132,3 +134,20 @@
 	_, sent := effect.(Send)
 	assert.Assert(t, sent, "%T ends a stream that could resume", effect)
 }
+
+// TestRefusedRetryLeavesBudget guards against refused requests for a spent retry budget that no
+// retry has used: without another target, a retry is never sent.
+func TestRefusedRetryLeavesBudget(t *testing.T) {
+	h := newHost(t, "a", 0, 1)
+	for range 100 {
+		n, effect := h.request("/look/", key, nil)
+		assert.Assert(t, effect.(Send).Target != "")
+		refused := requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureRefused, NotRun: true}))
+		assert.Equal(t, refused.(Refuse).Kind, RefusalNoTarget)
+		h.advance(refusalPause)
+	}
+	h.handle(TargetsListed{Targets: []descriptor.Target{plainTarget(2)}})
+	n, _ := h.request("/look/", key, nil)
+	_, sent := requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureRefused, NotRun: true})).(Send)
+	assert.Assert(t, sent, "a request was refused although the retry budget was not used")
+}
