Merge targets that leave or want nothing for a while

Joined with the store that goes back: a target that has said that it leaves counts as draining whatever a copy lists.

--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -131,7 +131,7 @@
 	// weightsChangedAt is when this host last learned of new weights of the target.
 	weightsChangedAt time.Time
 	// pausedUntil is the time until which the target gets no requests after it refused one, as
-	// engines do while they change weights.
+	// engines do while they change weights: that of its Retry-After, if it gave any.
 	pausedUntil time.Time
 	// entryEra is the era of the platform's store in which the target was last listed.
 	entryEra int64
@@ -210,7 +210,8 @@
 }
 
 // updateTarget adds or updates a target. Its entry is a new one unless it is from a list.
-func (s *State) updateTarget(desc *descriptor.Target, fromList bool) {
+func (s *State) updateTarget(listed *descriptor.Target, fromList bool) {
+	desc := s.withNotice(listed)
 	t := s.targets[desc.ID]
 	switch {
 	case t == nil:
@@ -237,6 +238,7 @@
 	if !fromList {
 		t.copiedUntil = time.Time{}
 	}
+	t.pausedUntil = latest(t.pausedUntil, s.noticeOf(t.ID, t.StartedAt).pausedUntil)
 	t.weightsUnknown = t.weightsUnknown && len(desc.Weights) == 0
 	if desc.ColdFor > 0 {
 		t.coldUntil = s.now.Add(desc.ColdFor)
@@ -279,6 +281,7 @@
 		}
 	} else {
 		t.down, t.downCount, t.failureRate = false, 0, 0
+		t.pausedUntil = time.Time{}
 	}
 	t.Target = *desc
 	t.Weights = weights
@@ -332,6 +335,7 @@
 	delete(s.targets, id)
 	s.departed[id] = departure{s.now, s.targetsEra, t.StartedAt, t.Weights}
 	delete(s.updates, id)
+	s.expireNotices()
 	s.log("target removed", "", "target", id, "why", reason)
 }
 
@@ -378,17 +382,23 @@
 	return ok && (until.IsZero() || s.now.Before(until))
 }
 
+// eligible reports whether t may receive requests like r while it works and has room.
+func (s *State) eligible(t *target, r *request) bool {
+	if t.Draining || t.service == nil || s.isEvacuated(t.DataCentre) {
+		return false
+	}
+	return len(r.route.Regions) == 0 || slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre])
+}
+
 // usable reports whether t may receive r now.
 func (s *State) usable(t *target, r *request) bool {
 	switch {
-	case t.Draining, t.down, t.weightsUnknown, s.isEvacuated(t.DataCentre), t.service == nil, r.tried[t.ID]:
+	case !s.eligible(t, r), t.down, t.weightsUnknown, r.tried[t.ID]:
 		return false
 	case s.now.Before(t.pausedUntil), s.now.Before(t.copiedUntil), s.graceEnded(t):
 		return false
 	case s.isUpdating(t), r.prompt != nil && s.weightsExpired(t, r.prompt.Model):
 		return false
-	case len(r.route.Regions) > 0 && !slices.Contains(r.route.Regions, s.cfg.Regions[t.DataCentre]):
-		return false
 	case t.service.MaxConnections > 0 && t.ownLoad.Requests >= s.connectionShare(t.service):
 		return false
 	}
@@ -442,10 +452,11 @@
 	s.broadcast()
 }
 
-// probeDownTargets probes the targets that are down and due.
+// probeDownTargets probes the targets that are down and due. One that wants no requests for a
+// while gets no probe either.
 func (s *State) probeDownTargets() {
 	for _, t := range s.targets {
-		if !t.down || s.now.Before(t.nextProbeAt) {
+		if !t.down || s.now.Before(t.nextProbeAt) || s.now.Before(t.pausedUntil) {
 			continue
 		}
 		t.nextProbeAt = s.now.Add(maxProbeBackoff)
@@ -453,7 +464,7 @@
 		if t.service != nil && t.service.Engine == nil {
 			path = t.service.HealthPath
 		}
-		s.emit(Probe{Target: t.ID, Address: t.Address, Path: path})
+		s.emit(Probe{Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Path: path})
 	}
 }
 
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -80,6 +80,9 @@
 	LeaseIdleFor time.Duration `cbor:"16,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
+	// Leaving maps the targets that recently said in an answer that they are leaving to the start
+	// of their process, in Unix milliseconds.
+	Leaving map[string]int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // peers holds the state received from other hosts, and when messages to them were last sent.
@@ -181,7 +184,7 @@
 		m = s.newLoadMessage()
 		s.lastLoadBroadcastAt = s.now
 	}
-	m.Named = s.announcedVersions()
+	m.Named, m.Leaving = s.announcedVersions(), s.leavingTargets()
 	if s.holdsLease() {
 		m.Weights = s.recentWeights()
 	}
@@ -309,13 +312,14 @@
 	return receivedAt.Sub(s.resumedAt) > suspensionBacklogTime
 }
 
-// applyPeerState applies the configuration age, named and new weights, lease and updates that a
-// peer announced.
+// applyPeerState applies the configuration age, named and new weights, leaving targets, lease and
+// updates that a peer announced.
 func (s *State) applyPeerState(m Message) {
 	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable(s.now) {
 		s.confirmConfig(s.now.Add(-m.ConfigAge - maxMessageDelay))
 	}
 	s.applyAnnouncedVersions(m.Named, m.Host)
+	s.applyLeavingTargets(m.Leaving, m.Host)
 	for id, weights := range m.Weights {
 		for model, version := range weights {
 			if t := s.targets[id]; t != nil {
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -19,7 +19,8 @@
 	failureRateWeight = 0.1
 	// serviceTimeWeight is the weight of one request in a service's mean service time.
 	serviceTimeWeight = 0.05
-	// refusalPause is how long a target gets no requests after it refused one.
+	// refusalPause is how long a target gets no requests after it refused one without
+	// Retry-After.
 	refusalPause = 60 * time.Millisecond
 )
 
@@ -82,6 +83,12 @@
 	return true
 }
 
+// returnRetry returns a retry that was just withdrawn and not used.
+func (s *State) returnRetry(service string) {
+	b := s.retryBudgetOf(service)
+	b.retries[b.bucket%retryBuckets]--
+}
+
 func (s *State) onResponseStarted(ev ResponseStarted) {
 	r := s.byNumber[ev.Number]
 	if r == nil || r.target == nil {
@@ -152,10 +159,13 @@
 		s.log("attempt failed", r.id, "target", t.ID, "reason", string(ev.Reason), "detail", ev.Detail, "not-run", ev.NotRun, "begun", ev.ResponseStarted, "after", s.now.Sub(r.sentAt))
 	}
 	if kind := s.retryRefusal(r, ev); kind != "" {
-		s.refuse(r, kind, transientRetryAfter)
+		s.refuse(r, kind, s.retryAfter(r))
 		return
 	}
 	s.dispatch(r)
+	if r.target == nil {
+		s.returnRetry(r.service) // No target could take it.
+	}
 }
 
 // retryRefusal returns the reason why r must not be retried, or "".
@@ -181,7 +191,7 @@
 	case FailureUnreachable, FailureSilent:
 		s.markDown(t, ev.Detail)
 	case FailureRefused:
-		t.pausedUntil = s.now.Add(refusalPause)
+		t.pausedUntil = latest(t.pausedUntil, s.now.Add(refusalPause))
 	case FailureMisdirected:
 		if r.prompt == nil {
 			s.markDown(t, "another process answered")
@@ -191,7 +201,7 @@
 		s.observeWeights(t, r.prompt.Model, ev.Weights)
 		if t.Weights[r.prompt.Model] == before {
 			t.weightsUnknown = true
-			s.emit(ReadReport{Target: t.ID, Address: t.Address})
+			s.emit(ReadReport{Target: t.ID, StartedAt: t.StartedAt, Address: t.Address})
 		}
 	case FailureBroken, FailureErrorResponse:
 		if s.isUpdating(t) {
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -188,9 +188,19 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// Notice is what a target says about itself in an answer.
+type Notice struct {
+	// Leaving is true if the target will stop soon and wants no new requests.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests from this host; 0 if it refused none.
+	RetryAfter time.Duration
+}
+
 // Report is the state of an engine, as the engine returns it.
 type Report struct {
-	Weights map[string]int
+	// StartedAt is the start of the engine's process; zero if the report doesn't state it.
+	StartedAt time.Time
+	Weights   map[string]int
 	// Busy is true while the engine executes an order.
 	Busy bool
 	// Orders is the number of accepted orders since the engine's start.
