Keep a cold target while its permits last after a lost lease

A cold target could get more requests than its limit: the first guarantee.

Cause: a daemon whose lease had expired, as in an outage of the platform, counted its cold targets as unused. When another daemon should own one, it was no longer wanted, and its owner's record was deleted once the platform was back. The next owner found no record and didn't wait 31 s, while a permit of up to 31 s and its request could still run.

Change: a cold target counts as in use as long as its slots and permits last, whether the lease is held or not. The record stays meanwhile, and a drain waits too. The target is released when the last permit is returned or has expired.

Before: TestLostColdTargetInUseIsNotReleased: "the target is released although a permit of 20 s was granted a second ago".

--- a/internal/decision/reducer/lost_ownership_test.go
+++ b/internal/decision/reducer/lost_ownership_test.go
@@ -34,4 +34,8 @@
 	assert.Assert(t, d.state.expectedOwner(d.state.targets[coldTarget]) != d.host)
 	d.advance(time.Second)
 	assert.Assert(t, slices.Contains(d.state.wantedTargets, coldTarget), "the target is released although a permit of 20 s was granted a second ago")
+	d.advance(20 * time.Second)
+	assert.Assert(t, slices.Contains(d.state.wantedTargets, coldTarget), "the target is released before the grace period of the permit")
+	d.advance(permitGrace)
+	assert.Assert(t, !slices.Contains(d.state.wantedTargets, coldTarget), "the target is kept after the permit")
 }
--- a/internal/decision/reducer/ownership.go
+++ b/internal/decision/reducer/ownership.go
@@ -129,12 +129,12 @@
 	}
 }
 
-// coldInUse reports whether this daemon owns the cold target t and has requests
-// or permits on it. Such a target is not released, so that the next owner starts
-// with an unused target.
+// coldInUse reports whether requests or permits that this daemon admitted as the owner
+// of the cold target t may be in use, even if the lease is lost. Such a target is not
+// released, so that the next owner starts with an unused target.
 func (s *State) coldInUse(t *target) bool {
 	own := s.owned[t.name]
-	return own != nil && !own.heldUntil.IsZero() && t.cold && t.inflight+len(own.permits) > 0
+	return own != nil && t.cold && t.inflight+len(own.permits) > 0
 }
 
 // anyColdInUse reports whether any owned target is cold and in use.
