Remember a lost ownership while its own requests may run

A cold target could get more requests than its limit: the first guarantee.

Cause: an ownership without permits was forgotten at the next tick after its lease had been lost, although requests of the owner itself could still run under it for 30 s. The target was then released as unused. If the lease was regained instead, a request that had failed without proof that it didn't run had left no occupied slot.

Change: a lost ownership is remembered until everything that was admitted before the loss has ended, counted from the loss.

--- a/internal/decision/reducer/ownership.go
+++ b/internal/decision/reducer/ownership.go
@@ -37,6 +37,9 @@
 	fence uint64
 	// heldUntil is when the lease expires unless it is renewed; zero while it is lost.
 	heldUntil time.Time
+	// admittedUntil is when all requests and permits that were admitted before the loss
+	// of the lease have ended.
+	admittedUntil time.Time
 	// usableFrom is when all permits of earlier owners have expired.
 	usableFrom time.Time
 	// permits is kept when the lease is lost, because the daemon may regain it under
@@ -164,8 +167,9 @@
 func (s *State) onOwnershipChanged(ev OwnershipChanged) {
 	own := s.owned[ev.Target]
 	if !ev.Held {
-		if own != nil {
+		if own != nil && !own.heldUntil.IsZero() {
 			own.heldUntil = time.Time{}
+			own.admittedUntil = s.now.Add(maxColdUse + permitGrace)
 		}
 		return
 	}
@@ -396,12 +400,12 @@
 	maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return p.incarnation < t.incarnation })
 }
 
-// expirePermits removes expired permits, and lost ownerships that have no permits
-// left.
+// expirePermits removes expired permits, and lost ownerships under which nothing can
+// run any more.
 func (s *State) expirePermits() {
 	for name, own := range s.owned {
 		maps.DeleteFunc(own.permits, func(_ permitKey, p permit) bool { return s.now.After(p.until) })
-		if own.heldUntil.IsZero() && len(own.permits) == 0 && !s.now.Before(own.usableFrom) {
+		if own.heldUntil.IsZero() && len(own.permits) == 0 && !s.now.Before(own.admittedUntil) && !s.now.Before(own.usableFrom) {
 			delete(s.owned, name)
 		}
 	}
--- a/internal/decision/reducer/protocol_test.go
+++ b/internal/decision/reducer/protocol_test.go
@@ -191,7 +191,7 @@
 			permits = append(permits, fmt.Sprint(key.host, key.request, key.number, p.until.Unix(), p.incarnation))
 		}
 		slices.Sort(permits)
-		fmt.Fprint(h, own.fence, own.heldUntil.Unix(), own.usableFrom.Unix(), permits)
+		fmt.Fprint(h, own.fence, own.heldUntil.Unix(), own.admittedUntil.Unix(), own.usableFrom.Unix(), permits)
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
 		r := s.requests[id]
