Check in the soak on which weights requests begin

The soak couldn't find this: it checked that new weights are in place in the end, not on which ones requests begin.

Change: the checker records when each version is acknowledged, and checks each request that starts against the version that replaced its weights; later versions don't restart the time. By the platform's rules the time counts in one stretch without faults of a link and with a stable platform, and a host is bound if it ran for 3 s without kill, start, stop or pause. The stretch is the one that ends with the start of the request. Hosts, links and the platform's faults record when they begin and end.

Evidence: with the call of the check taken out, the six histories of TestCheckerJudgesOldWeights that break the rule fail ("nothing else", "version 2 was replaced", "host in touch again", "another host paused", "link disrupted before the stretch", "platform stable in the stretch"). With any one of the excuses taken out, the history of that excuse fails.

--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -21,6 +21,9 @@
 	maxConfigTime     = 3 * time.Second
 	maxEvacuationTime = 5 * time.Second
 	maxWeightsTime    = 8 * time.Second
+	// contactTime is how long a host must have run, and the platform's store been without
+	// faults, for bounds to hold.
+	contactTime = 3 * time.Second
 	// resumeGrace is the time after a paused host resumes in which its orders aren't
 	// checked: they may have been issued before the pause.
 	resumeGrace = 300 * time.Millisecond
@@ -58,6 +61,12 @@
 	at     time.Time
 }
 
+// faultState tells whether a fault lasts, and since when.
+type faultState struct {
+	lasts bool
+	since time.Time
+}
+
 // requestCounts counts requests by outcome.
 type requestCounts struct{ requests, answered, refused, failed int }
 
@@ -71,8 +80,13 @@
 	revokedAt map[string]time.Time
 	coldUntil map[string]time.Time
 	resumedAt map[string]time.Time
-	orders    []imitator.Order
-	stalls    []time.Time
+	// namedAt holds the times at which weight versions were acknowledged.
+	namedAt map[int]time.Time
+	// hostFaults and linkFaults are by the names of hosts and links, and platformFaults by
+	// those of faults of the platform's store.
+	hostFaults, linkFaults, platformFaults map[string]faultState
+	orders                                 []imitator.Order
+	stalls                                 []time.Time
 	// skipped counts the checks that were skipped because of stalls.
 	skipped    int
 	violations []string
@@ -80,7 +94,10 @@
 }
 
 func newChecker() *checker {
-	return &checker{attempts: map[string]*attempt{}, revokedAt: map[string]time.Time{}, coldUntil: map[string]time.Time{}, resumedAt: map[string]time.Time{}}
+	return &checker{
+		attempts: map[string]*attempt{}, revokedAt: map[string]time.Time{}, coldUntil: map[string]time.Time{}, resumedAt: map[string]time.Time{},
+		namedAt: map[int]time.Time{}, hostFaults: map[string]faultState{}, linkFaults: map[string]faultState{}, platformFaults: map[string]faultState{},
+	}
 }
 
 // addViolation records that a rule was violated.
@@ -153,6 +170,51 @@
 		c.addViolationLocked("revoked keys", fmt.Sprintf("%s runs %s after its key was taken away", r.ID, r.At.Sub(at)))
 	}
 	c.checkColdLimit(target, r.At)
+	c.checkWeights(r, a.host)
+}
+
+// checkWeights checks that a run sent by a host in touch doesn't begin on weights that were
+// replaced more than maxWeightsTime ago; mu must be held.
+func (c *checker) checkWeights(r imitator.Run, host string) {
+	// Each version has a deadline of its own, and the next version has the earliest.
+	named, ok := c.namedAt[r.Weights+1]
+	if !ok {
+		return
+	}
+	since, calm := c.calmSince()
+	if since.Before(named) {
+		since = named
+	}
+	// A host is out of touch after faults of the store and of links too, but these have been
+	// absent for longer.
+	f := c.hostFaults[host]
+	inTouch := !f.lasts && r.At.Sub(f.since) >= contactTime
+	if calm && inTouch && r.At.Sub(since) > maxWeightsTime && c.clockReliable(since, r.At) {
+		c.addViolationLocked("old weights", fmt.Sprintf("%s, sent on by %s, begins on version %d of %s, %s after version %d was named", r.ID, host, r.Weights, r.Worker, r.At.Sub(named), r.Weights+1))
+	}
+}
+
+// calmSince returns the time since when the platform's store has been stable and no link
+// disrupted, or false if they aren't; mu must be held.
+func (c *checker) calmSince() (time.Time, bool) {
+	var since time.Time
+	for _, f := range c.linkFaults {
+		if f.lasts {
+			return time.Time{}, false
+		}
+		if f.since.After(since) {
+			since = f.since
+		}
+	}
+	for _, f := range c.platformFaults {
+		if f.lasts {
+			return time.Time{}, false
+		}
+		if stable := f.since.Add(contactTime); stable.After(since) {
+			since = stable
+		}
+	}
+	return since, true
 }
 
 // checkColdLimit checks the number of requests in the last second at a cold target; mu
@@ -343,6 +405,21 @@
 	}
 }
 
+// markFault records in one of the maps of faults that a fault begins, or that it ends or was
+// momentary.
+func (c *checker) markFault(faults map[string]faultState, name string, lasts bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	faults[name] = faultState{lasts, time.Now()}
+}
+
+// weightsNamed records that the platform acknowledged a weight version.
+func (c *checker) weightsNamed(version int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.namedAt[version] = time.Now()
+}
+
 // setTime sets an entry of one of the maps of times.
 func (c *checker) setTime(times map[string]time.Time, name string, at time.Time) {
 	c.mu.Lock()
--- a/internal/bench/soaker/checker_test.go
+++ b/internal/bench/soaker/checker_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/standin/proxier"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
@@ -34,6 +37,29 @@
 
 var errCut = errors.New("cut")
 
+// TestFaultsAreRecorded guards against excuses that end too early or never.
+func TestFaultsAreRecorded(t *testing.T) {
+	chk, silent := newChecker(), &proxier.Direction{Silent: true}
+	p, err := proxier.New(proxier.Config{Target: netip.MustParseAddrPort("127.0.0.1:1"), Clock: clockwork.NewRealClock()})
+	assert.NilError(t, err)
+	l := &link{name: "l", checker: chk, Proxier: p}
+	l.disrupt(proxier.Faults{Up: silent})
+	l.disrupt(proxier.Faults{Reset: true})
+	_, calm := chk.calmSince()
+	assert.Assert(t, !calm, "a reset ended a silence")
+	l.heal()
+	healed, calm := chk.calmSince()
+	assert.Assert(t, calm && !healed.IsZero())
+	l.disrupt(proxier.Faults{Reset: true})
+	reset, calm := chk.calmSince()
+	assert.Assert(t, calm && reset.After(healed))
+	h := &host{name: "h", cluster: &cluster{checker: chk}}
+	h.pause()
+	assert.Assert(t, chk.hostFaults["h"].lasts)
+	h.resume(chk)
+	assert.Assert(t, !chk.hostFaults["h"].lasts && chk.hostFaults["h"].since.After(reset))
+}
+
 // TestCheckerDetectsViolations guards against a checker that misses violations or reports
 // false ones. Each history must lead to violations of the named rule, or of none if empty.
 func TestCheckerDetectsViolations(t *testing.T) {
@@ -216,3 +242,40 @@
 		})
 	}
 }
+
+// TestCheckerJudgesOldWeights replays runs that begin on version 1, ten seconds after version 2
+// was named, with what else happened before.
+func TestCheckerJudgesOldWeights(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) faultState { return faultState{since: now.Add(-d)} }
+	for name, tc := range map[string]struct {
+		violated bool
+		disrupt  func(*checker)
+	}{
+		"nothing else":                      {true, func(*checker) {}},
+		"before the deadline":               {false, func(chk *checker) { chk.namedAt[2] = now.Add(-maxWeightsTime + time.Second) }},
+		"no newer version":                  {false, func(chk *checker) { delete(chk.namedAt, 2) }},
+		"version 2 was replaced":            {true, func(chk *checker) { chk.namedAt[3] = now }},
+		"host paused":                       {false, func(chk *checker) { chk.hostFaults["h"] = faultState{lasts: true} }},
+		"host just resumed":                 {false, func(chk *checker) { chk.hostFaults["h"] = ago(contactTime - time.Second) }},
+		"host in touch again":               {true, func(chk *checker) { chk.hostFaults["h"] = ago(contactTime) }},
+		"another host paused":               {true, func(chk *checker) { chk.hostFaults["i"] = faultState{lasts: true} }},
+		"link disrupted":                    {false, func(chk *checker) { chk.linkFaults["l"] = faultState{lasts: true} }},
+		"link disrupted in the stretch":     {false, func(chk *checker) { chk.linkFaults["l"] = ago(maxWeightsTime - time.Second) }},
+		"link disrupted before the stretch": {true, func(chk *checker) { chk.linkFaults["l"] = ago(maxWeightsTime + time.Millisecond) }},
+		"platform down":                     {false, func(chk *checker) { chk.platformFaults["p"] = faultState{lasts: true} }},
+		"platform unstable in the stretch":  {false, func(chk *checker) { chk.platformFaults["p"] = ago(maxWeightsTime + contactTime - time.Second) }},
+		"platform stable in the stretch":    {true, func(chk *checker) { chk.platformFaults["p"] = ago(maxWeightsTime + contactTime + time.Millisecond) }},
+		"stall in the stretch":              {false, func(chk *checker) { chk.stalls = append(chk.stalls, now.Add(-maxWeightsTime)) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			chk, r := newCheckerWithAttempt("short"), newRun("short")
+			r.Weights = 1
+			chk.namedAt[2] = now.Add(-maxWeightsTime - 2*time.Second)
+			tc.disrupt(chk)
+			chk.RequestStarted(r)
+			violations := strings.Join(chk.result().Violations, "; ")
+			assert.Equal(t, strings.Contains(violations, "old weights"), tc.violated, violations)
+		})
+	}
+}
--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -47,9 +47,25 @@
 type link struct {
 	name    string
 	address netip.AddrPort
+	checker *checker
 	*proxier.Proxier
 }
 
+// disrupt applies faults until heal. A mere reset of the connections is momentary.
+func (l *link) disrupt(f proxier.Faults) {
+	if f.Reset && f.Refuse == nil {
+		l.checker.markFault(l.checker.linkFaults, "reset "+l.name, false)
+	} else {
+		l.checker.markFault(l.checker.linkFaults, l.name, true)
+	}
+	_ = l.Apply(f) // All values are within range.
+}
+
+func (l *link) heal() {
+	l.Heal()
+	l.checker.markFault(l.checker.linkFaults, l.name, false)
+}
+
 // target is a simulated target with the link to it.
 type target struct {
 	name, dataCentre string
@@ -187,7 +203,7 @@
 	if err != nil {
 		return nil, newError("listen", KindStart, err)
 	}
-	l := &link{name: name, address: listener.Addr().(*net.TCPAddr).AddrPort(), Proxier: p}
+	l := &link{name: name, address: listener.Addr().(*net.TCPAddr).AddrPort(), checker: c.checker, Proxier: p}
 	c.links = append(c.links, l)
 	c.group.Go(func() {
 		if err := p.Serve(c.ctx, listener); err != nil {
@@ -343,6 +359,7 @@
 		e.worker.SetMaxVersion(c.publishedVersion)
 	}
 	c.platform.Put(imitator.KindWeights, imitator.Model, imitator.WeightsSpec(c.publishedVersion))
+	c.checker.weightsNamed(c.publishedVersion)
 	return c.publishedVersion
 }
 
@@ -378,8 +395,8 @@
 // clearFaults ends all faults and starts the hosts that are down.
 func (c *cluster) clearFaults() {
 	for _, l := range c.links {
-		_ = l.Apply(proxier.Faults{Reset: true}) // Silenced connections must end; all values are within range.
-		l.Heal()
+		l.disrupt(proxier.Faults{Reset: true}) // Silenced connections must end.
+		l.heal()
 	}
 	c.platform.SetDown(false)
 	c.platform.SetLoseResponses(false)
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -125,9 +125,9 @@
 	}
 	k := kinds[s.rng.IntN(len(kinds))]
 	return fault{k.name + " " + l.name, func(ctx context.Context, duration time.Duration) {
-		_ = l.Apply(k.faults) // All values are within range.
+		l.disrupt(k.faults)
 		sleep(ctx, duration)
-		l.Heal()
+		l.heal()
 	}}
 }
 
@@ -136,11 +136,14 @@
 	cl := s.cluster
 	st := cl.partStores[s.rng.IntN(len(cl.partStores))]
 	skew := time.Duration((s.rng.Float64()*2 - 1) * float64(maxClockStep))
+	chk := s.checker
 	lasting := func(name string, set func(bool)) fault {
 		return fault{name, func(ctx context.Context, duration time.Duration) {
+			chk.markFault(chk.platformFaults, name, true)
 			set(true)
 			sleep(ctx, duration)
 			set(false)
+			chk.markFault(chk.platformFaults, name, false)
 		}}
 	}
 	instant := func(name string, do func()) fault {
@@ -152,7 +155,11 @@
 	case 1:
 		return lasting("platform's answers lost", cl.platform.SetLoseResponses)
 	case 2:
-		return instant("platform forgets its changes", cl.platform.Compact)
+		const name = "platform forgets its changes"
+		return instant(name, func() {
+			chk.markFault(chk.platformFaults, name, false)
+			cl.platform.Compact()
+		})
 	case 3:
 		return instant("store restarts empty", st.Restart)
 	case 4:
--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -112,6 +112,7 @@
 		return false
 	}
 	h.cmd, h.startedAt, h.stopping, h.paused, h.exited = cmd, time.Now(), false, false, make(chan struct{})
+	chk.markFault(chk.hostFaults, h.name, false)
 	go h.awaitExit(cmd, h.exited, log, chk)
 	return true
 }
@@ -158,6 +159,7 @@
 		return nil
 	}
 	h.stopping = true
+	h.cluster.checker.markFault(h.cluster.checker.hostFaults, h.name, false)
 	return h.exited
 }
 
@@ -190,6 +192,7 @@
 
 // pause suspends the process with SIGSTOP.
 func (h *host) pause() {
+	h.cluster.checker.markFault(h.cluster.checker.hostFaults, h.name, true)
 	h.signal(syscall.SIGSTOP)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -205,6 +208,7 @@
 	if paused {
 		chk.setTime(chk.resumedAt, h.name, time.Now())
 		h.signal(syscall.SIGCONT)
+		chk.markFault(chk.hostFaults, h.name, false)
 	}
 }
 
