Update the entries of the soak's engines when their weights change

Cause: the soak's engines wrote their weights to their entry when they started and never again. The platform's workers write theirs at every heartbeat. A host that restarts learns the weights of engines from their entries; these stated the first version for good. A host uses no engine of which it doesn't know when its weights were replaced, so every restart of a host left fewer that served prompts (no-target). Before, a host sent such requests and learned the version from the answer.

Change: engines update their entry within a heartbeat of 1.2 s, as long as it is listed. All checks are unchanged.

--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -36,8 +36,10 @@
 	// weight versions.
 	storeTokens = 200000
 	storeCount  = 2
-	gracePeriod = 8 * time.Second
-	memoryMB    = 128
+	// heartbeatInterval is the interval at which engines update their entries.
+	heartbeatInterval = 1200 * time.Millisecond
+	gracePeriod       = 8 * time.Second
+	memoryMB          = 128
 )
 
 // dataCentres are the data centres of hosts and targets, which are assigned in turn.
@@ -80,6 +82,9 @@
 	startedAt time.Time
 	coldFor   time.Duration
 	draining  bool
+	// listed is true while the target has an entry, which states listedWeights.
+	listed        bool
+	listedWeights int
 }
 
 // cluster holds everything that a soak runs: the simulated platform, part stores and
@@ -231,6 +236,9 @@
 		return err
 	}
 	t.announce(false)
+	if n < c.cfg.Engines {
+		c.group.Go(func() { t.announceWeights(c.ctx) })
+	}
 	return nil
 }
 
@@ -250,14 +258,26 @@
 	return t.writeEntry()
 }
 
+// announceWeights updates the entry of an engine when its weights have changed.
+func (t *target) announceWeights(ctx context.Context) {
+	for sleep(ctx, heartbeatInterval) {
+		t.mu.Lock()
+		if t.listed && t.listedWeights != t.worker.Weights() {
+			t.writeEntry()
+		}
+		t.mu.Unlock()
+	}
+}
+
 // writeEntry writes the entry with the target's current state; mu must be held.
 func (t *target) writeEntry() time.Time {
 	d := descriptor.Target{
 		ID: t.id, Service: imitator.ServicePlain, Address: t.link.address, DataCentre: t.dataCentre, Slots: 8,
 		Draining: t.draining, StartedAt: t.startedAt, ColdFor: max(0, t.coldFor-time.Since(t.startedAt)),
 	}
+	t.listed, t.listedWeights = true, t.worker.Weights()
 	if strings.HasPrefix(t.name, "engine") {
-		d.Service, d.Weights = imitator.ServiceLLM, map[string]int{imitator.Model: t.worker.Weights()}
+		d.Service, d.Weights = imitator.ServiceLLM, map[string]int{imitator.Model: t.listedWeights}
 	}
 	t.cluster.platform.Put(imitator.KindTargets, t.id, imitator.TargetSpec(d))
 	return time.Now()
@@ -279,12 +299,11 @@
 }
 
 // removeEntry removes the target's entry from the platform; announce writes it again.
-func (t *target) removeEntry() { t.cluster.platform.Remove(imitator.KindTargets, t.currentID()) }
-
-func (t *target) currentID() string {
+func (t *target) removeEntry() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.id
+	t.listed = false
+	t.cluster.platform.Remove(imitator.KindTargets, t.id)
 }
 
 // targets returns all targets: the engines and the plain ones.
