--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -36,8 +36,10 @@
 	// weight versions.
 	storeTokens = 200000
 	storeCount  = 2
-	gracePeriod = 8 * time.Second
-	memoryMB    = 128
+	// heartbeatInterval is the interval at which engines update their entries.
+	heartbeatInterval = 1200 * time.Millisecond
+	gracePeriod       = 8 * time.Second
+	memoryMB          = 128
 )
 
 // dataCentres are the data centres of hosts and targets, which are assigned in turn.
@@ -47,9 +49,25 @@
 type link struct {
 	name    string
 	address netip.AddrPort
+	checker *checker
 	*proxier.Proxier
 }
 
+// disrupt applies faults until heal. A mere reset of the connections is momentary.
+func (l *link) disrupt(f proxier.Faults) {
+	if f.Reset && f.Refuse == nil {
+		l.checker.markFault(l.checker.linkFaults, "reset "+l.name, false)
+	} else {
+		l.checker.markFault(l.checker.linkFaults, l.name, true)
+	}
+	_ = l.Apply(f) // All values are within range.
+}
+
+func (l *link) heal() {
+	l.Heal()
+	l.checker.markFault(l.checker.linkFaults, l.name, false)
+}
+
 // target is a simulated target with the link to it.
 type target struct {
 	name, dataCentre string
@@ -64,6 +82,9 @@
 	startedAt time.Time
 	coldFor   time.Duration
 	draining  bool
+	// listed is true while the target has an entry, which states listedWeights.
+	listed        bool
+	listedWeights int
 }
 
 // cluster holds everything that a soak runs: the simulated platform, part stores and
@@ -187,7 +208,7 @@
 	if err != nil {
 		return nil, newError("listen", KindStart, err)
 	}
-	l := &link{name: name, address: listener.Addr().(*net.TCPAddr).AddrPort(), Proxier: p}
+	l := &link{name: name, address: listener.Addr().(*net.TCPAddr).AddrPort(), checker: c.checker, Proxier: p}
 	c.links = append(c.links, l)
 	c.group.Go(func() {
 		if err := p.Serve(c.ctx, listener); err != nil {
@@ -215,6 +236,9 @@
 		return err
 	}
 	t.announce(false)
+	if n < c.cfg.Engines {
+		c.group.Go(func() { t.announceWeights(c.ctx) })
+	}
 	return nil
 }
 
@@ -234,14 +258,26 @@
 	return t.writeEntry()
 }
 
+// announceWeights updates the entry of an engine when its weights have changed.
+func (t *target) announceWeights(ctx context.Context) {
+	for sleep(ctx, heartbeatInterval) {
+		t.mu.Lock()
+		if t.listed && t.listedWeights != t.worker.Weights() {
+			t.writeEntry()
+		}
+		t.mu.Unlock()
+	}
+}
+
 // writeEntry writes the entry with the target's current state; mu must be held.
 func (t *target) writeEntry() time.Time {
 	d := descriptor.Target{
 		ID: t.id, Service: imitator.ServicePlain, Address: t.link.address, DataCentre: t.dataCentre, Slots: 8,
 		Draining: t.draining, StartedAt: t.startedAt, ColdFor: max(0, t.coldFor-time.Since(t.startedAt)),
 	}
+	t.listed, t.listedWeights = true, t.worker.Weights()
 	if strings.HasPrefix(t.name, "engine") {
-		d.Service, d.Weights = imitator.ServiceLLM, map[string]int{imitator.Model: t.worker.Weights()}
+		d.Service, d.Weights = imitator.ServiceLLM, map[string]int{imitator.Model: t.listedWeights}
 	}
 	t.cluster.platform.Put(imitator.KindTargets, t.id, imitator.TargetSpec(d))
 	return time.Now()
@@ -263,12 +299,11 @@
 }
 
 // removeEntry removes the target's entry from the platform; announce writes it again.
-func (t *target) removeEntry() { t.cluster.platform.Remove(imitator.KindTargets, t.currentID()) }
-
-func (t *target) currentID() string {
+func (t *target) removeEntry() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.id
+	t.listed = false
+	t.cluster.platform.Remove(imitator.KindTargets, t.id)
 }
 
 // targets returns all targets: the engines and the plain ones.
@@ -343,6 +378,7 @@
 		e.worker.SetMaxVersion(c.publishedVersion)
 	}
 	c.platform.Put(imitator.KindWeights, imitator.Model, imitator.WeightsSpec(c.publishedVersion))
+	c.checker.weightsNamed(c.publishedVersion)
 	return c.publishedVersion
 }
 
@@ -378,8 +414,8 @@
 // clearFaults ends all faults and starts the hosts that are down.
 func (c *cluster) clearFaults() {
 	for _, l := range c.links {
-		_ = l.Apply(proxier.Faults{Reset: true}) // Silenced connections must end; all values are within range.
-		l.Heal()
+		l.disrupt(proxier.Faults{Reset: true}) // Silenced connections must end.
+		l.heal()
 	}
 	c.platform.SetDown(false)
 	c.platform.SetLoseResponses(false)
