Apply updates of other hosts during a silent call

Callers would see requests sent to targets that have left, from a host whose call to the platform gets no answer, for up to 26 s, although other hosts have reported the change.

Cause: updates of other hosts were applied between a watch's own calls only, and a watch of targets, evacuations, weights or hosts waits up to 25 s and its timeout.

Change: a watch applies updates while its call waits. An answer is dropped if an update during its call went as far, as it would undo later changes; an answer that goes further is complete and is applied whole. A call that hasn't returned what another host has shown is given up after 300 ms and followed by one of 100 ms. The same closes a gap after a lost update. The call has ended when the next one begins. Short calls aren't given up, as they end soon.

Evidence: without the change TestUpdatesAreAppliedDuringSilentCall failed (no decider.TargetsListed within 8 s), as did TestLostUpdateEndsSilentCall and TestLateAnswerDoesNotUndoUpdate with the same message; with it they passed in 3 of 3 runs of the package under the race detector, the first after 0.3 s. TestLateAnswerDoesNotUndoUpdate also fails if late answers are applied (a late answer brings a removed target back). TestHealthyWatchesAreNotGivenUp guards the number of calls, passed before, and fails if calls are given up at once (19 calls of two hosts for 5 changes).

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -125,6 +125,8 @@
 	lastUpdate time.Time
 	// behind is true if an update showed that this host lacks changes.
 	behind bool
+	// overdue is true from a call that was given up to the next successful one.
+	overdue bool
 	// lastFailure is when a call last failed, recoveredAt when the last outage ended.
 	lastFailure, recoveredAt time.Time
 
@@ -203,6 +205,7 @@
 }
 
 func (w *watch) recordSuccess() {
+	w.overdue = false
 	if w.failing {
 		w.setFailing(false)
 		w.recoveredAt = w.cfg.Clock.Now()
@@ -231,16 +234,26 @@
 	}
 	after := w.revision
 	wait := w.watchWait()
-	changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, wait)
-	if err != nil {
-		return err
+	answer := w.awaitAnswer(ctx, after, wait)
+	changes := answer.changes
+	if answer.overdue {
+		w.cfg.Logger.Info("watch given up, other hosts are ahead", "kind", w.kind, "after", after)
+		w.overdue = true
+		return nil
+	}
+	if answer.err != nil {
+		return answer.err
 	}
 	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), returnUntil: w.returnUntil()}
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
 	w.forwardChanges(after, changes, fresh)
+	w.changed = len(changes.Objects) > 0
+	if w.revision > after && changes.Revision <= w.revision {
+		changes.Objects = nil // Updates during the call had these changes and may have had later ones.
+	}
 	w.applyChanges(changes, fresh)
-	w.changed, w.behind = len(changes.Objects) > 0, false
+	w.behind = answer.peerRevision > w.revision
 	if w.changed && w.kind != caller.KindConfig {
 		sleep(ctx, batchPause)
 	}
@@ -299,7 +312,7 @@
 // watchWait returns how long the next watch should wait for changes.
 func (w *watch) watchWait() time.Duration {
 	switch {
-	case w.behind, w.failing:
+	case w.behind, w.failing, w.overdue:
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,6 +111,101 @@
 	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
 }
 
+// TestLostUpdateEndsSilentCall guards against a host whose call gets no answer and that misses an
+// update of another host: the next heartbeat shows the gap, which only a new call can close.
+func TestLostUpdateEndsSilentCall(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	waiting := make(chan struct{}, 1)
+	var silenced atomic.Bool
+	receiver, events := newTestStoreBehind(t, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") && strings.HasSuffix(r.URL.Path, "/"+caller.KindTargets) && silenced.CompareAndSwap(false, true) {
+			waiting <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})).start(always, func([]WatchUpdate) {})
+	<-waiting
+	store.Remove(caller.KindTargets, "a")
+	receiver.Receive([]WatchUpdate{{Kind: caller.KindTargets, After: 3, UpTo: 3, Heartbeat: true}})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
+}
+
+// TestLateAnswerDoesNotUndoUpdate guards against an answer that arrives after an update with later
+// changes: it must neither bring a removed target back nor hide the changes after it.
+func TestLateAnswerDoesNotUndoUpdate(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	taken, deliver := make(chan struct{}, 1), make(chan struct{})
+	receiver, events := newTestStoreBehind(t, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") != "2" || !strings.HasSuffix(r.URL.Path, "/"+caller.KindTargets) {
+			store.ServeHTTP(w, r)
+			return
+		}
+		answer := httptest.NewRecorder()
+		store.ServeHTTP(answer, r)
+		taken <- struct{}{}
+		select {
+		case <-deliver:
+			_, err := w.Write(answer.Body.Bytes())
+			assert.Check(t, err)
+		case <-r.Context().Done():
+		}
+	})).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	store.Put(caller.KindTargets, "b", targetSpec)
+	<-taken
+	store.Remove(caller.KindTargets, "b")
+	receiver.Receive([]WatchUpdate{{Kind: caller.KindTargets, After: 2, UpTo: 4, Objects: []caller.Object{
+		{Kind: caller.KindTargets, Name: "b", Revision: 3, Spec: []byte(targetSpec)},
+		{Kind: caller.KindTargets, Name: "b", Revision: 4, Removed: true},
+	}}})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
+	close(deliver)
+	store.Put(caller.KindTargets, "c", targetSpec)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool {
+		for _, target := range ev.Targets {
+			assert.Assert(t, target.ID != "b", "a late answer brings a removed target back")
+		}
+		return len(ev.Targets) > 0 && ev.Targets[len(ev.Targets)-1].ID == "c"
+	})
+}
+
+// TestHealthyWatchesAreNotGivenUp guards against a call for each update of another host, although
+// the own answer arrives at about the same time.
+func TestHealthyWatchesAreNotGivenUp(t *testing.T) {
+	const changes, delay = 5, 50 * time.Millisecond
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	delayed := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		store.ServeHTTP(answer, r)
+		time.Sleep(delay)
+		_, _ = w.Write(answer.Body.Bytes()) // Fails for calls that were given up.
+	})
+	var toFirst, toSecond peerLink
+	first, firstEvents := newTestStore(t, store).start(always, toSecond.send)
+	second, secondEvents := newTestStoreBehind(t, store, delayed).start(always, toFirst.send)
+	toFirst.set(false, first)
+	toSecond.set(false, second)
+	for _, events := range []*eventLog{firstEvents, secondEvents} {
+		waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	}
+	time.Sleep(2 * overduePause)
+	before, began := store.Calls(), time.Now()
+	for i := range changes {
+		name := "b" + strconv.Itoa(i)
+		store.Put(caller.KindTargets, name, targetSpec)
+		for _, events := range []*eventLog{firstEvents, secondEvents} {
+			waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Targets) == 1 && ev.Targets[0].ID == name })
+		}
+		time.Sleep(2 * batchPause) // Both hosts wait for the next change.
+	}
+	config := int(2 * (time.Since(began)/minConfigWait + 1))
+	assert.Assert(t, store.Calls()-before <= 2*changes+config, "%d calls of two hosts for %d changes", store.Calls()-before, changes)
+}
+
 // TestUpdatesAfterRestoreAreApplied guards against a host that takes the changes of a store that
 // returned from an older copy for known ones, as their revisions are lower.
 func TestUpdatesAfterRestoreAreApplied(t *testing.T) {
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -20,7 +20,11 @@
 	platformRetryInterval = 3 * time.Second
 	// maxUpdateDelay is the assumed upper bound of the network delay of an update.
 	maxUpdateDelay = 200 * time.Millisecond
-	// updateQueueSize bounds the updates that are queued during a call to the platform.
+	// overduePause is how long a call may go on without an answer once an update of another host
+	// has shown changes that the answer should have. Healthy calls of several hosts end within
+	// some milliseconds of each other.
+	overduePause = 300 * time.Millisecond
+	// updateQueueSize bounds the updates that are queued during a list or a pause.
 	updateQueueSize = 16
 	// maxUpdateBytes bounds the changes in an update, so that it fits into a datagram.
 	// Each host reads larger changes from the platform itself.
@@ -80,7 +84,7 @@
 	}
 }
 
-// applyQueued applies the updates that arrived during a call to the platform.
+// applyQueued applies the updates that arrived during a list or a pause.
 func (w *watch) applyQueued() {
 	for w.revision != 0 {
 		select {
@@ -92,6 +96,54 @@
 	}
 }
 
+// watchAnswer is the outcome of a watch call.
+type watchAnswer struct {
+	changes caller.Objects
+	err     error
+	// overdue is true if the call was given up as other hosts had changes that it didn't return.
+	overdue bool
+	// peerRevision is the highest revision after which updates during the call continue, or 0.
+	peerRevision int64
+}
+
+// awaitAnswer makes a watch call and applies updates of other hosts while it waits, so that a
+// call without an answer doesn't hold them up. It gives up a call that is overdue, unless the call
+// ends soon by itself. The call has ended when awaitAnswer returns.
+func (w *watch) awaitAnswer(ctx context.Context, after int64, wait time.Duration) watchAnswer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan watchAnswer, 1)
+	go func() {
+		changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, wait)
+		answers <- watchAnswer{changes: changes, err: err}
+	}()
+	var due <-chan time.Time
+	var peerRevision int64
+	overtaken := false
+	for {
+		select {
+		case answer := <-answers:
+			answer.peerRevision = peerRevision
+			return answer
+		case u := <-w.updates:
+			overtaken = overtaken || len(u.Objects) > 0 && u.UpTo > w.revision
+			peerRevision = max(peerRevision, u.After)
+			w.applyUpdate(u)
+			switch {
+			case !overtaken && peerRevision <= w.revision:
+				due = nil // Nothing is missing, or a later update has closed the gap.
+			case due == nil && wait > confirmWait:
+				due = time.After(overduePause)
+			}
+		case <-due:
+			cancel()
+			answer := <-answers
+			answer.overdue, answer.peerRevision = answer.err != nil, peerRevision
+			return answer
+		}
+	}
+}
+
 // sendHeartbeats regularly sends the revisions of all watches to other hosts.
 func (f *Follower) sendHeartbeats(ctx context.Context) error {
 	for sleep(ctx, heartbeatInterval) {
