Send no heartbeats for a watch that was given up

Callers could see requests sent to targets that have left, from hosts that rely on a watching host whose calls get no answer.

Cause: a heartbeat states that the sender's watch works, but was also sent after a call had been given up because other hosts were ahead, until the next call failed, 1.1 s later for a platform that stays silent.

Change: a watch sends no heartbeats from a call that was given up to the next successful one.

Left: a silent call can't be told from one without changes until another host shows one, so heartbeats go on until then or until the wait is over.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -125,8 +125,6 @@
 	lastUpdate time.Time
 	// behind is true if an update showed that this host lacks changes.
 	behind bool
-	// overdue is true from a call that was given up to the next successful one.
-	overdue bool
 	// lastFailure is when a call last failed, recoveredAt when the last outage ended.
 	lastFailure, recoveredAt time.Time
 
@@ -136,6 +134,8 @@
 	revision int64
 	// failing is true from a failed call to the next successful one.
 	failing bool
+	// overdue is true from a call that was given up to the next successful one.
+	overdue bool
 }
 
 // freshness describes how current an answer of the platform is.
@@ -196,6 +196,12 @@
 	w.failing = failing
 }
 
+func (w *watch) setOverdue(overdue bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.overdue = overdue
+}
+
 func (w *watch) recordFailure(ctx context.Context, err error) {
 	w.lastFailure = w.cfg.Clock.Now()
 	if !w.failing && ctx.Err() == nil {
@@ -205,7 +211,7 @@
 }
 
 func (w *watch) recordSuccess() {
-	w.overdue = false
+	w.setOverdue(false)
 	if w.failing {
 		w.setFailing(false)
 		w.recoveredAt = w.cfg.Clock.Now()
@@ -238,7 +244,7 @@
 	changes := answer.changes
 	if answer.overdue {
 		w.cfg.Logger.Info("watch given up, other hosts are ahead", "kind", w.kind, "after", after)
-		w.overdue = true
+		w.setOverdue(true)
 		return nil
 	}
 	if answer.err != nil {
--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -132,6 +132,32 @@
 	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) > 0 })
 }
 
+// TestOverdueWatchSendsNoHeartbeat guards against a host that keeps others from calling the platform
+// with heartbeats of a watch that gets no answers.
+func TestOverdueWatchSendsNoHeartbeat(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	calls := make(chan struct{}, 10)
+	receiver, _ := newTestStoreBehind(t, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") && strings.HasSuffix(r.URL.Path, "/"+caller.KindTargets) {
+			calls <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})).start(always, func([]WatchUpdate) {})
+	targets := receiver.watches[1]
+	assert.Equal(t, targets.kind, caller.KindTargets)
+	<-calls
+	_, sent := targets.heartbeat()
+	assert.Assert(t, sent, "a watch that waits for changes sends no heartbeat")
+	removal := caller.Object{Kind: caller.KindTargets, Name: "a", Revision: 3, Removed: true}
+	receiver.Receive([]WatchUpdate{{Kind: caller.KindTargets, After: 2, UpTo: 3, Objects: []caller.Object{removal}}})
+	<-calls // The first call has been given up.
+	_, sent = targets.heartbeat()
+	assert.Assert(t, !sent, "a watch whose call was given up sends a heartbeat")
+}
+
 // TestLateAnswerDoesNotUndoUpdate guards against an answer that arrives after an update with later
 // changes: it must neither bring a removed target back nor hide the changes after it.
 func TestLateAnswerDoesNotUndoUpdate(t *testing.T) {
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -162,11 +162,11 @@
 }
 
 // heartbeat returns a heartbeat with the watch's revision, or false before the first
-// list and while calls fail.
+// list, while calls fail, and after a call was given up.
 func (w *watch) heartbeat() (WatchUpdate, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return WatchUpdate{Kind: w.kind, After: w.revision, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing
+	return WatchUpdate{Kind: w.kind, After: w.revision, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing && !w.overdue
 }
 
 // forwardChanges sends the platform's answer to a watch after the given revision to
