Merge updates of other hosts during a silent call

Joined with the eras of the store: only updates of the watch's own era can overtake its call, and a call also ends once a newer era is known.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -145,6 +145,8 @@
 	era int64
 	// failing is true from a failed call to the next successful one.
 	failing bool
+	// overdue is true from a call that was given up to the next successful one.
+	overdue bool
 }
 
 // freshness describes how current an answer of the platform is.
@@ -213,6 +215,12 @@
 	w.failing = failing
 }
 
+func (w *watch) setOverdue(overdue bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.overdue = overdue
+}
+
 func (w *watch) recordFailure(ctx context.Context, err error) {
 	w.lastFailure = w.cfg.Clock.Now()
 	if !w.failing && ctx.Err() == nil {
@@ -222,6 +230,7 @@
 }
 
 func (w *watch) recordSuccess() {
+	w.setOverdue(false)
 	if w.failing {
 		w.setFailing(false)
 		w.recoveredAt = w.cfg.Clock.Now()
@@ -294,9 +303,15 @@
 	wait := w.watchWait()
 	watchCtx, cancel := w.newest.untilRisen(ctx, w.era)
 	defer cancel()
-	changes, err := w.cfg.Caller.Watch(watchCtx, w.kind, after, wait)
-	if err != nil {
-		return err
+	answer := w.awaitAnswer(watchCtx, after, wait)
+	changes := answer.changes
+	if answer.overdue {
+		w.cfg.Logger.Info("watch given up, other hosts are ahead", "kind", w.kind, "after", after)
+		w.setOverdue(true)
+		return nil
+	}
+	if answer.err != nil {
+		return answer.err
 	}
 	if err := w.checkEra(changes.Era); err != nil {
 		return err
@@ -308,8 +323,12 @@
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
 	w.forwardChanges(after, changes, fresh)
+	w.changed = len(changes.Objects) > 0
+	if w.revision > after && changes.Revision <= w.revision {
+		changes.Objects = nil // Updates during the call had these changes and may have had later ones.
+	}
 	w.applyChanges(changes, fresh)
-	w.changed, w.behind = len(changes.Objects) > 0, false
+	w.behind = answer.peerRevision > w.revision
 	if w.changed && w.kind != caller.KindConfig {
 		sleep(ctx, batchPause)
 	}
@@ -368,7 +387,7 @@
 // watchWait returns how long the next watch should wait for changes.
 func (w *watch) watchWait() time.Duration {
 	switch {
-	case w.behind, w.failing:
+	case w.behind, w.failing, w.overdue:
 		// After an outage, the answer shows at once whether the store went back to a copy.
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
