--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -276,29 +276,40 @@
 // poll makes one call: it lists all objects if no revision is known, and waits for
 // changes otherwise.
 func (w *watch) poll(ctx context.Context) error {
-	sentAt := w.cfg.Clock.Now()
 	if w.revision == 0 {
-		all, err := w.cfg.Caller.List(ctx, w.kind)
-		if err != nil {
-			return err
-		}
-		if err := w.checkEra(all.Era); err != nil {
-			return err
-		}
-		w.recordSuccess()
-		wentBack := w.recordEra(all.Era)
-		w.setPosition(all.Era, all.Revision)
-		clear(w.objects)
-		w.updateObjects(all.Objects)
-		if wentBack && w.kind == caller.KindHosts {
-			w.checkRegistration()
-		}
-		w.cfg.Post(decider.RevisionConfirmed{Era: all.Era, Revision: all.Revision, AsOf: sentAt})
-		w.postChanges(all.Objects, true, freshness{asOf: sentAt, returnUntil: w.returnUntil()})
-		// Updates of the watching hosts are expected from here on.
-		w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
-		return nil
+		return w.list(ctx)
+	}
+	return w.awaitChanges(ctx)
+}
+
+// list replaces all objects by those of the platform.
+func (w *watch) list(ctx context.Context) error {
+	sentAt := w.cfg.Clock.Now()
+	all, err := w.cfg.Caller.List(ctx, w.kind)
+	if err != nil {
+		return err
 	}
+	if err := w.checkEra(all.Era); err != nil {
+		return err
+	}
+	w.recordSuccess()
+	wentBack := w.recordEra(all.Era)
+	w.setPosition(all.Era, all.Revision)
+	clear(w.objects)
+	w.updateObjects(all.Objects)
+	if wentBack && w.kind == caller.KindHosts {
+		w.checkRegistration()
+	}
+	w.cfg.Post(decider.RevisionConfirmed{Era: all.Era, Revision: all.Revision, AsOf: sentAt})
+	w.postChanges(all.Objects, true, freshness{asOf: sentAt, returnUntil: w.returnUntil()})
+	// Updates of the watching hosts are expected from here on.
+	w.changed, w.behind, w.lastUpdate = true, false, w.cfg.Clock.Now()
+	return nil
+}
+
+// awaitChanges waits for changes and applies them.
+func (w *watch) awaitChanges(ctx context.Context) error {
+	sentAt := w.cfg.Clock.Now()
 	after := w.revision
 	wait := w.watchWait()
 	watchCtx, cancel := w.newest.untilRisen(ctx, w.era)
