Let the platform's store go back in the soak

Callers saw nothing of this: it extends a test. The soak lets the store be away for up to a second and come back from a copy up to 5 s old, about every 6 s. Up to 1.5 s later, what operators and targets wrote is written again, except what has changed since. The random numbers of these faults are drawn apart, so that the other faults of a seed stay the same.

--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -8,6 +8,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/standin/proxier"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
+	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
 const (
@@ -21,10 +22,22 @@
 	// maxLinkDelay is the longest delay of a link. It stays below the safety margin of a
 	// lease.
 	maxLinkDelay = 120 * time.Millisecond
+	// meanGoBackInterval is the mean pause before the platform's store goes back to a copy that
+	// is up to maxCopyAge old. It is away for up to maxAwayTime, and what it lost is written
+	// again up to maxRewriteTime later.
+	meanGoBackInterval = 6 * time.Second
+	maxCopyAge         = 5 * time.Second
+	maxAwayTime        = time.Second
+	maxRewriteTime     = 1500 * time.Millisecond
+	// copyInterval is the time between two copies of the store.
+	copyInterval = 100 * time.Millisecond
 	// maxClockStep is the largest step of a store's clock, forward or back.
 	maxClockStep = 4 * time.Second
 )
 
+// goBackStream is the stream of random numbers of letStoreGoBack.
+const goBackStream = 1 << 32
+
 // fault is a fault or a planned operation such as a drain. run starts it and returns
 // when it is over.
 type fault struct {
@@ -41,6 +54,7 @@
 	var g sync.WaitGroup
 	defer g.Wait()
 	g.Go(func() { s.applyChanges(faultCtx) })
+	g.Go(func() { s.letStoreGoBack(faultCtx) })
 	for sleep(faultCtx, time.Duration(s.rng.Float64()*2*float64(meanFaultInterval))) {
 		f := s.drawFault()
 		duration := time.Duration(s.rng.Float64() * float64(maxFaultDuration))
@@ -68,6 +82,35 @@
 	}
 }
 
+// letStoreGoBack copies the platform's store and lets it come back from an earlier copy now and
+// then, until ctx ends. It has random numbers of its own, so that the other faults of a seed stay
+// the same.
+func (s *Soaker) letStoreGoBack(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, goBackStream))
+	draw := func(limit time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(limit)) }
+	store := s.cluster.platform
+	copies := []imitator.StoreCopy{store.Copy()}
+	next := time.Now().Add(draw(2 * meanGoBackInterval))
+	for sleep(ctx, copyInterval) {
+		if time.Now().Before(next) {
+			copies = append(copies, store.Copy())
+			copies = copies[max(0, len(copies)-int(maxCopyAge/copyInterval)):]
+			continue
+		}
+		i := rng.IntN(len(copies))
+		away, rewrite := draw(maxAwayTime), draw(maxRewriteTime)
+		s.recordEvent("platform goes back", "copies", len(copies)-i, "away", away.String(), "rewrite", rewrite.String())
+		store.SetDown(true)
+		sleep(ctx, away)
+		revision := copies[i].Revision()
+		lost := store.GoBack(copies[i])
+		store.SetDown(false)
+		sleep(ctx, rewrite)
+		store.WriteAgain(lost, revision, imitator.KindConfig, imitator.KindTargets, imitator.KindEvacuations, imitator.KindWeights)
+		copies, next = []imitator.StoreCopy{store.Copy()}, time.Now().Add(draw(2*meanGoBackInterval))
+	}
+}
+
 // drawFault draws the next fault and the component that it affects.
 func (s *Soaker) drawFault() fault {
 	switch s.rng.IntN(5) {
