Keep a cold target during the wait after a takeover

A cold target could get more requests than its limit: the first guarantee.

Cause: a daemon that takes a target over waits 31 s, since permits of the earlier owner may be in use. It counted the target as unused in this time, so when a third daemon should own it, the record was deleted. The third daemon found none and didn't wait.

Change: a cold target stays wanted until the wait is over. A warm target is released at once as before.

Before: TestColdTargetIsNotReleasedDuringTakeoverWait: "the target is released just after the takeover".

--- a/internal/decision/reducer/lost_ownership_test.go
+++ b/internal/decision/reducer/lost_ownership_test.go
@@ -85,3 +85,30 @@
 	assert.Assert(t, d.requestPermit("p1", 1))
 	assert.Assert(t, !d.requestPermit("p2", 1), "the target may run the failed request and that of the permit, and the limit is two")
 }
+
+// TestColdTargetIsNotReleasedDuringTakeoverWait guards against the release of a cold target on
+// which permits of an earlier owner may be in use. The next owner finds no record and doesn't
+// wait for them.
+func TestColdTargetIsNotReleasedDuringTakeoverWait(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		d, hosts := newOutlivedDaemon(t)
+		d.grantOwnership(2, true)
+		if lost {
+			d.reduce(OwnershipChanged{Target: coldTarget})
+		}
+		d.reduce(PeersChanged{Hosts: hosts})
+		assert.Assert(t, d.wantsColdTarget(), "lost %v: the target is released just after the takeover", lost)
+		d.advance(maxColdUse + permitGrace)
+		assert.Assert(t, !d.wantsColdTarget(), "lost %v: the target is kept after the wait", lost)
+	}
+}
+
+// TestWarmTargetIsReleasedDuringTakeoverWait checks that the next owner of a warm target can
+// order its weights at once.
+func TestWarmTargetIsReleasedDuringTakeoverWait(t *testing.T) {
+	d, hosts := newOutlivedDaemon(t)
+	d.observeIncarnation(1, false)
+	d.grantOwnership(2, true)
+	d.reduce(PeersChanged{Hosts: hosts})
+	assert.Assert(t, !d.wantsColdTarget())
+}
--- a/internal/decision/reducer/ownership.go
+++ b/internal/decision/reducer/ownership.go
@@ -27,7 +27,7 @@
 	wantedTargets []identifier.Target
 	readTargets   []TargetAddress
 	// handoverPending is true while this daemon keeps a target that another daemon
-	// should own, because it is still in use.
+	// should own, because it may still be in use.
 	handoverPending bool
 }
 
@@ -112,7 +112,7 @@
 			continue
 		}
 		if s.expectedOwner(t) != s.cfg.Host {
-			if s.coldInUse(t) {
+			if s.coldInUse(t) || s.inTakeoverWait(t) {
 				s.handoverPending = true
 				wanted = append(wanted, t.name)
 			}
@@ -140,6 +140,13 @@
 	return own != nil && t.cold && t.inflight+len(own.permits) > 0
 }
 
+// inTakeoverWait reports whether permits of an earlier owner may be in use on the cold
+// target t. The next owner would not wait for them if the target was released.
+func (s *State) inTakeoverWait(t *target) bool {
+	own := s.owned[t.name]
+	return own != nil && t.cold && s.now.Before(own.usableFrom)
+}
+
 // anyColdInUse reports whether any owned target is cold and in use.
 func (s *State) anyColdInUse() bool {
 	for name := range s.owned {
