Leave the owner's record of an earlier process on release

A cold target could get more requests than its limit: the first guarantee.

Cause: a new process wants all targets of its data centre until it knows its peers. When it gave a target up, it deleted any record that named its host, also that of the process that crashed. The next owner found none and didn't wait 31 s for the permits of that process.

Change: a daemon deletes only records with its own token. The record of an earlier process or session stays, and the next owner takes the target over and waits. That a delayed deletion may remove an own record is kept in a field of its own instead of an empty token.

Before: TestRecordOfEarlierProcessIsNotDeleted: "the record of the earlier process is deleted". TestRecordOfEarlierProcessIsTakenOver: "the new owner doesn't wait". After: the tests of holder, with the exhaustive model and the random walks, and those of leaser pass.

--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -15,6 +15,9 @@
 	// version is the version of the owner's record, or 0 if there is none.
 	version uint64
 	owner   Owner
+	// mustRewrite is true when a delayed deletion may still remove the daemon's own
+	// record, which must then be written again with a new version before use.
+	mustRewrite bool
 	// fence is the fencing token, which is the version of the daemon's own record.
 	fence uint64
 	// reportedFence is the fencing token of the last Gained without a Lost.
@@ -70,9 +73,14 @@
 	}
 }
 
-// owns reports whether the owner's record names the current incarnation.
+// owns reports whether the owner's record names the current incarnation and can be used.
 func (s *State) owns(t *target) bool {
-	return t.recordKnown && t.version > 0 && t.owner.Host == s.cfg.Host && t.owner.Token == s.own.token
+	return t.recordKnown && s.wroteOwner(t) && !t.mustRewrite
+}
+
+// wroteOwner reports whether the owner's record names the current incarnation.
+func (s *State) wroteOwner(t *target) bool {
+	return t.version > 0 && t.owner.Host == s.cfg.Host && t.owner.Token == s.own.token
 }
 
 // reportOwnership emits Gained and Lost if the ownership at now differs from
@@ -112,14 +120,15 @@
 	}
 }
 
-// releaseTarget deletes the host's record of a target that is no longer wanted,
-// and then stops tracking the target.
+// releaseTarget deletes the daemon's own record of a target that is no longer wanted,
+// and then stops tracking the target. It leaves the record of an earlier incarnation,
+// which may have left the target in use, so that the next owner takes the target over.
 func (s *State) releaseTarget(name identifier.Target, t *target) {
 	switch {
 	case !t.recordKnown:
 		t.pending = true
 		s.emit(ReadOwner{Target: name})
-	case t.version > 0 && t.owner.Host == s.cfg.Host:
+	case s.wroteOwner(t):
 		s.deleteOwner(name, t)
 	default:
 		delete(s.targets, name)
@@ -189,11 +198,7 @@
 		t.owner = ev.Owner
 		t.fence = ev.Version
 		t.created = false
-		if ev.Version <= s.maxDeletedVersion && ev.Owner.Host == s.cfg.Host {
-			// A delayed deletion may still remove this record, so write it again
-			// with a new version.
-			t.owner.Token = ""
-		}
+		t.mustRewrite = ev.Version <= s.maxDeletedVersion && ev.Owner.Host == s.cfg.Host
 	case OutcomeMissing:
 		t.recordKnown = true
 		t.version = 0
@@ -228,5 +233,6 @@
 		t.version = ev.Version
 		t.fence = ev.Version
 		t.owner = t.pendingOwner
+		t.mustRewrite = false
 	}
 }
