Don't release a target as unused just after its takeover

Cause: a daemon may give a target up while it takes it over, or before the reducer has heard of the takeover, which is polled every 100 ms. The record was then deleted although permits of the earlier owner could be in use for 31 s, and the next owner didn't wait.

Change: a record that is released within 31 s of its takeover is marked as released instead of deleted. Any host takes it over at once and waits if the target is cold. Later releases delete the record as before. The 31 s come from the reducer through the leaser's new MaxUse, which must be set.

The exhaustive model has two new cases that start after a takeover; without the margin it finds an overlap, as it should. The random walks run with and without the mark.

--- a/internal/decision/holder/event.go
+++ b/internal/decision/holder/event.go
@@ -25,6 +25,9 @@
 	Token string          `json:"token"`
 }
 
+// releasedToken is the token of an owner that released a target which may still be in use.
+const releasedToken = "released"
+
 // Outcome is the result of a call to the platform.
 type Outcome string
 
--- a/internal/decision/holder/model_test.go
+++ b/internal/decision/holder/model_test.go
@@ -298,6 +298,8 @@
 	duration      time.Duration
 	// allowStop lets daemon a end its session.
 	allowStop bool
+	// takenOver makes daemon a start as the owner after a takeover.
+	takenOver bool
 }
 
 // transitions returns all steps that are possible within b.
@@ -376,6 +378,10 @@
 func TestAtMostOneOwner(t *testing.T) {
 	t.Parallel()
 	valid := Config{Term: modelTerm, Margin: tick, TakeoverDelay: modelTerm}
+	marking := valid
+	marking.MaxUse = 10 * tick
+	markingNoMargin := marking
+	markingNoMargin.Margin = 0
 	noDelay := valid
 	noDelay.TakeoverDelay = 0
 	noMargin := valid
@@ -390,6 +396,8 @@
 	}{
 		{"valid without faults", valid, searchBounds{depth: 11, duration: 7 * tick}, false},
 		{"valid with faults", valid, searchBounds{depth: 8, faults: 2, duration: 6 * tick}, false},
+		{"released soon after a takeover", marking, searchBounds{depth: 9, faults: 1, duration: 6 * tick, takenOver: true}, false},
+		{"released soon after a takeover, no margin", markingNoMargin, searchBounds{depth: 9, faults: 1, duration: 2 * tick, takenOver: true}, true},
 		{"no takeover delay", noDelay, searchBounds{depth: 14, duration: 4 * tick}, true},
 		{"owner stops late", lateStop, searchBounds{depth: 14, duration: 4 * tick}, true},
 		{"no margin", noMargin, searchBounds{depth: 14, duration: 4 * tick}, true},
@@ -397,7 +405,11 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			trace, states := search(newModel(test.cfg, "a", "b"), test.bounds)
+			m := newModel(test.cfg, "a", "b")
+			if test.bounds.takenOver {
+				m.daemons["a"].targets[modelTarget].inUseUntil = m.now.Add(test.cfg.MaxUse)
+			}
+			trace, states := search(m, test.bounds)
 			t.Logf("%d states, overlap after %q", states, trace)
 			assert.Equal(t, trace != nil, test.unsafe)
 		})
@@ -428,9 +440,13 @@
 	t.Parallel()
 	const walks, length = 3000, 150
 	valid := Config{Term: modelTerm, Margin: tick, TakeoverDelay: modelTerm}
+	marking := valid
+	marking.MaxUse = 5 * tick
 	for seed := range uint64(walks) {
-		trace := randomWalk(valid, seed, length)
-		assert.Assert(t, trace == nil, "seed %d: overlap after %q", seed, trace)
+		for _, cfg := range []Config{valid, marking} {
+			trace := randomWalk(cfg, seed, length)
+			assert.Assert(t, trace == nil, "seed %d, longest use %s: overlap after %q", seed, cfg.MaxUse, trace)
+		}
 	}
 	shortDelay := valid
 	shortDelay.TakeoverDelay = modelTerm / 3
--- a/internal/decision/holder/release_test.go
+++ b/internal/decision/holder/release_test.go
@@ -9,6 +9,9 @@
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 )
 
+// testMaxUse is the longest use of a target.
+const testMaxUse = 31 * time.Second
+
 // releaseTest drives the State of host a and answers its calls from given records.
 type releaseTest struct {
 	state *State
@@ -22,7 +25,7 @@
 
 func newReleaseTest(owner record) *releaseTest {
 	r := &releaseTest{now: epoch, session: 100, owner: owner}
-	r.state = New(Config{Host: "a", Nonce: "n", Term: 10 * time.Second, Margin: 2 * time.Second, TakeoverDelay: 10 * time.Second})
+	r.state = New(Config{Host: "a", Nonce: "n", Term: 10 * time.Second, Margin: 2 * time.Second, TakeoverDelay: 10 * time.Second, MaxUse: testMaxUse})
 	return r
 }
 
@@ -105,3 +108,29 @@
 	assert.Assert(t, held)
 	assert.Assert(t, !m.daemons["b"].targets[modelTarget].created, "the new owner doesn't wait")
 }
+
+// TestTakenOverTargetIsNotReleasedAsUnused guards against a cold target with more requests than
+// its limit. The record of a takeover that was given up before the daemon learned of it, or just
+// after, must not be deleted: permits of the earlier owner may be in use.
+func TestTakenOverTargetIsNotReleasedAsUnused(t *testing.T) {
+	for _, held := range []time.Duration{0, time.Second, testMaxUse} {
+		r := newReleaseTest(record{version: 7, owner: Owner{Host: "a", Token: "a/earlier/1"}})
+		r.reduce(Wanted{Targets: []identifier.Target{modelTarget}})
+		_, _, ok := r.state.Held(modelTarget, r.now)
+		assert.Assert(t, ok)
+		r.now = r.now.Add(held)
+		r.releaseTarget(t)
+		assert.Equal(t, r.deleted, held == testMaxUse, "released %s after the takeover", held)
+	}
+}
+
+// TestReleasedTargetIsTakenOverAtOnce checks that a target which another host released while it
+// might be in use has a new owner without a wait for the host's session, and that the new owner
+// waits for the earlier requests.
+func TestReleasedTargetIsTakenOverAtOnce(t *testing.T) {
+	r := newReleaseTest(record{version: 7, owner: Owner{Host: "b", Token: releasedToken}})
+	r.reduce(Wanted{Targets: []identifier.Target{modelTarget}})
+	_, _, held := r.state.Held(modelTarget, r.now)
+	assert.Assert(t, held)
+	assert.Assert(t, !r.state.targets[modelTarget].created)
+}
--- a/internal/decision/holder/state.go
+++ b/internal/decision/holder/state.go
@@ -33,6 +33,9 @@
 	// TakeoverDelay is how long a session's version must stay unchanged before
 	// another host revokes it. It must be at least Term.
 	TakeoverDelay time.Duration
+	// MaxUse is how long the requests that an owner admitted may run after another
+	// daemon has taken its target over.
+	MaxUse time.Duration
 	// Jitter is the share, from 0 to 1, by which delays are shortened at random.
 	Jitter float64
 	// Rand is the source of the jitter; it is not used when Jitter is 0.
@@ -52,7 +55,7 @@
 	targets  map[identifier.Target]*target
 	observed map[identifier.Host]*observedSession
 	// maxDeletedVersion is the highest version of an owner's record that the
-	// daemon has asked to delete.
+	// daemon has asked to delete or to mark as released.
 	maxDeletedVersion uint64
 	stopped           bool
 	effects           []Effect // of the current Reduce
--- a/internal/decision/holder/target.go
+++ b/internal/decision/holder/target.go
@@ -25,6 +25,9 @@
 	// created is true when the daemon's own record replaced no other one, so that
 	// no earlier owner can have left the target in use.
 	created bool
+	// inUseUntil is when no request that an earlier owner admitted can run any more;
+	// zero if there is no earlier owner.
+	inUseUntil time.Time
 	// pendingOwner is the record of the write in progress; empty for a deletion.
 	pendingOwner Owner
 	// pending is true while a call to the platform is in progress.
@@ -107,7 +110,7 @@
 	switch {
 	case t.pending || now.Before(t.nextCallAt):
 	case !t.wanted:
-		s.releaseTarget(name, t)
+		s.releaseTarget(name, t, now)
 	case !s.sessionValid(now):
 	case !t.recordKnown:
 		t.pending = true
@@ -121,13 +124,15 @@
 }
 
 // releaseTarget deletes the daemon's own record of a target that is no longer wanted,
-// and then stops tracking the target. It leaves the record of an earlier incarnation,
-// which may have left the target in use, so that the next owner takes the target over.
-func (s *State) releaseTarget(name identifier.Target, t *target) {
+// and then stops tracking the target. If an earlier owner or incarnation may have left
+// the target in use, a record stays, so that the next owner takes the target over.
+func (s *State) releaseTarget(name identifier.Target, t *target, now time.Time) {
 	switch {
 	case !t.recordKnown:
 		t.pending = true
 		s.emit(ReadOwner{Target: name})
+	case s.wroteOwner(t) && now.Before(t.inUseUntil):
+		s.markReleased(name, t)
 	case s.wroteOwner(t):
 		s.deleteOwner(name, t)
 	default:
@@ -138,11 +143,23 @@
 // deleteOwner deletes the host's record of a target. The deletion may take
 // effect at any later time, so the record must be read or written again before use.
 func (s *State) deleteOwner(name identifier.Target, t *target) {
+	s.startRelease(t, Owner{})
+	s.emit(DeleteOwner{Target: name, Expect: t.version})
+}
+
+// markReleased replaces the host's record of a target by one that any host may take over
+// at once. Like a deletion, the write may take effect at any later time.
+func (s *State) markReleased(name identifier.Target, t *target) {
+	s.startRelease(t, Owner{Host: s.cfg.Host, Token: releasedToken})
+	s.emit(WriteOwner{Target: name, Owner: t.pendingOwner, Expect: t.version})
+}
+
+// startRelease records that the target's record is about to be replaced by owner.
+func (s *State) startRelease(t *target, owner Owner) {
 	t.pending = true
 	t.recordKnown = false
-	t.pendingOwner = Owner{}
+	t.pendingOwner = owner
 	s.maxDeletedVersion = max(s.maxDeletedVersion, t.version)
-	s.emit(DeleteOwner{Target: name, Expect: t.version})
 }
 
 // writeOwner makes this incarnation the owner if the record is still the known one.
@@ -157,8 +174,9 @@
 // Otherwise it reads the session and checks the owner again later.
 func (s *State) takeOverIfExpired(name identifier.Target, t *target, now time.Time) {
 	host := t.owner.Host
-	if host == s.cfg.Host {
-		// The record names an earlier incarnation, which this session has replaced.
+	if host == s.cfg.Host || t.owner.Token == releasedToken {
+		// The record names an earlier incarnation, which this session has replaced, or
+		// an owner that has released the target.
 		s.writeOwner(name, t)
 		return
 	}
@@ -194,6 +212,9 @@
 	switch ev.Outcome {
 	case OutcomeOK:
 		t.recordKnown = true
+		if ev.Version != t.version {
+			t.inUseUntil = now.Add(s.cfg.MaxUse)
+		}
 		t.version = ev.Version
 		t.owner = ev.Owner
 		t.fence = ev.Version
@@ -234,5 +255,9 @@
 		t.fence = ev.Version
 		t.owner = t.pendingOwner
 		t.mustRewrite = false
+		t.inUseUntil = time.Time{}
+		if !t.created {
+			t.inUseUntil = now.Add(s.cfg.MaxUse)
+		}
 	}
 }
--- a/internal/decision/reducer/ownership.go
+++ b/internal/decision/reducer/ownership.go
@@ -176,7 +176,7 @@
 	if !ev.Held {
 		if own != nil && !own.heldUntil.IsZero() {
 			own.heldUntil = time.Time{}
-			own.admittedUntil = s.now.Add(maxColdUse + permitGrace)
+			own.admittedUntil = s.now.Add(TakeoverWait)
 		}
 		return
 	}
@@ -188,7 +188,7 @@
 		return
 	}
 	if own.fence != ev.Fence && ev.TakenOver {
-		own.usableFrom = s.now.Add(maxColdUse + permitGrace)
+		own.usableFrom = s.now.Add(TakeoverWait)
 	}
 	own.fence = ev.Fence
 	own.heldUntil = ev.Until
@@ -213,13 +213,15 @@
 }
 
 const (
-	// maxColdUse is the longest time that one request may use a cold target. After
-	// a takeover, the new owner waits this long before it uses the target.
+	// maxColdUse is the longest time that one request may use a cold target.
 	maxColdUse = 30 * time.Second
 	// permitRetryDelay is the delay before a refused peer requests a permit again.
 	permitRetryDelay = 100 * time.Millisecond
 	// permitGrace covers the network delay of a permit's answer and of the request.
 	permitGrace = time.Second
+	// TakeoverWait is the time after which nothing can run any more that an earlier
+	// owner admitted.
+	TakeoverWait = maxColdUse + permitGrace
 )
 
 // limitColdUse sets the latest time at which r may be sent to its reserved target,
--- a/internal/entry/daemon/platform.go
+++ b/internal/entry/daemon/platform.go
@@ -115,7 +115,7 @@
 	l, err := leaser.New(leaser.Config{
 		Store: store, Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre,
 		Clock: cfg.Clock, Term: cfg.Settings.Session.Term.Duration, Margin: cfg.Settings.Session.Margin.Duration,
-		Rand: newRand(cfg, randLeaser), Logger: cfg.Logger.Named("leaser"),
+		MaxUse: reducer.TakeoverWait, Rand: newRand(cfg, randLeaser), Logger: cfg.Logger.Named("leaser"),
 		Notify: notifier.notify,
 	})
 	effects.leaser, notifier.leaser = l, l
--- a/internal/platform/leaser/leaser.go
+++ b/internal/platform/leaser/leaser.go
@@ -78,6 +78,9 @@
 	// Margin is how long before the session's end the daemon stops using it. 0
 	// means DefaultMargin.
 	Margin time.Duration
+	// MaxUse is how long the requests that an owner admitted may run after another
+	// daemon has taken its target over.
+	MaxUse time.Duration
 	// Rand is the source of tokens and jitter. Its seed must differ between processes.
 	Rand   *rand.Rand
 	Logger hclog.Logger
@@ -116,7 +119,7 @@
 		queueReady: make(chan struct{}, 1),
 		state: holder.New(holder.Config{
 			Host: cfg.Host, DataCentre: cfg.DataCentre, Nonce: client.NewJitter(cfg.Rand).Token(),
-			Term: cfg.Term, Margin: cfg.Margin, TakeoverDelay: cfg.Term, Jitter: jitterShare, Rand: cfg.Rand,
+			Term: cfg.Term, Margin: cfg.Margin, TakeoverDelay: cfg.Term, MaxUse: cfg.MaxUse, Jitter: jitterShare, Rand: cfg.Rand,
 		}),
 	}, nil
 }
@@ -127,6 +130,8 @@
 		return errors.New("store, clock, rand or notify is not set")
 	case cfg.Host == "":
 		return errors.New("host is not set")
+	case cfg.MaxUse <= 0:
+		return errors.New("the longest use is not set")
 	case cfg.Margin >= cfg.Term/2:
 		return errors.Newf("margin %v must be less than half of the term %v", cfg.Margin, cfg.Term)
 	}
--- a/internal/platform/leaser/leaser_test.go
+++ b/internal/platform/leaser/leaser_test.go
@@ -67,7 +67,7 @@
 
 func (f *fixture) startLeaser(host identifier.Host, store client.ObjectStore, seed uint64) *leaser.Leaser {
 	l, err := leaser.New(leaser.Config{
-		Store: store, Host: host, DataCentre: "dc", Clock: f.clock, Term: term, Margin: time.Second,
+		Store: store, Host: host, DataCentre: "dc", Clock: f.clock, Term: term, Margin: time.Second, MaxUse: time.Minute,
 		Rand: rand.New(rand.NewPCG(seed, 1)),
 		Notify: func(ev leaser.Event) {
 			if g, ok := ev.(leaser.Gained); ok {
