--- a/internal/decision/reducer/ownership.go
+++ b/internal/decision/reducer/ownership.go
@@ -27,7 +27,7 @@
 	wantedTargets []identifier.Target
 	readTargets   []TargetAddress
 	// handoverPending is true while this daemon keeps a target that another daemon
-	// should own, because it is still in use.
+	// should own, because it may still be in use.
 	handoverPending bool
 }
 
@@ -112,7 +112,7 @@
 			continue
 		}
 		if s.expectedOwner(t) != s.cfg.Host {
-			if s.coldInUse(t) {
+			if s.coldInUse(t) || s.inTakeoverWait(t) {
 				s.handoverPending = true
 				wanted = append(wanted, t.name)
 			}
@@ -140,6 +140,13 @@
 	return own != nil && t.cold && t.inflight+len(own.permits) > 0
 }
 
+// inTakeoverWait reports whether permits of an earlier owner may be in use on the cold
+// target t. The next owner would not wait for them if the target was released.
+func (s *State) inTakeoverWait(t *target) bool {
+	own := s.owned[t.name]
+	return own != nil && t.cold && s.now.Before(own.usableFrom)
+}
+
 // anyColdInUse reports whether any owned target is cold and in use.
 func (s *State) anyColdInUse() bool {
 	for name := range s.owned {
@@ -169,7 +176,7 @@
 	if !ev.Held {
 		if own != nil && !own.heldUntil.IsZero() {
 			own.heldUntil = time.Time{}
-			own.admittedUntil = s.now.Add(maxColdUse + permitGrace)
+			own.admittedUntil = s.now.Add(TakeoverWait)
 		}
 		return
 	}
@@ -181,7 +188,7 @@
 		return
 	}
 	if own.fence != ev.Fence && ev.TakenOver {
-		own.usableFrom = s.now.Add(maxColdUse + permitGrace)
+		own.usableFrom = s.now.Add(TakeoverWait)
 	}
 	own.fence = ev.Fence
 	own.heldUntil = ev.Until
@@ -206,13 +213,15 @@
 }
 
 const (
-	// maxColdUse is the longest time that one request may use a cold target. After
-	// a takeover, the new owner waits this long before it uses the target.
+	// maxColdUse is the longest time that one request may use a cold target.
 	maxColdUse = 30 * time.Second
 	// permitRetryDelay is the delay before a refused peer requests a permit again.
 	permitRetryDelay = 100 * time.Millisecond
 	// permitGrace covers the network delay of a permit's answer and of the request.
 	permitGrace = time.Second
+	// TakeoverWait is the time after which nothing can run any more that an earlier
+	// owner admitted.
+	TakeoverWait = maxColdUse + permitGrace
 )
 
 // limitColdUse sets the latest time at which r may be sent to its reserved target,
