--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -17,27 +17,17 @@
 	"gotest.tools/v3/assert"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
-	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/internal/testing/shifter"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
-// shiftedClock is a boot clock that can be put forward, as it appears after a suspension.
-type shiftedClock struct {
-	timer.BootClock
-	offset atomic.Int64
-}
-
-func (c *shiftedClock) Now() time.Time {
-	return c.BootClock.Now().Add(time.Duration(c.offset.Load()))
-}
-
 // TestQueuedUpdateDoesNotHideSuspension guards against an update that waited in the receive buffer
 // during a suspension and then in the queue of a watch until ages are relied on again. New
 // weights may have been named at any time since the suspension began.
 func TestQueuedUpdateDoesNotHideSuspension(t *testing.T) {
 	const suspension = 4 * time.Second
-	clock := &shiftedClock{}
+	clock := &shifter.Clock{}
 	state := decider.New(decider.Config{Host: "a", WeightsWithin: 8 * time.Second})
 	var mu sync.Mutex
 	reduce := func(ev decider.Event) []decider.Effect {
@@ -75,7 +65,7 @@
 		}
 	}
 	tick(100 * time.Millisecond)
-	clock.offset.Add(int64(suspension))
+	clock.Shift(suspension)
 	reduce(decider.Tick{})
 	f.Receive([]WatchUpdate{{Kind: caller.KindTargets, After: 2, UpTo: 2, Age: 10 * time.Millisecond}})
 	tick(1200 * time.Millisecond)
--- a/internal/relay/runner/weights_test.go
+++ b/internal/relay/runner/weights_test.go
@@ -8,30 +8,17 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
-	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/internal/testing/shifter"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
-// shiftedClock is a boot clock that can be put forward, as it appears after a suspension.
-type shiftedClock struct {
-	timer.BootClock
-	offset atomic.Int64
-}
-
-func (c *shiftedClock) Now() time.Time {
-	return c.BootClock.Now().Add(time.Duration(c.offset.Load()))
-}
-
-func (c *shiftedClock) shift(d time.Duration) { c.offset.Add(int64(d)) }
-
 // runLog records the runs at targets.
 type runLog struct {
 	mu   sync.Mutex
@@ -102,7 +89,7 @@
 // TestRequestsOnOldWeightsAfterSuspension guards against requests that begin on replaced weights
 // after the deadline because their host was suspended when the new weights were named.
 func TestRequestsOnOldWeightsAfterSuspension(t *testing.T) {
-	store, runs, clock := imitator.NewStore(), &runLog{}, &shiftedClock{}
+	store, runs, clock := imitator.NewStore(), &runLog{}, &shifter.Clock{}
 	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, map[string]string{"key": "team"}, nil, 0))
 	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(1))
 	addWorker(t, store, "engine", imitator.ServiceLLM, runs)
@@ -114,7 +101,7 @@
 	r.waitFor("a prompt is answered", func() bool { return r.sendPrompt("before") == http.StatusOK })
 
 	renewLease()
-	clock.shift(weightsWithin - 500*time.Millisecond)
+	clock.Shift(weightsWithin - 500*time.Millisecond)
 	store.Put(caller.KindWeights, imitator.Model, imitator.WeightsSpec(2))
 	r.waitFor("the configuration is confirmed again", func() bool {
 		renewLease()
