Pause the hosts that give orders, in turn, in the soak

Change: after the phase with faults come series of pauses without other faults. The lease holder is paused as new weights are named, its successors after their first orders, for 3 to 6 s each; in half of the series the weights are replaced meanwhile.

--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -388,12 +388,7 @@
 func (c *checker) awaitWeightVersion(engines []*target, version int) {
 	deadline := time.Now().Add(maxWeightsTime)
 	for {
-		var missing []string
-		for _, e := range engines {
-			if got := e.worker.Weights(); got != version {
-				missing = append(missing, fmt.Sprintf("%s has %d", e.name, got))
-			}
-		}
+		missing := enginesWithout(engines, version)
 		if len(missing) == 0 {
 			return
 		}
@@ -405,6 +400,27 @@
 	}
 }
 
+// enginesWithout lists the engines without a weight version, and what they have.
+func enginesWithout(engines []*target, version int) []string {
+	var missing []string
+	for _, e := range engines {
+		if got := e.worker.Weights(); got != version {
+			missing = append(missing, fmt.Sprintf("%s has %d", e.name, got))
+		}
+	}
+	return missing
+}
+
+// lastOrder returns the last order, or the zero Order.
+func (c *checker) lastOrder() imitator.Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.orders) == 0 {
+		return imitator.Order{}
+	}
+	return c.orders[len(c.orders)-1]
+}
+
 // markFault records in one of the maps of faults that a fault begins, or that it ends or was
 // momentary.
 func (c *checker) markFault(faults map[string]faultState, name string, lasts bool) {
--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -27,7 +27,7 @@
 	streamEvents     = 20
 	streamPause      = 15 * time.Millisecond
 	plainServiceTime = 10 * time.Millisecond
-	weightLoadTime   = 200 * time.Millisecond
+	weightLoadTime   = 800 * time.Millisecond
 	// coldRequestRate is the number of requests a second that a cold target can handle.
 	// Targets are cold for coldDuration after a restart.
 	coldRequestRate = 10
--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -229,6 +229,12 @@
 	}
 }
 
+func (h *host) isPaused() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.paused
+}
+
 func (h *host) inRotation() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -103,7 +103,7 @@
 	return &Soaker{cfg: cfg, checker: newChecker(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), faults: map[string]int{}}, nil
 }
 
-// Run injects faults, clears them, and then checks planned maintenance. Violations are in the
+// Run injects faults, clears them, pauses lease holders, and then checks planned maintenance. Violations are in the
 // Result; an error means that the soak itself could not be run, or was interrupted.
 func (s *Soaker) Run(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -127,6 +127,7 @@
 	s.injectFaults(ctx)
 	cl.clearFaults()
 	sleep(ctx, recoveryTime)
+	s.pauseSeries(ctx)
 	s.checkMaintenance(ctx)
 	stopCallers()
 	if err := g.Wait(); err != nil {
