End silent watches once one of them or a peer shows that they may be

Cause: the store's history was compacted and all watches of all hosts were cut off without a reset, just after a key was revoked. A host whose call had failed then relied on the heartbeats of hosts whose watches were silent too, for another 2 s.

Change: a host whose peer has a newer configuration asks for it. A watch that fails or has lost changes ends the waiting calls of the host's other watches, unless they end by themselves within 300 ms. A host relies on updates of other hosts only after a second failed call.

Evidence: TestSilentWatchEndsOtherWatches, TestRefreshEndsSilentWatch and TestHeartbeatsHideSilentWatches failed before (no event within 8 s; called again 3.0 s after a failed call) and pass now, as TestPeerWithNewerConfigEndsWait does. TestAbortedWatchIsRenewedAtOnce demanded that a host relies on updates after its first failure; it now demands a call first, and the same after the second.

--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -90,6 +90,9 @@
 	IdleFor time.Duration
 }
 
+// RefreshConfig reads the configuration again, as a peer has a newer one.
+type RefreshConfig struct{}
+
 // ReadLease reads the current lease.
 type ReadLease struct{}
 
@@ -138,6 +141,7 @@
 func (SendMessage) isEffect()          {}
 func (RenewLease) isEffect()           {}
 func (ReadLease) isEffect()            {}
+func (RefreshConfig) isEffect()        {}
 func (ReadReport) isEffect()           {}
 func (GiveOrder) isEffect()            {}
 func (Probe) isEffect()                {}
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -56,6 +56,8 @@
 	configConfirmedAt time.Time
 	// configAnsweredAt is the same by the platform's answers to this host only.
 	configAnsweredAt time.Time
+	// configRefreshAt is when this host last asked for a newer configuration that a peer has.
+	configRefreshAt time.Time
 	// listedConfigVersion is the version that the platform's store listed last. It is older than
 	// the one in force if the store went back to a copy and lost that one.
 	listedConfigVersion int64
--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -213,3 +213,21 @@
 	}
 	assert.Assert(t, a.holdsLease() || b.holdsLease(), "no host holds the lease 30 s after the store was restored")
 }
+
+// TestPeerWithNewerConfigEndsWait guards against a host that serves an old configuration for as
+// long as its own watch is silent, although its peers have a newer one.
+func TestPeerWithNewerConfigEndsWait(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	refreshes := func(number uint64, version int64) int {
+		m := Message{Host: "b", Boot: 1, Number: number, Config: version, ConfigAge: 10 * time.Millisecond}
+		return len(effectsOf[RefreshConfig](h.handle(MessageReceived{Message: m})))
+	}
+	assert.Equal(t, refreshes(1, 1), 0)
+	assert.Equal(t, refreshes(2, 3), 1)
+	assert.Equal(t, refreshes(3, 3), 0, "each message causes a call")
+	h.advanceTicking(configRefreshInterval)
+	assert.Equal(t, refreshes(4, 3), 1)
+	h.handle(ConfigListed{Config: testConfig(3)})
+	h.advanceTicking(configRefreshInterval)
+	assert.Equal(t, refreshes(5, 3), 0)
+}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -38,6 +38,9 @@
 	// recentAnswerAge is how long a target's answer to this host outweighs a peer's report that
 	// it is down.
 	recentAnswerAge = 300 * time.Millisecond
+	// configRefreshInterval is the shortest interval between calls for a configuration that a
+	// peer has.
+	configRefreshInterval = 500 * time.Millisecond
 	// maxMessageDelay is added to the ages in messages to cover their transit.
 	maxMessageDelay = 200 * time.Millisecond
 	// suspensionThreshold is the time between two events that indicates that the host was
@@ -318,6 +321,11 @@
 	if s.config != nil && m.Config == s.config.Version && s.messageAgesReliable(s.now) {
 		s.confirmConfig(s.now.Add(-m.ConfigAge - maxMessageDelay))
 	}
+	if s.config != nil && m.Config > s.config.Version && s.now.Sub(s.configRefreshAt) >= configRefreshInterval {
+		s.configRefreshAt = s.now
+		s.log("peer has a newer configuration", "", "peer", m.Host, "version", m.Config, "in-force", s.config.Version)
+		s.emit(RefreshConfig{})
+	}
 	s.applyAnnouncedVersions(m.Named, m.Host)
 	s.applyLeavingTargets(m.Leaving, m.Host)
 	for id, weights := range m.Weights {
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -90,7 +90,7 @@
 func New(cfg Config) *Follower {
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
-		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize)})
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1)})
 	}
 	return f
 }
@@ -128,14 +128,18 @@
 	kind    string
 	objects map[string]caller.Object
 	updates chan receivedUpdate
+	// suspected has a value if the current call may be silent.
+	suspected chan struct{}
 	// changed is true if the last answer had changes.
 	changed bool
 	// lastUpdate is when the last update of another host was received.
 	lastUpdate time.Time
 	// behind is true if an update showed that this host lacks changes.
 	behind bool
-	// lastFailure is when a call last failed, recoveredAt when the last outage ended.
+	// lastFailure is when a call last failed, recoveredAt when the last outage ended. failures
+	// counts the calls that have failed since the last successful one.
 	lastFailure, recoveredAt time.Time
+	failures                 int
 
 	// mu guards the fields below, which heartbeats read. Only the watch writes them.
 	mu sync.Mutex
@@ -181,6 +185,7 @@
 		}
 		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
 			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
+			w.suspectOthers()
 			w.setPosition(w.era, 0)
 			continue
 		}
@@ -223,13 +228,43 @@
 
 func (w *watch) recordFailure(ctx context.Context, err error) {
 	w.lastFailure = w.cfg.Clock.Now()
+	w.failures++
 	if !w.failing && ctx.Err() == nil {
+		w.suspectOthers()
 		w.setFailing(true)
 		w.cfg.Logger.Warn("platform lost", "kind", w.kind, "error", err.Error())
 	}
 }
 
+// suspectOthers ends the calls of the other watches, which may wait for changes on connections
+// that the platform has forgotten.
+func (w *watch) suspectOthers() {
+	for _, other := range w.watches {
+		if other != w {
+			other.suspect()
+		}
+	}
+}
+
+// suspect ends the current call, unless it ends soon by itself.
+func (w *watch) suspect() {
+	select {
+	case w.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// Refresh asks the platform soon for the changes of a kind that this host may lack.
+func (f *Follower) Refresh(kind string) {
+	for _, w := range f.watches {
+		if w.kind == kind {
+			w.suspect()
+		}
+	}
+}
+
 func (w *watch) recordSuccess() {
+	w.failures = 0
 	w.setOverdue(false)
 	if w.failing {
 		w.setFailing(false)
@@ -317,7 +352,7 @@
 	answer := w.awaitAnswer(watchCtx, after, wait)
 	changes := answer.changes
 	if answer.overdue {
-		w.cfg.Logger.Info("watch given up, other hosts are ahead", "kind", w.kind, "after", after)
+		w.cfg.Logger.Info("watch given up, it may be silent", "kind", w.kind, "after", after)
 		w.setOverdue(true)
 		return nil
 	}
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -293,7 +293,7 @@
 
 // TestAbortedWatchIsRenewedAtOnce guards against watching hosts waiting for each other
 // after the watches of all of them were aborted at the same moment. A host calls the
-// platform again at once, and relies on updates only if they arrive after its failure.
+// platform again at once, and relies on updates only if they arrive after a second failure.
 func TestAbortedWatchIsRenewedAtOnce(t *testing.T) {
 	clock := &fakeClock{time.Unix(1000, 0)}
 	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: always, SendUpdates: func([]WatchUpdate) {}, Post: func(decider.Event) {}})
@@ -309,6 +309,10 @@
 	assert.Assert(t, !w.updatedByPeers(), "a host waits for hosts whose watches were aborted too")
 	advance(100 * time.Millisecond)
 	receiveHeartbeat()
+	assert.Assert(t, !w.updatedByPeers(), "a host relies on heartbeats of watches that may be silent too")
+	w.recordFailure(t.Context(), errors.New("watch aborted"))
+	advance(100 * time.Millisecond)
+	receiveHeartbeat()
 	assert.Assert(t, w.updatedByPeers(), "a host that can't reach the platform ignores updates of hosts that can")
 	advance(platformRetryInterval)
 	receiveHeartbeat()
--- a/internal/relay/follower/late_news_test.go
+++ b/internal/relay/follower/late_news_test.go
@@ -242,3 +242,105 @@
 	waitForEvent(t, events, func(ev decider.ConfigListed) bool { return ev.Config.Version == 2 })
 	waitForEvent(t, received, func(ev decider.ConfigListed) bool { return ev.Config.Version == 2 })
 }
+
+// silentHandler serves a store. Once silenced, the calls that wait at that moment get no answer.
+type silentHandler struct {
+	store http.Handler
+	mu    sync.Mutex
+	// silenced is closed to silence the calls that wait; later calls use a new one.
+	silenced chan struct{}
+}
+
+func newSilentHandler(store http.Handler) *silentHandler {
+	return &silentHandler{store: store, silenced: make(chan struct{})}
+}
+
+func (h *silentHandler) silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.silenced)
+	h.silenced = make(chan struct{})
+}
+
+func (h *silentHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	silenced := h.silenced
+	h.mu.Unlock()
+	answer, done := httptest.NewRecorder(), make(chan struct{})
+	go func() {
+		defer close(done)
+		h.store.ServeHTTP(answer, r)
+	}()
+	select {
+	case <-silenced:
+		<-r.Context().Done()
+		<-done
+	case <-done:
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // Fails for calls that were given up.
+	}
+}
+
+// TestSilentWatchEndsOtherWatches guards against watches that wait for 25 s on connections which
+// the platform has forgotten, although the watch of the configuration has found that out.
+func TestSilentWatchEndsOtherWatches(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, nil, nil, 0))
+	handler := newSilentHandler(store)
+	_, events := newTestStoreBehind(t, store, handler).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.ConfigConfirmed) bool { return true })
+	time.Sleep(2 * batchPause) // All watches wait.
+	handler.silence()
+	store.Put(caller.KindEvacuations, "b", "{}")
+	waitForEvent(t, events, func(ev decider.EvacuationsListed) bool { return len(ev.DataCentres) == 1 })
+}
+
+// TestHeartbeatsHideSilentWatches guards against hosts that keep each other from calling the
+// platform: each one's watch is silent, and its heartbeats tell the others that nothing changes.
+func TestHeartbeatsHideSilentWatches(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, nil, nil, 0))
+	handler := newSilentHandler(store)
+	receiver, events := newTestStoreBehind(t, store, handler).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.ConfigConfirmed) bool { return true })
+	time.Sleep(2 * batchPause) // All watches wait.
+	handler.silence()
+	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(2, nil, nil, 0))
+	config := receiver.watches[0]
+	assert.Equal(t, config.kind, caller.KindConfig)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		for ctx.Err() == nil {
+			receiver.Receive([]WatchUpdate{{Kind: caller.KindConfig, After: 2, UpTo: 2, Heartbeat: true}})
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	for range 500 {
+		config.mu.Lock()
+		failing := config.failing
+		config.mu.Unlock()
+		if failing {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	failedAt := time.Now()
+	waitForEvent(t, events, func(ev decider.ConfigListed) bool { return ev.Config.Version == 2 })
+	assert.Assert(t, time.Since(failedAt) < platformRetryInterval/2, "the platform was called again %v after a failed call", time.Since(failedAt))
+}
+
+// TestRefreshEndsSilentWatch guards against a configuration that a host learns late although its
+// peers have it.
+func TestRefreshEndsSilentWatch(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	handler := newSilentHandler(store)
+	f, events := newTestStoreBehind(t, store, handler).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	time.Sleep(2 * batchPause) // All watches wait.
+	handler.silence()
+	store.Remove(caller.KindTargets, "a")
+	f.Refresh(caller.KindTargets)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return len(ev.Removed) == 1 })
+}
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -21,8 +21,8 @@
 	// maxUpdateDelay is the assumed upper bound of the network delay of an update.
 	maxUpdateDelay = 200 * time.Millisecond
 	// overduePause is how long a call may go on without an answer once an update of another host
-	// has shown changes that the answer should have. Healthy calls of several hosts end within
-	// some milliseconds of each other.
+	// has shown changes that the answer should have, or it may be silent. Healthy calls of several
+	// hosts end within some milliseconds of each other.
 	overduePause = 300 * time.Millisecond
 	// updateQueueSize bounds the updates that are queued during a list or a pause.
 	updateQueueSize = 16
@@ -110,8 +110,8 @@
 }
 
 // awaitAnswer makes a watch call and applies updates of other hosts while it waits, so that a
-// call without an answer doesn't hold them up. It gives up a call that is overdue, unless the call
-// ends soon by itself. The call has ended when awaitAnswer returns.
+// call without an answer doesn't hold them up. It gives up a call that is overdue or suspected to
+// be silent, unless the call ends soon by itself. The call has ended when awaitAnswer returns.
 func (w *watch) awaitAnswer(ctx context.Context, after int64, wait time.Duration) watchAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -140,6 +140,10 @@
 			case due == nil && wait > confirmWait:
 				due = time.After(overduePause)
 			}
+		case <-w.suspected:
+			if due == nil && wait > confirmWait {
+				overtaken, due = true, time.After(overduePause)
+			}
 		case <-due:
 			cancel()
 			answer := <-answers
@@ -199,7 +203,8 @@
 // includes a watching host that can't reach the platform while other hosts can.
 func (w *watch) updatedByPeers() bool {
 	now := w.cfg.Clock.Now()
-	usesPeers := !w.cfg.WatchesPlatform() || w.failing && w.lastUpdate.After(w.lastFailure) && now.Sub(w.lastFailure) < platformRetryInterval
+	// After one failed call, the other hosts' calls may be silent too.
+	usesPeers := !w.cfg.WatchesPlatform() || w.failures > 1 && w.lastUpdate.After(w.lastFailure) && now.Sub(w.lastFailure) < platformRetryInterval
 	return usesPeers && w.revision != 0 && !w.behind && now.Sub(w.lastUpdate) < updateTimeout
 }
 
@@ -210,6 +215,8 @@
 	select {
 	case u := <-w.updates:
 		w.applyUpdate(u)
+	case <-w.suspected:
+		w.behind = true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -39,6 +39,9 @@
 	case decider.RelayParts:
 		r.gossiper.RelayParts(e.To, e.Parts)
 		return
+	case decider.RefreshConfig:
+		r.follower.Refresh(caller.KindConfig)
+		return
 	}
 	go func() {
 		select {
