--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -53,11 +53,19 @@
 	misses int
 }
 
+// usedPorts holds the ports that this process has given out. A host doesn't hold its ports until it
+// has started, and another soak of this process may ask for some in between.
+var usedPorts sync.Map
+
 // freePort returns a loopback address with a free TCP port. The port lies below the
 // ephemeral range, so that no connection takes it while the host is down.
 func freePort() (netip.AddrPort, error) {
 	for range maxPortAttempts {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 		if l, err := net.Listen("tcp4", addr.String()); err == nil {
 			return addr, l.Close()
 		}
--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -44,8 +44,13 @@
 	build.Dir = filepath.Join("..", "..", "..")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, "%s", out)
+	const parallelRuns = 2
+	slots := make(chan struct{}, parallelRuns)
 	for _, seed := range readSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			s, err := New(Config{
 				Seed: seed, FaultDuration: faultDuration, Hosts: 4, Engines: 4, PlainTargets: 3, Callers: 8,
 				Binary: binary, Dir: t.TempDir(), Logger: hclog.NewNullLogger(),
