--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -30,10 +30,33 @@
 	Weights int
 }
 
+// Framing is how a response shows where its body ends.
+type Framing string
+
+// The framings of a response.
+const (
+	// FramingLength announces the number of bytes.
+	FramingLength Framing = "length"
+	// FramingChunks ends the body with an empty chunk.
+	FramingChunks Framing = "chunks"
+	// FramingConnection ends the body with the connection.
+	FramingConnection Framing = "connection"
+)
+
+// ReceivedBody describes what a host read of a response's body.
+type ReceivedBody struct {
+	// Framing is empty if no response header was read.
+	Framing Framing
+	Bytes   int64
+	// InsideEvent is true for a stream whose last event is incomplete.
+	InsideEvent bool
+}
+
 // AttemptDone reports a complete response.
 type AttemptDone struct {
 	Number int64
 	Status int
+	Body   ReceivedBody
 }
 
 // FailureReason classifies failed attempts.
@@ -69,6 +92,7 @@
 	ResponseStarted bool
 	// Weights is the version reported by the target, or 0.
 	Weights int
+	Body    ReceivedBody
 }
 
 // CallerDisconnected reports that the caller closed the connection.
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// logFields returns the fields that describe b in the log, or none if there was no response.
+func (b ReceivedBody) logFields() []any {
+	if b.Framing == "" {
+		return nil
+	}
+	return []any{"framing", string(b.Framing), "bytes", b.Bytes, "inside-event", b.InsideEvent}
+}
+
 func (s *State) recordSuccess(t *target) {
 	t.failureRate *= 1 - failureRateWeight
 	t.downCount, t.lastAnsweredAt = 0, s.now
@@ -131,7 +139,7 @@
 			s.meanServiceTime[t.Service] = serviceTime
 		}
 	}
-	s.log("done", r.id, "status", ev.Status, "after", s.now.Sub(r.arrivedAt), "offers", r.sends)
+	s.log("done", r.id, append([]any{"status", ev.Status, "after", s.now.Sub(r.arrivedAt), "offers", r.sends}, ev.Body.logFields()...)...)
 	s.release(r)
 	delete(s.byNumber, r.number)
 }
@@ -156,7 +164,8 @@
 			r.tried = map[string]bool{}
 		}
 		r.tried[t.ID] = true
-		s.log("attempt failed", r.id, "target", t.ID, "reason", string(ev.Reason), "detail", ev.Detail, "not-run", ev.NotRun, "begun", ev.ResponseStarted, "after", s.now.Sub(r.sentAt))
+		fields := []any{"target", t.ID, "reason", string(ev.Reason), "detail", ev.Detail, "not-run", ev.NotRun, "begun", ev.ResponseStarted, "after", s.now.Sub(r.sentAt)}
+		s.log("attempt failed", r.id, append(fields, ev.Body.logFields()...)...)
 	}
 	if kind := s.retryRefusal(r, ev); kind != "" {
 		s.refuse(r, kind, s.retryAfter(r))
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -77,6 +77,7 @@
 type Response struct {
 	translator.Response
 	Body       io.ReadCloser
+	Framing    decider.Framing
 	conn       *conn
 	forwarder  *Forwarder
 	addr       netip.AddrPort
@@ -169,7 +170,7 @@
 			}
 			continue
 		}
-		r.Response, r.Body = head, resp.Body
+		r.Response, r.Body, r.Framing = head, resp.Body, framingOf(resp)
 		if failure := r.rejection(); failure != nil {
 			r.discard()
 			return nil, failure
@@ -193,6 +194,16 @@
 	}
 }
 
+func framingOf(resp *http.Response) decider.Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return decider.FramingLength
+	case len(resp.TransferEncoding) > 0:
+		return decider.FramingChunks
+	}
+	return decider.FramingConnection
+}
+
 // rejection returns why the response must not reach the caller, or nil if it may.
 func (r *Response) rejection() *Failure {
 	failure := &Failure{Weights: r.Weights, NotRun: r.NotRun, Detail: fmt.Sprintf("status %d", r.Status)}
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -23,6 +23,7 @@
 	answers   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	failures  *prometheus.CounterVec
+	bodies    *prometheus.CounterVec
 	calls     *prometheus.CounterVec
 	firstPart prometheus.Histogram
 }
@@ -38,12 +39,13 @@
 		answers:  newCounterVec("cardamom_answers_total", "Whole answers of targets, by status.", "status"),
 		refusals: newCounterVec("cardamom_refusals_total", "Requests ended by the relay, by kind.", "kind"),
 		failures: newCounterVec("cardamom_attempt_failures_total", "Attempts without a whole answer, by reason.", "reason"),
+		bodies:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cardamom_answer_bodies_total", Help: "Ends of answers' bodies, by framing and by where the end was."}, []string{"framing", "end"}),
 		calls:    newCounterVec("cardamom_calls_total", "Calls to surroundings, by kind.", "kind"),
 		firstPart: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cardamom_first_part_seconds", Help: "Time from the request to the first part of its answer.", Buckets: firstPartBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.answers, m.refusals, m.failures, m.calls, m.firstPart)
+	m.registry.MustRegister(m.requests, m.answers, m.refusals, m.failures, m.bodies, m.calls, m.firstPart)
 	if cfg.DroppedLines != nil {
 		m.registry.MustRegister(prometheus.NewCounterFunc(
 			prometheus.CounterOpts{Name: "cardamom_log_lines_dropped_total", Help: "Lines of the log that were dropped."},
@@ -73,11 +75,24 @@
 		m.requests.Inc()
 	case decider.AttemptDone:
 		m.answers.WithLabelValues(statusClass(ev.Status)).Inc()
+		m.countBody(ev.Body, "complete")
 	case decider.AttemptFailed:
 		m.failures.WithLabelValues(string(ev.Reason)).Inc()
+		m.countBody(ev.Body, "broken")
 	}
 }
 
+// countBody counts a body whose end is the given one unless it is inside an event.
+func (m *Meter) countBody(body decider.ReceivedBody, end string) {
+	if body.Framing == "" {
+		return
+	}
+	if body.InsideEvent {
+		end = "inside-event"
+	}
+	m.bodies.WithLabelValues(string(body.Framing), end).Inc()
+}
+
 // CountEffect counts refusals and calls to other processes. It ignores all other effects.
 func (m *Meter) CountEffect(effect decider.Effect) {
 	switch effect := effect.(type) {
--- /dev/null
+++ b/internal/relay/scanner/scanner.go
@@ -0,0 +1,62 @@
+// Package scanner finds where the events of a stream (text/event-stream) end.
+package scanner
+
+// Scanner follows a stream across reads. Lines end with LF, CR or both, and an event ends with
+// an empty line. Comment lines belong to no event. The zero value is at the start of a stream.
+type Scanner struct {
+	line line
+	// open is true within an event, after its first line.
+	open bool
+	// afterCR is true when an LF belongs to the line end before it.
+	afterCR bool
+	// sinceEvent is the number of bytes since the last end of an event.
+	sinceEvent int64
+}
+
+// line is the kind of the current line, as far as it has been read.
+type line int
+
+const (
+	lineEmpty line = iota
+	lineComment
+	lineField
+)
+
+// Scan reads the next bytes of the stream. It returns the length of the part of p after which the
+// stream is between events for the last time, or 0.
+func (s *Scanner) Scan(p []byte) int {
+	complete := 0
+	for i, b := range p {
+		s.scanByte(b)
+		if !s.InsideEvent() {
+			complete = i + 1
+		}
+	}
+	if complete > 0 {
+		s.sinceEvent = 0
+	}
+	s.sinceEvent += int64(len(p) - complete)
+	return complete
+}
+
+func (s *Scanner) scanByte(b byte) {
+	continued := s.afterCR && b == '\n'
+	s.afterCR = b == '\r'
+	switch {
+	case continued:
+	case b == '\n' || b == '\r':
+		s.open = s.line == lineField || s.open && s.line == lineComment
+		s.line = lineEmpty
+	case s.line != lineEmpty:
+	case b == ':':
+		s.line = lineComment
+	default:
+		s.line = lineField
+	}
+}
+
+// InsideEvent reports whether the stream would be truncated if it ended here.
+func (s *Scanner) InsideEvent() bool { return s.open || s.line != lineEmpty }
+
+// SinceEvent returns the number of bytes read since the stream was last between events.
+func (s *Scanner) SinceEvent() int64 { return s.sinceEvent }
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -112,6 +112,8 @@
 	fallback *bufferedResponse
 	// lastEvent is the ID of the last stream event that was sent to the caller.
 	lastEvent string
+	// received describes the body of the current attempt's response.
+	received decider.ReceivedBody
 }
 
 func (x *exchange) post(ev decider.Event) decider.Effect { return x.server.cfg.Decider.Post(ev) }
@@ -152,10 +154,12 @@
 func (x *exchange) attempt(callerCtx context.Context, send decider.Send) *decider.AttemptFailed {
 	ctx, cancel := context.WithTimeout(callerCtx, send.Deadline.Sub(x.server.cfg.Clock.Now()))
 	defer cancel()
+	x.received = decider.ReceivedBody{}
 	resp, failure := x.server.cfg.Forwarder.RoundTrip(ctx, send, x.req, x.body, x.lastEvent)
 	if failure != nil {
 		return x.attemptFailed(failure)
 	}
+	x.received.Framing = resp.Framing
 	if send.Stream && resp.Success() {
 		return x.forwardStream(ctx, resp, send)
 	}
@@ -165,6 +169,7 @@
 func (x *exchange) attemptFailed(f *forwarder.Failure) *decider.AttemptFailed {
 	return &decider.AttemptFailed{
 		Number: x.number, Reason: f.Reason, Detail: f.Detail, NotRun: f.NotRun, ResponseStarted: x.headerSent, Weights: f.Weights,
+		Body: x.received,
 	}
 }
 
@@ -188,6 +193,7 @@
 // response to a repeatable request as the fallback, as another target may succeed.
 func (x *exchange) forwardWhole(ctx context.Context, resp *forwarder.Response, repeatable bool) *decider.AttemptFailed {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
+	x.received.Bytes = int64(len(body))
 	if err == nil && len(body) > maxBufferedBody {
 		err = errTooLong
 	}
@@ -205,7 +211,7 @@
 		return x.attemptFailed(&forwarder.Failure{Reason: decider.FailureErrorResponse, Detail: http.StatusText(resp.Status), Weights: resp.Weights})
 	}
 	x.reportFirstPart(resp)
-	x.post(decider.AttemptDone{Number: x.number, Status: resp.Status})
+	x.post(decider.AttemptDone{Number: x.number, Status: resp.Status, Body: x.received})
 	x.writeResponse(resp, body)
 	return nil
 }
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -9,6 +9,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/forwarder"
+	"cardamomscale.example/cardamomscale/internal/relay/scanner"
 )
 
 // streamBufferSize is the initial size of the read buffer. It holds many events.
@@ -23,6 +24,7 @@
 	flush := http.NewResponseController(x.w)
 	buf := make([]byte, 0, streamBufferSize)
 	reported := false
+	var events scanner.Scanner
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEventSize {
@@ -32,7 +34,10 @@
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		events.Scan(buf[len(buf) : len(buf)+n])
 		buf = buf[:len(buf)+n]
+		x.received.Bytes += int64(n)
+		x.received.InsideEvent = events.InsideEvent()
 		ready := len(buf)
 		if send.Repeatable && !errors.Is(err, io.EOF) {
 			ready = completeEvents(buf)
@@ -68,7 +73,7 @@
 	if !x.headerSent {
 		x.writeHeader(resp)
 	}
-	x.post(decider.AttemptDone{Number: x.number, Status: resp.Status})
+	x.post(decider.AttemptDone{Number: x.number, Status: resp.Status, Body: x.received})
 	return nil
 }
 
