--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -34,14 +34,13 @@
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		events.Scan(buf[len(buf) : len(buf)+n])
+		ready := len(buf) + n
+		if complete := events.Scan(buf[len(buf):ready]); send.Repeatable {
+			ready = completeLength(len(buf), complete)
+		}
 		buf = buf[:len(buf)+n]
 		x.received.Bytes += int64(n)
 		x.received.InsideEvent = events.InsideEvent()
-		ready := len(buf)
-		if send.Repeatable && !errors.Is(err, io.EOF) {
-			ready = completeEvents(buf)
-		}
 		if ready > 0 {
 			if !reported {
 				reported = true
@@ -55,7 +54,7 @@
 			buf = buf[:copy(buf, buf[ready:])]
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, reported)
+			return x.finishStream(ctx, resp, reported)
 		}
 		if err != nil {
 			resp.Abort()
@@ -64,8 +63,26 @@
 	}
 }
 
-// finishStream completes a stream that its target has ended.
-func (x *exchange) finishStream(resp *forwarder.Response, reported bool) *decider.AttemptFailed {
+// completeLength returns how much of a buffer has been received up to the end of an event. The
+// buffer held an incomplete event of size held before a read, of which complete bytes end an event.
+func completeLength(held, complete int) int {
+	if complete == 0 {
+		return 0
+	}
+	return held + complete
+}
+
+// errTruncated reports a stream that ended with its framing or connection, but too early.
+var errTruncated = errors.New("the stream ended inside an event or before the first one")
+
+// finishStream completes a stream that its target has ended. A target that fails may close the
+// connection without a reset, so an end inside an event is no end of the stream, and neither is
+// that of a connection without any event.
+func (x *exchange) finishStream(ctx context.Context, resp *forwarder.Response, reported bool) *decider.AttemptFailed {
+	if x.received.InsideEvent || x.received.Bytes == 0 && resp.Framing == decider.FramingConnection {
+		resp.Abort()
+		return x.readFailed(ctx, errTruncated)
+	}
 	resp.Release()
 	if !reported {
 		x.reportFirstPart(resp)
@@ -91,26 +108,14 @@
 	return flush.Flush()
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// completeEvents returns the length of the complete events at the start of buf.
-func completeEvents(buf []byte) int {
-	at := bytes.LastIndex(buf, eventEnd)
-	if at < 0 {
-		return 0
-	}
-	return at + len(eventEnd)
-}
+var idField = []byte("id:")
 
 // lastEventID returns the ID of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	rest := events
 	for len(rest) > 0 {
 		line := rest
-		at := bytes.LastIndexByte(rest, '\n')
+		at := bytes.LastIndexAny(rest, "\r\n")
 		if at >= 0 {
 			line, rest = rest[at+1:], rest[:at]
 		} else {
