--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -2,7 +2,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -131,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConn(raw), nil
 }
 
 // write sends the head and the body. A long request is written concurrently with
@@ -154,7 +153,7 @@
 // requests, which a target may still send on a reused connection.
 func (f *Forwarder) readHead(ctx context.Context, r *Response, req *translator.Request, send *decider.Send) (*Response, *Failure) {
 	for range maxStrayResponses {
-		resp, err := readFinalResponse(r.conn.r, req.Method)
+		resp, err := r.conn.readResponse(req.Method)
 		if err != nil {
 			r.Abort()
 			return nil, f.failure(ctx, "read answer", err)
@@ -181,15 +180,16 @@
 	return nil, f.failure(ctx, "read answer", errors.New("only responses to other requests"))
 }
 
-// readFinalResponse reads the next response and skips informational (1xx) ones.
-func readFinalResponse(br *bufio.Reader, method string) (*http.Response, error) {
+// readResponse reads the headers of the next response and skips informational (1xx) ones.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.beginHead()
 	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+			return resp, c.endHead()
 		}
 	}
 }
--- a/internal/relay/forwarder/pool.go
+++ b/internal/relay/forwarder/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cardamomscale.example/cardamomscale/internal/relay/dialer"
 )
 
@@ -27,12 +29,65 @@
 	maxIdlePerTarget = 8
 )
 
-// conn is a connection to a target.
+// conn is a connection to a target. Reading it is bounded between beginHead and endHead.
 type conn struct {
 	net.Conn
 	r *bufio.Reader
 	// idleSince is when it became idle, idleUntil when it expires.
 	idleSince, idleUntil time.Time
+
+	// inHead is true while headers are read, headBytes the number of bytes that they may still
+	// have, and headDeadlineSet true once their time is limited.
+	inHead          bool
+	headBytes       int
+	headDeadlineSet bool
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.r = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+const (
+	// maxHeadBytes bounds the headers of one response, including informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxHeadTime bounds the time from the first bytes of a response to the end of its headers.
+	maxHeadTime = 2 * time.Second
+)
+
+// errHeadTooLong reports headers that exceed maxHeadBytes.
+var errHeadTooLong = errors.New("the headers of the response are too long")
+
+func (c *conn) beginHead() { c.inHead, c.headBytes = true, maxHeadBytes }
+
+func (c *conn) endHead() error {
+	c.inHead = false
+	if !c.headDeadlineSet {
+		return nil
+	}
+	c.headDeadlineSet = false
+	return c.SetReadDeadline(time.Time{})
+}
+
+// Read reads from the connection, within the bounds of the headers while they are read.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytes <= 0 {
+		return 0, errHeadTooLong
+	}
+	if c.headBytes < maxHeadBytes && !c.headDeadlineSet {
+		c.headDeadlineSet = true
+		// Deadlines of connections refer to the system's clock.
+		if err := c.SetReadDeadline(time.Now().Add(maxHeadTime)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	c.headBytes -= n
+	return n, err
 }
 
 // pool holds the idle connections of each target.
--- /dev/null
+++ b/internal/relay/runner/flood_test.go
@@ -0,0 +1,104 @@
+package runner
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/platform/imitator"
+)
+
+const (
+	// floodAnswerTime bounds how long callers wait for the answer when a target floods its host.
+	// The requests' deadline is 8 s.
+	floodAnswerTime = 3 * time.Second
+	// floodHeap bounds the growth of the heap during floods, in bytes.
+	floodHeap = 48 << 20
+)
+
+// TestEndlessHeadersHoldCallersAndMemory guards against a host that reads headers without end until
+// the deadline of the request.
+func TestEndlessHeadersHoldCallersAndMemory(t *testing.T) {
+	checkFloods(t, map[string]*imitator.Flood{
+		"no HTTP":           {Repeat: "bytes "},
+		"header line":       {Begin: "HTTP/1.1 200 OK\r\nX-A: ", Repeat: "bytes "},
+		"header lines":      {Begin: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n"},
+		"slow header lines": {Begin: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n", Pause: 10 * time.Millisecond},
+		"informational":     {Repeat: "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+	})
+}
+
+// checkFloods checks that callers get an answer soon, that the host's memory stays flat and that it
+// closes its connections when its targets send floods.
+func checkFloods(t *testing.T, floods map[string]*imitator.Flood) {
+	for name, flood := range floods {
+		t.Run(name, func(t *testing.T) {
+			r := startRelay(t, &imitator.Target{ID: "p", Flood: flood}, &imitator.Target{ID: "s", Events: 5, Flood: flood})
+			defer r.stop()
+			stopSampling := sampleHeap()
+			began := time.Now()
+			var requests sync.WaitGroup
+			for n := range 24 {
+				path := []string{"/pay/1", "/look/1", "/short/1", "/long/1"}[n%4]
+				requests.Go(func() {
+					status, err := r.sendDiscarding(path, fmt.Sprint(n))
+					assert.Check(t, err != nil || status >= http.StatusInternalServerError, "%s: status %d", path, status)
+				})
+			}
+			requests.Wait()
+			assert.Check(t, time.Since(began) < floodAnswerTime, "callers waited for %v", time.Since(began))
+			grown := stopSampling()
+			assert.Check(t, grown < floodHeap, "the heap grew by %d MiB", grown>>20)
+			r.waitFor("connections closed", func() bool { return flood.Open() == 0 })
+		})
+	}
+}
+
+// sendDiscarding sends a request and returns the status and the error of reading the answer, which
+// it doesn't keep.
+func (r *testRelay) sendDiscarding(path, id string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader("body"))
+	assert.NilError(r.t, err)
+	req.Host = "h"
+	req.Header = http.Header{"Request-Id": {id}, "Deadline-Ms": {"8000"}, "Authorization": {"Bearer key"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// sampleHeap returns a function that returns how many bytes the heap has grown by at most since.
+func sampleHeap() func() int64 {
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	done, grown := make(chan struct{}), make(chan int64)
+	go func() {
+		var most int64
+		for {
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			most = max(most, int64(now.HeapAlloc)-int64(before.HeapAlloc))
+			select {
+			case <-done:
+				grown <- most
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return func() int64 {
+		close(done)
+		return <-grown
+	}
+}
