--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -34,8 +34,10 @@
 	concurrentWriteSize = 4 << 10
 	// maxStrayResponses bounds the responses to other requests that are skipped on a connection.
 	maxStrayResponses = 3
-	// maxStrayBody is the longest body that is read to keep a connection usable.
-	maxStrayBody = 1 << 20
+	// maxUnusedBody and maxUnusedBodyTime bound the reading of a body only to keep the connection
+	// usable.
+	maxUnusedBody     = 64 << 10
+	maxUnusedBodyTime = 100 * time.Millisecond
 )
 
 // Config configures a Forwarder.
@@ -163,7 +165,11 @@
 			f.cfg.Post(decider.NoticeReceived{Target: send.Target, StartedAt: send.StartedAt, Notice: head.Notice})
 		}
 		if head.ID != "" && head.ID != req.ID {
-			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody)); err != nil || n == maxStrayBody || head.Close {
+			err := r.conn.skip(resp.Body)
+			if err == nil && head.Close {
+				err = io.EOF
+			}
+			if err != nil {
 				r.Abort()
 				return nil, f.failure(ctx, "skip a response to another request", err)
 			}
@@ -257,13 +263,28 @@
 
 // discard reads the rest of the body, if it is short, to keep the connection usable.
 func (r *Response) discard() {
-	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBody)); err != nil || n == maxStrayBody {
+	if r.conn.skip(r.Body) != nil {
 		r.Abort()
 		return
 	}
 	r.Release()
 }
 
+var errUnusedBody = errors.New("the unused body of a response is too long")
+
+// skip reads a body that isn't used to its end, within narrow bounds.
+func (c *conn) skip(body io.Reader) error {
+	// Deadlines of connections refer to the system's clock.
+	if err := c.SetReadDeadline(time.Now().Add(maxUnusedBodyTime)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxUnusedBody+1))
+	if err == nil && n > maxUnusedBody {
+		err = errUnusedBody
+	}
+	return errors.CombineErrors(err, c.SetReadDeadline(time.Time{}))
+}
+
 // Release returns the connection to the pool if it can be reused, and closes it
 // otherwise. The body must have been read to its end.
 func (r *Response) Release() {
--- a/internal/relay/runner/flood_test.go
+++ b/internal/relay/runner/flood_test.go
@@ -35,6 +35,20 @@
 	})
 }
 
+// TestEndlessUnusedBodiesHoldCallers guards against a host that reads the body of a refusal or of an
+// answer to another request, which it doesn't need, until the deadline of the request.
+func TestEndlessUnusedBodiesHoldCallers(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\nNot-Run: 1\r\n\r\n"
+	other := "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nReply-Seal: s\r\n"
+	checkFloods(t, map[string]*imitator.Flood{
+		"refusal":           {Begin: refusal, Repeat: "bytes "},
+		"slow refusal":      {Begin: refusal, Repeat: "bytes ", Pause: 10 * time.Millisecond},
+		"other answer":      {Begin: other + "\r\n", Repeat: "bytes "},
+		"slow other answer": {Begin: other + "\r\n", Repeat: "bytes ", Pause: 10 * time.Millisecond},
+		"other answers":     {Repeat: other + "Content-Length: 0\r\n\r\n"},
+	})
+}
+
 // checkFloods checks that callers get an answer soon, that the host's memory stays flat and that it
 // closes its connections when its targets send floods.
 func checkFloods(t *testing.T, floods map[string]*imitator.Flood) {
