--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -46,13 +46,27 @@
 	done  chan error
 }
 
-// freeAddr returns a loopback address with a free port, for TCP and UDP.
+// givenPorts are the ports that freeAddr has returned.
+var givenPorts sync.Map
+
+// freeAddr returns a loopback address with a port that is free for TCP and UDP and wasn't returned
+// before, as a relay takes its ports only once it has started.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addr := l.Addr().(*net.TCPAddr).AddrPort()
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+		assert.NilError(t, l.Close())
+		if err != nil {
+			continue // The UDP port is in use.
+		}
+		assert.NilError(t, udp.Close())
+		if _, given := givenPorts.LoadOrStore(addr.Port(), true); !given {
+			return addr
+		}
+	}
 }
 
 func startRelay(t *testing.T, targets ...*imitator.Target) *testRelay {
