--- /dev/null
+++ b/internal/core/bounder/bounder.go
@@ -0,0 +1,136 @@
+// Package bounder bounds the memory for bytes that other processes send, which may never end.
+package bounder
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomscale.example/cardamomscale/internal/core/failer"
+)
+
+// Kind classifies errors of this package.
+type Kind string
+
+const (
+	// KindTooLong reports more bytes than a buffer's limit.
+	KindTooLong Kind = "too-long"
+	// KindExhausted reports that the budget for all buffers is spent.
+	KindExhausted Kind = "exhausted"
+)
+
+// Error describes bytes that were not read.
+type Error struct{ failer.Detail[Kind] }
+
+func newError(kind Kind, format string, args ...any) error {
+	return &Error{failer.Detail[Kind]{Op: "read", Kind: kind, Err: errors.Newf(format, args...)}}
+}
+
+const (
+	// initialBytes is the first size of a buffer.
+	initialBytes = 2 << 10
+	// freeBytes is the part of each buffer that isn't taken from the budget, so that bytes without
+	// end in some buffers don't keep others from holding short answers.
+	freeBytes = 16 << 10
+)
+
+// Budget bounds the bytes in all buffers of one kind. It is safe for concurrent use. A nil Budget
+// has no bound.
+type Budget struct {
+	size int64
+	used atomic.Int64
+}
+
+// NewBudget returns a Budget of the given number of bytes.
+func NewBudget(size int64) *Budget { return &Budget{size: size} }
+
+// Used returns the number of bytes in use, without the free part of each buffer.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+func (b *Budget) take(n int) error {
+	if b == nil || n == 0 {
+		return nil
+	}
+	if b.used.Add(int64(n)) > b.size {
+		b.used.Add(-int64(n))
+		return newError(KindExhausted, "all buffers together hold more than %d bytes", b.size)
+	}
+	return nil
+}
+
+func (b *Budget) giveBack(n int) {
+	if b != nil {
+		b.used.Add(-int64(n))
+	}
+}
+
+// NewBuffer returns a Buffer for at most limit bytes.
+func (b *Budget) NewBuffer(limit int) *Buffer { return &Buffer{budget: b, limit: limit} }
+
+// Buffer holds bytes that were read and not yet used. Call Release when done.
+type Buffer struct {
+	budget *Budget
+	limit  int
+	data   []byte
+	// taken is the number of bytes taken from the budget.
+	taken int
+}
+
+// Bytes returns the bytes in the buffer, until the next call of another method.
+func (b *Buffer) Bytes() []byte { return b.data }
+
+// Fill reads once from r and returns the number of bytes read. It returns an Error if they exceed
+// the limit, or if the budget is spent; other errors are those of r.
+func (b *Buffer) Fill(r io.Reader) (int, error) {
+	if len(b.data) == cap(b.data) {
+		if err := b.grow(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	if len(b.data) > b.limit {
+		return n, newError(KindTooLong, "more than %d bytes", b.limit)
+	}
+	return n, err
+}
+
+func (b *Buffer) grow() error {
+	size := min(max(2*cap(b.data), initialBytes), b.limit+1)
+	taken := max(0, size-freeBytes)
+	if err := b.budget.take(taken - b.taken); err != nil {
+		return err
+	}
+	b.taken = taken
+	b.data = append(make([]byte, 0, size), b.data...)
+	return nil
+}
+
+// ReadAll reads r to its end. Its errors are those of Fill without io.EOF.
+func (b *Buffer) ReadAll(r io.Reader) error {
+	for {
+		switch _, err := b.Fill(r); {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// Discard removes the first n bytes.
+func (b *Buffer) Discard(n int) { b.data = b.data[:copy(b.data, b.data[n:])] }
+
+// Release gives the memory back to the budget and empties the buffer.
+func (b *Buffer) Release() {
+	b.budget.giveBack(b.taken)
+	b.taken, b.data = 0, nil
+}
+
+// ReadAll reads r to its end. It returns an Error of KindTooLong after limit bytes.
+func ReadAll(r io.Reader, limit int) ([]byte, error) {
+	b := (*Budget)(nil).NewBuffer(limit)
+	err := b.ReadAll(r)
+	return b.data, err
+}
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -77,8 +77,10 @@
 // Response is a response whose body is yet to be read. Call Release or Abort when done.
 type Response struct {
 	translator.Response
-	Body       io.ReadCloser
-	Framing    decider.Framing
+	Body    io.ReadCloser
+	Framing decider.Framing
+	// Length is the announced length of the body in bytes, or -1.
+	Length     int64
 	conn       *conn
 	forwarder  *Forwarder
 	addr       netip.AddrPort
@@ -175,7 +177,7 @@
 			}
 			continue
 		}
-		r.Response, r.Body, r.Framing = head, resp.Body, framingOf(resp)
+		r.Response, r.Body, r.Framing, r.Length = head, resp.Body, framingOf(resp), resp.ContentLength
 		if failure := r.rejection(); failure != nil {
 			r.discard()
 			return nil, failure
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -14,6 +14,8 @@
 type Config struct {
 	// DroppedLines returns the number of dropped log lines. It may be nil.
 	DroppedLines func() int64
+	// BufferedBytes returns the number of bytes of responses that are held back. It may be nil.
+	BufferedBytes func() int64
 }
 
 // Meter holds the relay's metrics. It is safe for concurrent use.
@@ -52,6 +54,12 @@
 			func() float64 { return float64(cfg.DroppedLines()) },
 		))
 	}
+	if cfg.BufferedBytes != nil {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "cardamom_buffered_bytes", Help: "Bytes of answers held back, without the first 16 KiB of each."},
+			func() float64 { return float64(cfg.BufferedBytes()) },
+		))
+	}
 	return m
 }
 
--- a/internal/relay/runner/flood_test.go
+++ b/internal/relay/runner/flood_test.go
@@ -49,6 +49,22 @@
 	})
 }
 
+// TestEndlessBodiesHoldCallersAndMemory guards against a host that keeps or forwards a body without
+// end until the deadline of the request.
+func TestEndlessBodiesHoldCallersAndMemory(t *testing.T) {
+	success := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Seal: s\r\n"
+	checkFloods(t, map[string]*imitator.Flood{
+		"body":             {Begin: success + "\r\n", Repeat: "bytes "},
+		"length":           {Begin: success + "Content-Length: 1000000000000\r\n\r\n", Repeat: "bytes "},
+		"slow length":      {Begin: success + "Content-Length: 1000000000000\r\n\r\n", Repeat: "bytes ", Pause: 10 * time.Millisecond},
+		"chunks":           {Begin: success + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "6\r\nbytes \r\n"},
+		"body with events": {Begin: success + "\r\n", Repeat: "bytes\n\n"},
+		"chunk extension":  {Begin: success + "Transfer-Encoding: chunked\r\n\r\n6;", Repeat: "bytes "},
+		"trailer":          {Begin: success + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X-A: b\r\n"},
+		"error":            {Begin: "HTTP/1.1 500 Error\r\nRequest-Id: ID\r\nReply-Seal: s\r\n\r\n", Repeat: "bytes "},
+	})
+}
+
 // checkFloods checks that callers get an answer soon, that the host's memory stays flat and that it
 // closes its connections when its targets send floods.
 func checkFloods(t *testing.T, floods map[string]*imitator.Flood) {
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -56,6 +57,9 @@
 	shutdownReserve = 500 * time.Millisecond
 	// maxConcurrentCalls bounds the concurrent calls on behalf of the reducer.
 	maxConcurrentCalls = 16
+	// bufferedShare is the share of the host's memory for the parts of responses that are held
+	// back, beyond the first 16 KiB of each.
+	bufferedShare = 1.0 / 16
 )
 
 // Config configures a Runner.
@@ -91,7 +95,8 @@
 	if cfg.Clock == nil || cfg.Logger == nil {
 		return nil, &Error{failer.Detail[Kind]{Op: "new runner", Kind: KindInvalid, Err: errors.New("clock and logger are needed")}}
 	}
-	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{DroppedLines: cfg.DroppedLines}), callSlots: make(chan struct{}, maxConcurrentCalls)}
+	buffers := bounder.NewBudget(int64(bufferedShare * float64(cfg.Settings.MemoryMB) * (1 << 20)))
+	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used}), callSlots: make(chan struct{}, maxConcurrentCalls)}
 	state := decider.New(decider.Config{
 		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
 		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack, RetryWindow: cfg.Settings.RetryWindow,
@@ -117,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.server = server.New(server.Config{Decider: r.executor, Forwarder: r.forwarder, Clock: cfg.Clock, Meter: r.meter})
+	r.server = server.New(server.Config{Decider: r.executor, Forwarder: r.forwarder, Clock: cfg.Clock, Meter: r.meter, Buffers: buffers})
 	return r, nil
 }
 
--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -32,6 +32,9 @@
 "services":[{"name":"plain","healthPath":"/healthz","maxConns":100},{"name":"streams","healthPath":"/healthz","maxConns":100}],
 "limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},"tenants":[{"name":"team","apiKeys":["key"]}]}`
 
+// hostMemoryMB is the memory of the smallest hosts, in MiB.
+const hostMemoryMB = 134
+
 // weightsWithin is the platform's bound for new weights.
 const weightsWithin = 8 * time.Second
 
@@ -96,6 +99,7 @@
 	r.relay, err = New(Config{
 		Settings: descriptor.Settings{
 			Host: "host-1", Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Callers: callers, Ready: ready,
+			MemoryMB:  hostMemoryMB,
 			FirstPort: gossip.Port(), LastPort: gossip.Port(), Platform: platform.Listener.Addr().(*net.TCPAddr).AddrPort(),
 			GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, LeaseTerm: 3 * time.Second, RevokeAfter: 5 * time.Second, WeightsWithin: weightsWithin,
 		},
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/forwarder"
@@ -32,6 +32,8 @@
 	Forwarder *forwarder.Forwarder
 	Clock     timer.Clock
 	Meter     *meter.Meter
+	// Buffers bounds the memory for parts of responses that are held back.
+	Buffers *bounder.Budget
 }
 
 // defaultMaxBodyBytes bounds request bodies until a configuration sets a limit.
@@ -120,6 +122,7 @@
 
 // run executes the reducer's decisions until the request has ended.
 func (x *exchange) run(callerCtx context.Context) {
+	defer func() { x.fallback.release() }()
 	effect := x.post(decider.RequestArrived{
 		Number: x.number, ID: x.req.ID, Host: x.req.Host, Path: x.req.Path, Key: x.req.Key,
 		Timeout: x.req.Deadline, Prompt: x.req.Prompt,
@@ -130,7 +133,7 @@
 			x.refuse(e)
 			return
 		case decider.DeliverErrorResponse:
-			x.writeResponse(x.fallback.resp, x.fallback.body)
+			x.writeResponse(x.fallback.resp, x.fallback.Bytes())
 			return
 		case decider.Send:
 			failed := x.attempt(callerCtx, e)
@@ -160,7 +163,12 @@
 		return x.attemptFailed(failure)
 	}
 	x.received.Framing = resp.Framing
-	if send.Stream && resp.Success() {
+	stream := send.Stream && resp.Success()
+	switch {
+	case stream && resp.Length > maxStreamSize, !stream && resp.Length > maxBufferedBody:
+		resp.Abort()
+		return x.readFailed(ctx, errTooLong)
+	case stream:
 		return x.forwardStream(ctx, resp, send)
 	}
 	return x.forwardWhole(ctx, resp, send.Repeatable)
@@ -180,39 +188,43 @@
 // maxBufferedBody bounds a response that is buffered before it is forwarded.
 const maxBufferedBody = 4 << 20
 
-// errTooLong reports a response or a stream event that exceeds its buffer.
-var errTooLong = errors.New("response or event exceeds the buffer limit")
-
 // bufferedResponse is a complete response that is held back while another target is tried.
 type bufferedResponse struct {
 	resp *forwarder.Response
-	body []byte
+	*bounder.Buffer
+}
+
+func (b *bufferedResponse) release() {
+	if b != nil {
+		b.Release()
+	}
 }
 
 // forwardWhole forwards a response once all of it has been read. It keeps a 5xx
 // response to a repeatable request as the fallback, as another target may succeed.
 func (x *exchange) forwardWhole(ctx context.Context, resp *forwarder.Response, repeatable bool) *decider.AttemptFailed {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	x.received.Bytes = int64(len(body))
-	if err == nil && len(body) > maxBufferedBody {
-		err = errTooLong
-	}
+	body := x.server.cfg.Buffers.NewBuffer(maxBufferedBody)
+	err := body.ReadAll(resp.Body)
+	x.received.Bytes = int64(len(body.Bytes()))
 	if err != nil {
 		resp.Abort()
+		body.Release()
 		return x.readFailed(ctx, err)
 	}
 	resp.Release()
+	if !x.headerSent && repeatable && resp.Status >= http.StatusInternalServerError {
+		x.fallback.release()
+		x.fallback = &bufferedResponse{resp, body}
+		return x.attemptFailed(&forwarder.Failure{Reason: decider.FailureErrorResponse, Detail: http.StatusText(resp.Status), Weights: resp.Weights})
+	}
+	defer body.Release()
 	if x.headerSent {
 		// A resumed stream can't continue with a response that isn't a stream.
 		return x.attemptFailed(&forwarder.Failure{Reason: decider.FailureBroken, Detail: "response to a resumed stream isn't a stream", Weights: resp.Weights})
 	}
-	if repeatable && resp.Status >= http.StatusInternalServerError {
-		x.fallback = &bufferedResponse{resp: resp, body: body}
-		return x.attemptFailed(&forwarder.Failure{Reason: decider.FailureErrorResponse, Detail: http.StatusText(resp.Status), Weights: resp.Weights})
-	}
 	x.reportFirstPart(resp)
 	x.post(decider.AttemptDone{Number: x.number, Status: resp.Status, Body: x.received})
-	x.writeResponse(resp, body)
+	x.writeResponse(resp, body.Bytes())
 	return nil
 }
 
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -12,33 +12,30 @@
 	"cardamomscale.example/cardamomscale/internal/relay/scanner"
 )
 
-// streamBufferSize is the initial size of the read buffer. It holds many events.
-const streamBufferSize = 4 << 10
+const (
+	// maxEventSize bounds one event of a stream, maxStreamSize all of them.
+	maxEventSize  = 256 << 10
+	maxStreamSize = 32 << 20
+)
 
-// maxEventSize bounds one event of a stream.
-const maxEventSize = 1 << 20
+// errTooLong reports an event, a stream or an announced length that exceeds its bound.
+var errTooLong = errors.New("the response or one of its events is too long")
 
 // forwardStream forwards events as they arrive. Of a repeatable stream it only forwards
 // complete events, so that another target can resume after the last one.
 func (x *exchange) forwardStream(ctx context.Context, resp *forwarder.Response, send decider.Send) *decider.AttemptFailed {
 	flush := http.NewResponseController(x.w)
-	buf := make([]byte, 0, streamBufferSize)
+	buf := x.server.cfg.Buffers.NewBuffer(maxEventSize)
+	defer buf.Release()
 	reported := false
 	var events scanner.Scanner
 	for {
-		if len(buf) == cap(buf) {
-			if cap(buf) >= maxEventSize {
-				resp.Abort()
-				return x.readFailed(ctx, errTooLong)
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		held := len(buf.Bytes())
+		n, err := buf.Fill(resp.Body)
+		ready := held + n
+		if complete := events.Scan(buf.Bytes()[held:]); send.Repeatable {
+			ready = completeLength(held, complete)
 		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		ready := len(buf) + n
-		if complete := events.Scan(buf[len(buf):ready]); send.Repeatable {
-			ready = completeLength(len(buf), complete)
-		}
-		buf = buf[:len(buf)+n]
 		x.received.Bytes += int64(n)
 		x.received.InsideEvent = events.InsideEvent()
 		if ready > 0 {
@@ -46,16 +43,19 @@
 				reported = true
 				x.reportFirstPart(resp)
 			}
-			if werr := x.writeEvents(resp, flush, buf[:ready]); werr != nil {
+			if werr := x.writeEvents(resp, flush, buf.Bytes()[:ready]); werr != nil {
 				resp.Abort()
 				x.post(decider.CallerDisconnected{Number: x.number})
 				panic(http.ErrAbortHandler)
 			}
-			buf = buf[:copy(buf, buf[ready:])]
+			buf.Discard(ready)
 		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(ctx, resp, reported)
 		}
+		if err == nil && (events.SinceEvent() > maxEventSize || x.received.Bytes > maxStreamSize) {
+			err = errTooLong
+		}
 		if err != nil {
 			resp.Abort()
 			return x.readFailed(ctx, err)
