--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -57,8 +57,9 @@
 	shutdownReserve = 500 * time.Millisecond
 	// maxConcurrentCalls bounds the concurrent calls on behalf of the reducer.
 	maxConcurrentCalls = 16
-	// bufferedShare is the share of the host's memory for the parts of responses that are held
-	// back, beyond the first 16 KiB of each.
+	// bufferedShare is the share of the host's memory for the parts of responses to callers that
+	// are held back, beyond the first 16 KiB of each, and that for responses to the host's own
+	// calls while they are read.
 	bufferedShare = 1.0 / 16
 )
 
@@ -95,7 +96,8 @@
 	if cfg.Clock == nil || cfg.Logger == nil {
 		return nil, &Error{failer.Detail[Kind]{Op: "new runner", Kind: KindInvalid, Err: errors.New("clock and logger are needed")}}
 	}
-	buffers := bounder.NewBudget(int64(bufferedShare * float64(cfg.Settings.MemoryMB) * (1 << 20)))
+	bufferBytes := int64(bufferedShare * float64(cfg.Settings.MemoryMB) * (1 << 20))
+	buffers := bounder.NewBudget(bufferBytes)
 	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used}), callSlots: make(chan struct{}, maxConcurrentCalls)}
 	state := decider.New(decider.Config{
 		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
@@ -106,7 +108,7 @@
 	r.executor = executor.New(executor.Config{State: state, Clock: cfg.Clock, Logger: cfg.Logger, Meter: r.meter})
 	dial := dialer.New(dialer.Config{})
 	var err error
-	if r.caller, err = caller.New(caller.Config{Platform: cfg.Settings.Platform, Dial: dial.Dial, Timeout: callTimeout}); err != nil {
+	if r.caller, err = caller.New(caller.Config{Platform: cfg.Settings.Platform, Dial: dial.Dial, Timeout: callTimeout, Buffers: bounder.NewBudget(bufferBytes)}); err != nil {
 		return nil, err
 	}
 	if r.forwarder, err = forwarder.New(forwarder.Config{Dial: dial.Dial, Now: cfg.Clock.Now, Post: r.post}); err != nil {
