--- a/internal/core/bounder/bounder.go
+++ b/internal/core/bounder/bounder.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -27,12 +28,17 @@
 	return &Error{failer.Detail[Kind]{Op: "read", Kind: kind, Err: errors.Newf(format, args...)}}
 }
 
+// MaxHeaderBytes bounds the headers of a response.
+const MaxHeaderBytes = 64 << 10
+
 const (
 	// initialBytes is the first size of a buffer.
 	initialBytes = 2 << 10
 	// freeBytes is the part of each buffer that isn't taken from the budget, so that bytes without
 	// end in some buffers don't keep others from holding short answers.
 	freeBytes = 16 << 10
+	// maxChunkBytes is the most memory that ReadAll allocates at once for bytes to come.
+	maxChunkBytes = 64 << 10
 )
 
 // Budget bounds the bytes in all buffers of one kind. It is safe for concurrent use. A nil Budget
@@ -91,34 +97,62 @@
 	n, err := r.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
 	if len(b.data) > b.limit {
-		return n, newError(KindTooLong, "more than %d bytes", b.limit)
+		return n, b.tooLong()
 	}
 	return n, err
 }
 
 func (b *Buffer) grow() error {
 	size := min(max(2*cap(b.data), initialBytes), b.limit+1)
-	taken := max(0, size-freeBytes)
-	if err := b.budget.take(taken - b.taken); err != nil {
+	if err := b.take(size); err != nil {
 		return err
 	}
-	b.taken = taken
 	b.data = append(make([]byte, 0, size), b.data...)
 	return nil
 }
 
-// ReadAll reads r to its end. Its errors are those of Fill without io.EOF.
-func (b *Buffer) ReadAll(r io.Reader) error {
+// take takes what a buffer of the given size needs from the budget.
+func (b *Buffer) take(size int) error {
+	needed := max(b.taken, size-freeBytes)
+	if err := b.budget.take(needed - b.taken); err != nil {
+		return err
+	}
+	b.taken = needed
+	return nil
+}
+
+// ReadAll reads r to its end and returns the number of bytes read. Its errors are those of Fill
+// without io.EOF; after one, the buffer holds only some of the bytes.
+func (b *Buffer) ReadAll(r io.Reader) (int, error) {
+	before, held := len(b.data), len(b.data)
+	var chunks [][]byte // Full ones, which are joined at the end: bytes without end are never copied.
 	for {
-		switch _, err := b.Fill(r); {
+		if len(b.data) == cap(b.data) {
+			size := min(max(held, initialBytes), maxChunkBytes)
+			if err := b.take(held + size); err != nil {
+				return held - before, err
+			}
+			chunks, b.data = append(chunks, b.data), make([]byte, 0, size)
+		}
+		n, err := r.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		held += n
+		switch {
+		case held > b.limit:
+			return held - before, b.tooLong()
 		case errors.Is(err, io.EOF):
-			return nil
+			if held > len(b.data) {
+				b.data = slices.Concat(append(chunks, b.data)...)
+			}
+			return held - before, nil
 		case err != nil:
-			return err
+			return held - before, err
 		}
 	}
 }
 
+func (b *Buffer) tooLong() error { return newError(KindTooLong, "more than %d bytes", b.limit) }
+
 // Discard removes the first n bytes.
 func (b *Buffer) Discard(n int) { b.data = b.data[:copy(b.data, b.data[n:])] }
 
@@ -128,9 +162,16 @@
 	b.taken, b.data = 0, nil
 }
 
-// ReadAll reads r to its end. It returns an Error of KindTooLong after limit bytes.
-func ReadAll(r io.Reader, limit int) ([]byte, error) {
-	b := (*Budget)(nil).NewBuffer(limit)
-	err := b.ReadAll(r)
-	return b.data, err
+// ReadAll reads r to its end. The bytes belong to the budget while they are read; the caller
+// should decode them at once. It returns an Error after limit bytes, or if the budget is spent.
+func (b *Budget) ReadAll(r io.Reader, limit int) ([]byte, error) {
+	buf := b.NewBuffer(limit)
+	defer buf.Release()
+	if _, err := buf.ReadAll(r); err != nil {
+		return nil, err
+	}
+	return buf.data, nil
 }
+
+// ReadAll reads r to its end. It returns an Error of KindTooLong after limit bytes.
+func ReadAll(r io.Reader, limit int) ([]byte, error) { return (*Budget)(nil).ReadAll(r, limit) }
--- a/internal/core/bounder/bounder_test.go
+++ b/internal/core/bounder/bounder_test.go
@@ -23,8 +23,15 @@
 	return e.Kind
 }
 
+func readAll(t *testing.T, b *Buffer, text string) {
+	t.Helper()
+	n, err := b.ReadAll(strings.NewReader(text))
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(text))
+}
+
 func TestReadAll(t *testing.T) {
-	for _, size := range []int{0, 1, initialBytes - 1, initialBytes, initialBytes + 1, 10_000} {
+	for _, size := range []int{0, 1, initialBytes - 1, initialBytes, initialBytes + 1, 9_999, 10_000} {
 		want := bytes.Repeat([]byte("x"), size)
 		got, err := ReadAll(iotest.HalfReader(bytes.NewReader(want)), 10_000)
 		assert.NilError(t, err)
@@ -32,9 +39,8 @@
 	}
 	_, err := ReadAll(strings.NewReader(strings.Repeat("x", 10_001)), 10_000)
 	assert.Equal(t, kindOf(t, err), KindTooLong)
-	got, err := ReadAll(endless{}, 10_000)
+	_, err = ReadAll(endless{}, 10_000)
 	assert.Equal(t, kindOf(t, err), KindTooLong)
-	assert.Assert(t, cap(got) <= 10_001)
 	_, err = ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 10)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
@@ -47,27 +53,30 @@
 	for range 20 {
 		b := budget.NewBuffer(1 << 20)
 		held = append(held, b)
-		assert.Equal(t, kindOf(t, b.ReadAll(endless{})), KindExhausted)
+		n, err := b.ReadAll(endless{})
+		assert.Equal(t, kindOf(t, err), KindExhausted)
+		assert.Assert(t, n <= 100_000+freeBytes)
 		assert.Assert(t, budget.Used() <= 100_000)
 	}
 	short := budget.NewBuffer(1 << 20)
-	assert.NilError(t, short.ReadAll(strings.NewReader(strings.Repeat("x", freeBytes/2))))
+	readAll(t, short, strings.Repeat("x", freeBytes/2))
 	for _, b := range append(held, short) {
 		b.Release()
 		b.Release()
 	}
 	assert.Equal(t, budget.Used(), int64(0))
 	long := budget.NewBuffer(1 << 20)
-	assert.NilError(t, long.ReadAll(strings.NewReader(strings.Repeat("x", 2*freeBytes))))
+	readAll(t, long, strings.Repeat("x", 2*freeBytes))
 	assert.Assert(t, budget.Used() > 0)
 }
 
 func TestDiscardKeepsTheRest(t *testing.T) {
 	b := NewBudget(0).NewBuffer(10)
-	assert.NilError(t, b.ReadAll(strings.NewReader("0123456789")))
+	readAll(t, b, "0123456789")
 	b.Discard(7)
 	assert.Equal(t, string(b.Bytes()), "789")
-	assert.NilError(t, b.ReadAll(strings.NewReader("abcdefg")))
+	readAll(t, b, "abcdefg")
 	assert.Equal(t, string(b.Bytes()), "789abcdefg")
-	assert.Equal(t, kindOf(t, b.ReadAll(endless{})), KindTooLong)
+	_, err := b.ReadAll(endless{})
+	assert.Equal(t, kindOf(t, err), KindTooLong)
 }
--- a/internal/entry/daemon/transports.go
+++ b/internal/entry/daemon/transports.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 )
 
 // transports are the HTTP transports for calls to the platform and to store hosts,
@@ -39,6 +41,8 @@
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/platform/client/http_client.go
+++ b/internal/platform/client/http_client.go
@@ -18,6 +18,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
+
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 )
 
 // Paths of the object API.
@@ -35,8 +37,14 @@
 // MaxValueBytes is the maximum size of an object's value.
 const MaxValueBytes = 1 << 20
 
-// maxResponseBytes bounds a response body; those of List and Watch are the largest.
-const maxResponseBytes = 64 << 20
+const (
+	// maxListBytes bounds the body of a response with any number of objects, maxObjectBytes that of
+	// one with an object, whose value is encoded.
+	maxListBytes   = 64 << 20
+	maxObjectBytes = 2 * MaxValueBytes
+	// maxBufferedBytes bounds the responses that are being read, beyond the first part of each.
+	maxBufferedBytes = 2 * maxListBytes
+)
 
 // PutBody is the request body of a PUT.
 type PutBody struct {
@@ -85,6 +93,8 @@
 	watch  *http.Client
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	// buffers bounds the memory for responses that are being read.
+	buffers *bounder.Budget
 }
 
 var _ ObjectStore = (*HTTPClient)(nil)
@@ -99,7 +109,7 @@
 		return nil, NewError("new client", KindInvalid, errors.New("clock is not set"))
 	}
 	if cfg.Transport == nil {
-		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: DefaultBurst}
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: DefaultBurst, MaxResponseHeaderBytes: bounder.MaxHeaderBytes}
 	}
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = DefaultTimeout
@@ -118,13 +128,18 @@
 	}
 	return &HTTPClient{
 		cfg:    cfg,
-		http:   &http.Client{Transport: cfg.Transport},
-		watch:  &http.Client{Transport: cfg.WatchTransport},
+		http:   &http.Client{Transport: cfg.Transport, CheckRedirect: rejectRedirect},
+		watch:  &http.Client{Transport: cfg.WatchTransport, CheckRedirect: rejectRedirect},
 		reads:  newLimiter(cfg.ReadsPerSecond, cfg.Burst),
 		writes: newLimiter(cfg.WritesPerSecond, cfg.Burst),
+
+		buffers: bounder.NewBudget(maxBufferedBytes),
 	}, nil
 }
 
+// rejectRedirect makes a redirect an answer like any other, as addresses come from the settings.
+func rejectRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func newLimiter(limit rate.Limit, burst int) *rate.Limiter {
 	if limit <= 0 {
 		limit = rate.Inf
@@ -177,7 +192,7 @@
 	var objects []Object
 	err := c.call(ctx, call{
 		op: "list objects " + prefix, method: http.MethodGet, path: PathObjects,
-		query: url.Values{"prefix": {prefix}}, timeout: c.cfg.Timeout, limit: c.reads, result: &objects,
+		query: url.Values{"prefix": {prefix}}, timeout: c.cfg.Timeout, limit: c.reads, maxBytes: maxListBytes, result: &objects,
 	})
 	return objects, err
 }
@@ -194,6 +209,8 @@
 	limit            *rate.Limiter
 	// client sends the request; nil means HTTPClient.http.
 	client *http.Client
+	// maxBytes bounds the response body; 0 is maxObjectBytes.
+	maxBytes int
 	// result receives the decoded response body; nil means that there is none.
 	result any
 }
@@ -217,7 +234,7 @@
 		return NewError(cl.op, kindOfTransportError(sent), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return decode(resp, cl)
+	return c.decode(resp, cl)
 }
 
 // closeIdleAfterTimeout closes the idle connections if a call's context ended before a
@@ -284,8 +301,8 @@
 
 // decode decodes a response into the call's result. A write with a malformed response
 // or an unexpected status may have taken effect, which KindUnknown reports.
-func decode(resp *http.Response, cl call) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+func (c *HTTPClient) decode(resp *http.Response, cl call) error {
+	body, err := c.buffers.ReadAll(resp.Body, max(cl.maxBytes, maxObjectBytes))
 	if err != nil {
 		return NewError(cl.op, KindUnknown, err)
 	}
--- a/internal/platform/client/watch.go
+++ b/internal/platform/client/watch.go
@@ -62,7 +62,7 @@
 	var objects []Object
 	err := c.call(ctx, call{
 		op: "watch objects " + prefix, method: http.MethodGet, path: PathWatch, query: query,
-		timeout: c.cfg.WatchWait + maxWatchDelay, limit: c.reads, client: c.watch, result: &objects,
+		timeout: c.cfg.WatchWait + maxWatchDelay, limit: c.reads, client: c.watch, maxBytes: maxListBytes, result: &objects,
 	})
 	return objects, err
 }
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/jitterer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
@@ -179,7 +179,7 @@
 	if err != nil {
 		return members, newError("read members", KindUnavailable, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := bounder.ReadAll(resp.Body, maxListBytes)
 	err = errors.CombineErrors(err, resp.Body.Close())
 	if err != nil {
 		return members, newError("read members", KindUnavailable, err)
--- a/internal/relay/forwarder/pool.go
+++ b/internal/relay/forwarder/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/relay/dialer"
 )
 
@@ -49,17 +50,14 @@
 	return c
 }
 
-const (
-	// maxHeadBytes bounds the headers of one response, including informational ones before it.
-	maxHeadBytes = 64 << 10
-	// maxHeadTime bounds the time from the first bytes of a response to the end of its headers.
-	maxHeadTime = 2 * time.Second
-)
+// maxHeadTime bounds the time from the first bytes of a response to the end of its headers.
+const maxHeadTime = 2 * time.Second
 
-// errHeadTooLong reports headers that exceed maxHeadBytes.
+// errHeadTooLong reports the headers of a response, including informational ones before it, that
+// exceed bounder.MaxHeaderBytes.
 var errHeadTooLong = errors.New("the headers of the response are too long")
 
-func (c *conn) beginHead() { c.inHead, c.headBytes = true, maxHeadBytes }
+func (c *conn) beginHead() { c.inHead, c.headBytes = true, bounder.MaxHeaderBytes }
 
 func (c *conn) endHead() error {
 	c.inHead = false
@@ -78,7 +76,7 @@
 	if c.headBytes <= 0 {
 		return 0, errHeadTooLong
 	}
-	if c.headBytes < maxHeadBytes && !c.headDeadlineSet {
+	if c.headBytes < bounder.MaxHeaderBytes && !c.headDeadlineSet {
 		c.headDeadlineSet = true
 		// Deadlines of connections refer to the system's clock.
 		if err := c.SetReadDeadline(time.Now().Add(maxHeadTime)); err != nil {
--- a/internal/relay/runner/flood_test.go
+++ b/internal/relay/runner/flood_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/standin/flooder"
+	"cardamomscale.example/cardamomscale/internal/testing/sampler"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
@@ -26,7 +27,7 @@
 // TestEndlessHeadersHoldCallersAndMemory guards against a host that reads headers without end until
 // the deadline of the request.
 func TestEndlessHeadersHoldCallersAndMemory(t *testing.T) {
-	checkFloods(t, map[string]*imitator.Flood{
+	checkFloods(t, map[string]*flooder.Flood{
 		"no HTTP":           {Repeat: "bytes "},
 		"header line":       {Begin: "HTTP/1.1 200 OK\r\nX-A: ", Repeat: "bytes "},
 		"header lines":      {Begin: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n"},
@@ -40,7 +41,7 @@
 func TestEndlessUnusedBodiesHoldCallers(t *testing.T) {
 	refusal := "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\nNot-Run: 1\r\n\r\n"
 	other := "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nReply-Seal: s\r\n"
-	checkFloods(t, map[string]*imitator.Flood{
+	checkFloods(t, map[string]*flooder.Flood{
 		"refusal":           {Begin: refusal, Repeat: "bytes "},
 		"slow refusal":      {Begin: refusal, Repeat: "bytes ", Pause: 10 * time.Millisecond},
 		"other answer":      {Begin: other + "\r\n", Repeat: "bytes "},
@@ -53,7 +54,7 @@
 // end until the deadline of the request.
 func TestEndlessBodiesHoldCallersAndMemory(t *testing.T) {
 	success := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Seal: s\r\n"
-	checkFloods(t, map[string]*imitator.Flood{
+	checkFloods(t, map[string]*flooder.Flood{
 		"body":             {Begin: success + "\r\n", Repeat: "bytes "},
 		"length":           {Begin: success + "Content-Length: 1000000000000\r\n\r\n", Repeat: "bytes "},
 		"slow length":      {Begin: success + "Content-Length: 1000000000000\r\n\r\n", Repeat: "bytes ", Pause: 10 * time.Millisecond},
@@ -67,12 +68,12 @@
 
 // checkFloods checks that callers get an answer soon, that the host's memory stays flat and that it
 // closes its connections when its targets send floods.
-func checkFloods(t *testing.T, floods map[string]*imitator.Flood) {
+func checkFloods(t *testing.T, floods map[string]*flooder.Flood) {
 	for name, flood := range floods {
 		t.Run(name, func(t *testing.T) {
 			r := startRelay(t, &imitator.Target{ID: "p", Flood: flood}, &imitator.Target{ID: "s", Events: 5, Flood: flood})
 			defer r.stop()
-			stopSampling := sampleHeap()
+			heapGrowth := sampler.StartHeap()
 			began := time.Now()
 			var requests sync.WaitGroup
 			for n := range 24 {
@@ -84,7 +85,7 @@
 			}
 			requests.Wait()
 			assert.Check(t, time.Since(began) < floodAnswerTime, "callers waited for %v", time.Since(began))
-			grown := stopSampling()
+			grown := heapGrowth()
 			assert.Check(t, grown < floodHeap, "the heap grew by %d MiB", grown>>20)
 			r.waitFor("connections closed", func() bool { return flood.Open() == 0 })
 		})
@@ -106,29 +107,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
-
-// sampleHeap returns a function that returns how many bytes the heap has grown by at most since.
-func sampleHeap() func() int64 {
-	var before runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	done, grown := make(chan struct{}), make(chan int64)
-	go func() {
-		var most int64
-		for {
-			var now runtime.MemStats
-			runtime.ReadMemStats(&now)
-			most = max(most, int64(now.HeapAlloc)-int64(before.HeapAlloc))
-			select {
-			case <-done:
-				grown <- most
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 {
-		close(done)
-		return <-grown
-	}
-}
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -204,8 +204,8 @@
 // response to a repeatable request as the fallback, as another target may succeed.
 func (x *exchange) forwardWhole(ctx context.Context, resp *forwarder.Response, repeatable bool) *decider.AttemptFailed {
 	body := x.server.cfg.Buffers.NewBuffer(maxBufferedBody)
-	err := body.ReadAll(resp.Body)
-	x.received.Bytes = int64(len(body.Bytes()))
+	n, err := body.ReadAll(resp.Body)
+	x.received.Bytes = int64(n)
 	if err != nil {
 		resp.Abort()
 		body.Release()
--- a/platform/imitator/flood.go
+++ b/internal/standin/flooder/flooder.go
@@ -1,4 +1,5 @@
-package imitator
+// Package flooder is a stand-in for targets and stores that send bytes without end.
+package flooder
 
 import (
 	"bytes"
@@ -9,7 +10,7 @@
 	"time"
 )
 
-// Flood is what a fake target sends in place of an answer until its connection is closed.
+// Flood is an HTTP handler that sends bytes in place of an answer until its connection is closed.
 type Flood struct {
 	// Begin is sent once, with the request's ID in place of ID.
 	Begin string
--- a/internal/target/caller/call.go
+++ b/internal/target/caller/call.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -76,13 +74,10 @@
 
 func (x *exchange) readResponse() (Response, reducer.Event) {
 	ctx := x.response.Request.Context()
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, MaxResponseBytes+1))
+	body, err := x.buffers.ReadAll(x.response.Body, MaxResponseBytes)
 	if err != nil {
 		return Response{}, x.failure(ctx, err, 0)
 	}
-	if len(body) > MaxResponseBytes {
-		return Response{}, x.failure(ctx, errors.Newf("the answer is longer than %d bytes", MaxResponseBytes), 0)
-	}
 	answer := Response{Status: x.response.StatusCode, ContentType: x.response.Header.Get("Content-Type"), Body: body}
 	done := reducer.AttemptDone{Attempt: x.start.Attempt, Incarnation: incarnationOf(x.response.Header)}
 	return answer, done
--- a/internal/target/caller/caller.go
+++ b/internal/target/caller/caller.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.opentelemetry.io/otel/propagation"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
@@ -50,8 +51,13 @@
 // Caller runs attempts on targets. It is safe for concurrent use.
 type Caller struct {
 	cfg Config
+	// buffers bounds the memory for responses that are being read.
+	buffers *bounder.Budget
 }
 
+// maxBufferedBytes bounds the responses that are being read, beyond the first part of each.
+const maxBufferedBytes = 64 << 20
+
 // New returns a Caller, or an Error of KindConfig.
 func New(cfg Config) (*Caller, error) {
 	if cfg.Transports == nil || cfg.Clock == nil {
@@ -60,12 +66,13 @@
 	if cfg.Propagator == nil {
 		cfg.Propagator = propagation.NewCompositeTextMapPropagator()
 	}
-	return &Caller{cfg: cfg}, nil
+	return &Caller{cfg: cfg, buffers: bounder.NewBudget(maxBufferedBytes)}, nil
 }
 
 // exchange is the HTTP request of one attempt and its response.
 type exchange struct {
 	start      reducer.Start
+	buffers    *bounder.Budget
 	transports Transports
 	cancel     context.CancelCauseFunc
 	// sent tracks whether a byte of the request may have been sent.
@@ -85,7 +92,7 @@
 		return nil, reducer.AttemptFailed{Attempt: start.Attempt, ProvenNotRun: true, Reason: reducer.FailurePermissionExpired, Detail: "the leave to use the target ended before the request was sent"}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{start: start, transports: c.cfg.Transports, cancel: cancel, sent: new(dialer.SentTracker)}
+	x := &exchange{start: start, buffers: c.buffers, transports: c.cfg.Transports, cancel: cancel, sent: new(dialer.SentTracker)}
 	left := start.Deadline.Sub(c.cfg.Clock.Now())
 	deadline := c.cfg.Clock.AfterFunc(left, func() { cancel(errDeadline) })
 	context.AfterFunc(ctx, func() { deadline.Stop() })
--- a/internal/target/caller/generate.go
+++ b/internal/target/caller/generate.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -18,8 +17,12 @@
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
 
-// maxFrameBytes limits one line of an engine's response.
-const maxFrameBytes = 1 << 20
+const (
+	// maxFrameBytes limits one line of an engine's response.
+	maxFrameBytes = 256 << 10
+	// maxRefusalBytes limits a target's refusal.
+	maxRefusalBytes = 64 << 10
+)
 
 // Sink receives the tokens of a response.
 type Sink interface {
@@ -67,7 +70,7 @@
 // refused converts a target's refusal to an event.
 func (x *exchange) refused(delivered int) reducer.Event {
 	var refusal messenger.Refusal
-	raw, err := io.ReadAll(io.LimitReader(x.response.Body, maxFrameBytes))
+	raw, err := x.buffers.ReadAll(x.response.Body, maxRefusalBytes)
 	if err == nil {
 		err = json.Unmarshal(raw, &refusal)
 	}
@@ -107,13 +110,20 @@
 // the frame that is marked as done.
 func (c *Caller) stream(x *exchange, sink Sink) reducer.Event {
 	ctx := x.response.Request.Context()
-	frames := bufio.NewScanner(x.response.Body)
-	frames.Buffer(nil, maxFrameBytes)
+	frames := newLineReader(x.response.Body, x.buffers, maxFrameBytes)
+	defer frames.close()
 	check := checker.New(checker.Config{Attempt: x.start.Attempt, Offset: x.start.ResumeOffset})
 	started := false
-	for frames.Scan() {
+	for {
+		line, err := frames.next()
+		if errors.Is(err, io.EOF) {
+			err = errors.New("the answer ended without its end mark")
+		}
+		if err != nil {
+			return x.failure(ctx, err, check.Next())
+		}
 		var frame messenger.GenerateFrame
-		if err := json.Unmarshal(frames.Bytes(), &frame); err != nil {
+		if err := json.Unmarshal(line, &frame); err != nil {
 			return x.failure(ctx, errors.Wrap(err, "decode frame"), check.Next())
 		}
 		verdict, err := check.Check(checkerFrame(frame))
@@ -134,11 +144,6 @@
 			return reducer.AttemptDone{Attempt: x.start.Attempt, Incarnation: frame.Incarnation, Tokens: frame.Offset}
 		}
 	}
-	err := frames.Err()
-	if err == nil {
-		err = errors.New("the answer ended without its end mark")
-	}
-	return x.failure(ctx, err, check.Next())
 }
 
 func callerDisconnected(x *exchange, err error, delivered int) reducer.Event {
--- a/internal/target/dialer/dialer_test.go
+++ b/internal/target/dialer/dialer_test.go
@@ -22,7 +22,9 @@
 	"gotest.tools/v3/poll"
 
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
+	"cardamomscale.example/cardamomscale/internal/standin/flooder"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
+	"cardamomscale.example/cardamomscale/internal/testing/sampler"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -35,6 +37,8 @@
 	conns       atomic.Int32
 	// handle serves everything except load reports.
 	handle http.HandlerFunc
+	// flood, if set, replaces the load reports.
+	flood atomic.Pointer[flooder.Flood]
 }
 
 func newFakeTarget(t *testing.T, handle http.HandlerFunc) *fakeTarget {
@@ -54,6 +58,10 @@
 func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	incarnation := f.incarnation.Load()
 	w.Header().Set(messenger.HeaderIncarnation, strconv.FormatUint(incarnation, 10))
+	if flood := f.flood.Load(); flood != nil && r.URL.Path == messenger.PathLoad {
+		flood.ServeHTTP(w, r)
+		return
+	}
 	if r.URL.Path == messenger.PathLoad {
 		report := messenger.LoadReport{Target: "t1", Incarnation: identifier.Incarnation(incarnation)}
 		json.NewEncoder(w).Encode(report)
@@ -407,3 +415,40 @@
 	_, err := New(Config{})
 	assert.Equal(t, asError(t, err).Kind, KindInvalid)
 }
+
+// TestEndlessReportIsRejected guards against a report without end that is read into memory before
+// a request is sent.
+func TestEndlessReportIsRejected(t *testing.T) {
+	for _, begin := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n"} {
+		target := newFakeTarget(t, echo)
+		f := newFixture(t)
+		call := func() error {
+			rt, err := f.RoundTripper(Endpoint{Target: "t1", Address: target.address(), Incarnation: 1})
+			assert.NilError(t, err)
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, target.server.URL+"/x", nil)
+			assert.NilError(t, err)
+			response, err := rt.RoundTrip(r)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			return response.Body.Close()
+		}
+		assert.NilError(t, call())
+		flood := &flooder.Flood{Begin: begin, Repeat: "X-A: b\r\n"}
+		target.flood.Store(flood)
+		f.clock.Advance(2 * maxConfirmationAge)
+		heapGrowth := sampler.StartHeap()
+		assert.Assert(t, !asError(t, call()).MaybeSent)
+		grown := heapGrowth()
+		assert.Check(t, grown < 16*maxReportBytes, "the heap grew by %d MiB", grown>>20)
+		assert.Equal(t, target.calls.Load(), int32(1))
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if flood.Open() > 0 {
+				return poll.Continue("the connection is open")
+			}
+			return poll.Success()
+		})
+	}
+}
--- a/internal/target/dialer/handshake.go
+++ b/internal/target/dialer/handshake.go
@@ -12,11 +12,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
 
-// maxReportBytes limits the size of a handshake's response.
+// maxReportBytes limits the size of a load report, in a handshake with its headers.
 const maxReportBytes = 1 << 20
 
 // handshake reads the target's load report over conn, which stays usable.
@@ -55,7 +56,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("load report has status %q", response.Status)
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := bounder.ReadAll(response.Body, maxReportBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/target/dialer/pool.go
+++ b/internal/target/dialer/pool.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 )
 
 // pool is the http.RoundTripper to one endpoint.
@@ -37,6 +39,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: d.cfg.MaxIdle,
 		IdleConnTimeout:     d.cfg.IdleTimeout,
+
+		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 	}
 	return p
 }
--- a/internal/target/orderer/orderer.go
+++ b/internal/target/orderer/orderer.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.opentelemetry.io/otel/propagation"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/decision/reducer"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
@@ -47,6 +47,8 @@
 // Orderer sends lookups to store hosts, and transfer requests and orders to engines.
 type Orderer struct {
 	cfg Config
+	// buffers bounds the memory for responses that are being read.
+	buffers *bounder.Budget
 }
 
 // New returns an Orderer, or an Error of KindInvalid.
@@ -57,7 +59,7 @@
 	if cfg.Propagator == nil {
 		cfg.Propagator = propagation.NewCompositeTextMapPropagator()
 	}
-	return &Orderer{cfg: cfg}, nil
+	return &Orderer{cfg: cfg, buffers: bounder.NewBudget(maxBufferedBytes)}, nil
 }
 
 // Lookup returns the leading blocks of e.Keys that a store can serve.
@@ -142,8 +144,12 @@
 	}
 }
 
-// maxResponseBytes limits the size of a response.
-const maxResponseBytes = 4 << 20
+const (
+	// maxResponseBytes limits the size of a response.
+	maxResponseBytes = 4 << 20
+	// maxBufferedBytes bounds the responses that are being read, beyond the first part of each.
+	maxBufferedBytes = 32 << 20
+)
 
 func (o *Orderer) post(ctx context.Context, address netip.AddrPort, path string, timeout time.Duration, body, result any) error {
 	op := "post " + path + " to " + address.String()
@@ -164,7 +170,7 @@
 		return &Error{failer.Detail[Kind]{Op: op, Kind: KindUnreachable, Err: err}}
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := o.buffers.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return &Error{failer.Detail[Kind]{Op: op, Kind: KindUnreachable, Err: err}}
 	}
--- a/internal/target/reader/poller.go
+++ b/internal/target/reader/poller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
 )
@@ -61,6 +61,8 @@
 			},
 			DisableCompression: true,
 			IdleConnTimeout:    idleTimeout,
+
+			MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 		},
 	}
 }
@@ -191,7 +193,7 @@
 	if err != nil {
 		return newError(op, KindUnreachable, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := p.reader.buffers.ReadAll(response.Body, maxResponseBytes)
 	err = errors.CombineErrors(err, response.Body.Close())
 	if err != nil {
 		return newError(op, KindUnreachable, err)
--- a/internal/target/reader/reader.go
+++ b/internal/target/reader/reader.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/identifier"
 	"cardamomscale.example/cardamomscale/internal/core/jitterer"
 	"cardamomscale.example/cardamomscale/internal/decision/placer"
@@ -33,6 +34,8 @@
 	// maxBackoff limits the back-off of reads of a failing target. It is short so
 	// that a target which restarts is detected soon, since it is cold.
 	maxBackoff = 2 * time.Second
+	// maxBufferedBytes bounds the responses that are being read, beyond the first part of each.
+	maxBufferedBytes = 64 << 20
 )
 
 // Config configures a Reader. Self, Clock, Dial and OnObservation are required.
@@ -86,6 +89,8 @@
 type Reader struct {
 	cfg    Config
 	jitter *jitterer.Jitterer
+	// buffers bounds the memory for responses that are being read.
+	buffers *bounder.Budget
 	// changed signals Run that targets or readers changed.
 	changed chan struct{}
 
@@ -103,6 +108,7 @@
 	return &Reader{
 		cfg:     cfg,
 		jitter:  jitterer.New(cfg.Seed),
+		buffers: bounder.NewBudget(maxBufferedBytes),
 		changed: make(chan struct{}, 1),
 	}, nil
 }
