--- a/internal/peer/exchanger/codec.go
+++ b/internal/peer/exchanger/codec.go
@@ -16,10 +16,20 @@
 // boundedReader counts the bytes that the decoder reads and fails when a message
 // exceeds limit bytes. It implements io.ByteReader, so that the decoder doesn't
 // wrap it in a buffer and read beyond the message.
+//
+// It follows the framing of gob, whose decoder allocates up to 10 MiB for a message as soon as it
+// has read its length: a byte up to 0x7f is the length of the rest, any other the negated number of
+// bytes of the length that follow.
 type boundedReader struct {
 	r        *bufio.Reader
 	limit    uint64
 	consumed uint64
+	// left is the number of bytes left in the current part of a message.
+	left uint64
+	// lengthLeft is the number of bytes left in the length of the next part, and length what was
+	// read of it.
+	lengthLeft int
+	length     uint64
 }
 
 // Read reads into p, up to the limit.
@@ -29,7 +39,9 @@
 	}
 	p = p[:min(uint64(len(p)), b.limit-b.consumed)]
 	n, err := b.r.Read(p)
-	b.consumed += uint64(n)
+	if followErr := b.follow(p[:n]); followErr != nil {
+		return 0, followErr
+	}
 	return n, err
 }
 
@@ -40,11 +52,43 @@
 	}
 	c, err := b.r.ReadByte()
 	if err == nil {
-		b.consumed++
+		err = b.follow([]byte{c})
 	}
 	return c, err
 }
 
+// follow counts bytes that were read, and fails on a length beyond the limit.
+func (b *boundedReader) follow(p []byte) error {
+	b.consumed += uint64(len(p))
+	for len(p) > 0 {
+		if b.left > 0 {
+			n := min(b.left, uint64(len(p)))
+			b.left -= n
+			p = p[n:]
+			continue
+		}
+		c := p[0]
+		p = p[1:]
+		switch {
+		case b.lengthLeft > 0:
+			b.lengthLeft--
+			b.length = b.length<<8 | uint64(c)
+		case c <= 0x7f:
+			b.length = uint64(c)
+		default:
+			b.lengthLeft, b.length = -int(int8(c)), 0
+		}
+		if b.lengthLeft > 0 {
+			continue
+		}
+		if b.length > b.limit {
+			return errTooLarge
+		}
+		b.left = b.length
+	}
+	return nil
+}
+
 // reset starts counting a new message.
 func (b *boundedReader) reset() { b.consumed = 0 }
 
--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -24,6 +24,7 @@
 	"cardamomscale.example/cardamomscale/internal/entry/certifier"
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 	"cardamomscale.example/cardamomscale/internal/standin/issuer"
+	"cardamomscale.example/cardamomscale/internal/testing/sampler"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -538,6 +539,43 @@
 	f.await("heartbeats continue", func() bool { return a.recorder.contentCount(host(2)) > 0 && b.recorder.contentCount(host(1)) > 0 })
 }
 
+// TestEndlessMessageOfPeerEnds guards against a connection of a peer that sends a message without
+// end, fast or a byte at a time.
+func TestEndlessMessageOfPeerEnds(t *testing.T) {
+	// A gob message that announces 1 GB less a byte, of a length in four bytes.
+	long := []byte{0xfc, 0x3f, 0xff, 0xff, 0xff}
+	for name, c := range map[string]struct {
+		begin []byte
+		step  time.Duration
+	}{
+		"fast": {long, 0}, "slow": {long, testStep}, "no message": {[]byte("bytes "), 0},
+	} {
+		f := newFleet(t, 1)
+		f.configure = func(cfg *Config) { cfg.MaxMessage = 1 << 16 }
+		f.start(1, 1)
+		conn, err := f.network.dial(context.Background(), address(1))
+		assert.NilError(t, err)
+		var ended atomic.Bool
+		heapGrowth := sampler.StartHeap()
+		go func() {
+			_, err := conn.Write(c.begin)
+			for err == nil {
+				if c.step > 0 {
+					time.Sleep(time.Millisecond) // The clock of the fleet advances meanwhile.
+					_, err = conn.Write(make([]byte, 1))
+					continue
+				}
+				_, err = conn.Write(make([]byte, 1<<12))
+			}
+			ended.Store(true)
+		}()
+		f.await(name, ended.Load)
+		grown := heapGrowth()
+		assert.Check(t, grown < 64<<16, "%s: the heap grew by %d KiB", name, grown>>10)
+		assert.NilError(t, conn.Close())
+	}
+}
+
 func TestInboundConnectionsAreLimited(t *testing.T) {
 	f := newFleet(t, 1)
 	f.configure = func(cfg *Config) { cfg.MaxConnections = 2 }
