--- a/internal/relay/decider/late_news_test.go
+++ b/internal/relay/decider/late_news_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// TestRestartOfAllHostsReopensOldWeights guards against hosts that all start again after a version's
+// deadline and use engines with older weights, as nobody knows when the version was named.
+func TestRestartOfAllHostsReopensOldWeights(t *testing.T) {
+	n := newDelayedMessages(t, 20*time.Millisecond, "a", "b", "c")
+	for _, h := range n.hosts {
+		h.handle(RevisionConfirmed{Revision: 20, AsOf: h.clock})
+		h.handle(DesiredWeightsChanged{Model: model, Version: 2, Revision: 12, Listed: true})
+	}
+	for range 60 {
+		n.run(50 * time.Millisecond)
+		for _, h := range n.hosts {
+			assert.Assert(t, !h.sendsShort(), "host %s sends a request to weights that may have been replaced long ago", h.cfg.Host)
+		}
+	}
+	for _, h := range n.hosts {
+		h.handle(ReportAnswered{Target: "engine-1", Report: newReport(2)})
+		assert.Assert(t, h.sendsShort(), "host %s doesn't use an engine with the new weights", h.cfg.Host)
+	}
+}
+
 // TestEchoesDoNotConfirmConfig guards against the use of revoked keys by hosts that are cut off
 // from the platform and keep confirming the configuration to each other.
 func TestEchoesDoNotConfirmConfig(t *testing.T) {
