--- a/internal/relay/runner/truncated_test.go
+++ b/internal/relay/runner/truncated_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/standin/flooder"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
@@ -62,3 +63,15 @@
 		assert.Equal(t, body, sseEvents(5))
 	}
 }
+
+// TestIncompleteEventsReachCallers guards against parts of events, or bytes that are no event, that
+// reach the caller of a stream.
+func TestIncompleteEventsReachCallers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Seal: s\r\n\r\n" + sseEvents(1)
+	r := startRelay(t, &imitator.Target{ID: "s", Events: 5, Flood: &flooder.Flood{Begin: head, Repeat: "bytes "}})
+	for _, path := range []string{"/long/1", "/short/1"} {
+		_, body, err := r.send(path, "x"+path, "key", "prompt")
+		assert.Check(t, err != nil, path)
+		assert.Check(t, body == sseEvents(1), "%s: %d bytes", path, len(body))
+	}
+}
--- a/internal/relay/scanner/scanner.go
+++ b/internal/relay/scanner/scanner.go
@@ -9,8 +9,6 @@
 	open bool
 	// afterCR is true when an LF belongs to the line end before it.
 	afterCR bool
-	// sinceEvent is the number of bytes since the last end of an event.
-	sinceEvent int64
 }
 
 // line is the kind of the current line, as far as it has been read.
@@ -32,10 +30,6 @@
 			complete = i + 1
 		}
 	}
-	if complete > 0 {
-		s.sinceEvent = 0
-	}
-	s.sinceEvent += int64(len(p) - complete)
 	return complete
 }
 
@@ -57,6 +51,3 @@
 
 // InsideEvent reports whether the stream would be truncated if it ended here.
 func (s *Scanner) InsideEvent() bool { return s.open || s.line != lineEmpty }
-
-// SinceEvent returns the number of bytes read since the stream was last between events.
-func (s *Scanner) SinceEvent() int64 { return s.sinceEvent }
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -169,7 +169,7 @@
 		resp.Abort()
 		return x.readFailed(ctx, errTooLong)
 	case stream:
-		return x.forwardStream(ctx, resp, send)
+		return x.forwardStream(ctx, resp)
 	}
 	return x.forwardWhole(ctx, resp, send.Repeatable)
 }
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -18,12 +18,12 @@
 	maxStreamSize = 32 << 20
 )
 
-// errTooLong reports an event, a stream or an announced length that exceeds its bound.
-var errTooLong = errors.New("the response or one of its events is too long")
+// errTooLong reports a stream or an announced length that exceeds its bound.
+var errTooLong = errors.New("the response is too long")
 
-// forwardStream forwards events as they arrive. Of a repeatable stream it only forwards
-// complete events, so that another target can resume after the last one.
-func (x *exchange) forwardStream(ctx context.Context, resp *forwarder.Response, send decider.Send) *decider.AttemptFailed {
+// forwardStream forwards events as they arrive, each once it is complete, so that another target can
+// resume after the last one and bytes that are no event don't reach the caller.
+func (x *exchange) forwardStream(ctx context.Context, resp *forwarder.Response) *decider.AttemptFailed {
 	flush := http.NewResponseController(x.w)
 	buf := x.server.cfg.Buffers.NewBuffer(maxEventSize)
 	defer buf.Release()
@@ -32,28 +32,25 @@
 	for {
 		held := len(buf.Bytes())
 		n, err := buf.Fill(resp.Body)
-		ready := held + n
-		if complete := events.Scan(buf.Bytes()[held:]); send.Repeatable {
-			ready = completeLength(held, complete)
-		}
+		complete := events.Scan(buf.Bytes()[held:])
 		x.received.Bytes += int64(n)
 		x.received.InsideEvent = events.InsideEvent()
-		if ready > 0 {
+		if complete > 0 {
 			if !reported {
 				reported = true
 				x.reportFirstPart(resp)
 			}
-			if werr := x.writeEvents(resp, flush, buf.Bytes()[:ready]); werr != nil {
+			if werr := x.writeEvents(resp, flush, buf.Bytes()[:held+complete]); werr != nil {
 				resp.Abort()
 				x.post(decider.CallerDisconnected{Number: x.number})
 				panic(http.ErrAbortHandler)
 			}
-			buf.Discard(ready)
+			buf.Discard(held + complete)
 		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(ctx, resp, reported)
 		}
-		if err == nil && (events.SinceEvent() > maxEventSize || x.received.Bytes > maxStreamSize) {
+		if err == nil && x.received.Bytes > maxStreamSize {
 			err = errTooLong
 		}
 		if err != nil {
@@ -63,15 +60,6 @@
 	}
 }
 
-// completeLength returns how much of a buffer has been received up to the end of an event. The
-// buffer held an incomplete event of size held before a read, of which complete bytes end an event.
-func completeLength(held, complete int) int {
-	if complete == 0 {
-		return 0
-	}
-	return held + complete
-}
-
 // errTruncated reports a stream that ended with its framing or connection, but too early.
 var errTruncated = errors.New("the stream ended inside an event or before the first one")
 
