--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -217,6 +218,18 @@
 	return since, true
 }
 
+// checkMemory checks the resident memory of a host, which is the second field of statm, in pages.
+func (c *checker) checkMemory(host, statm string) {
+	var size, resident int
+	if n, err := fmt.Sscan(statm, &size, &resident); n < 2 {
+		c.addViolation("soak", fmt.Sprintf("can't read the memory of %s: %v", host, err))
+		return
+	}
+	if resident*os.Getpagesize() > memoryMB<<20 {
+		c.addViolation("memory", fmt.Sprintf("%s uses %d MB, has %d", host, resident*os.Getpagesize()>>20, memoryMB))
+	}
+}
+
 // checkColdLimit checks the number of requests in the last second at a cold target; mu
 // must be held.
 func (c *checker) checkColdLimit(target string, now time.Time) {
--- a/internal/bench/soaker/checker_test.go
+++ b/internal/bench/soaker/checker_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -86,6 +88,16 @@
 			chk.RequestStarted(newRun("pay"))
 			return chk
 		}},
+		"a host within its memory": {"", func() *checker {
+			chk := newChecker()
+			chk.checkMemory("h", fmt.Sprint(1<<30, memoryMB<<20/os.Getpagesize(), " 1 1"))
+			return chk
+		}},
+		"a host beyond its memory": {"memory", func() *checker {
+			chk := newChecker()
+			chk.checkMemory("h", fmt.Sprint(1<<30, memoryMB<<20/os.Getpagesize()+1, " 1 1"))
+			return chk
+		}},
 		"unknown request": {"only what callers asked", func() *checker { chk := newChecker(); chk.RequestStarted(newRun("pay")); return chk }},
 		"changed body": {"unchanged", func() *checker {
 			chk, r := newCheckerWithAttempt("pay"), newRun("pay")
--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -423,7 +423,7 @@
 		c.endEvacuation(dc)
 	}
 	for _, t := range c.targets() {
-		t.worker.SetFailureShare(0)
+		t.endSpoiling()
 		t.announce(false)
 	}
 	for _, h := range c.hosts {
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
+	"cardamomscale.example/cardamomscale/internal/standin/flooder"
 	"cardamomscale.example/cardamomscale/internal/standin/proxier"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
 	"cardamomscale.example/cardamomscale/platform/imitator"
@@ -31,12 +33,22 @@
 	maxRewriteTime     = 1500 * time.Millisecond
 	// copyInterval is the time between two copies of the store.
 	copyInterval = 100 * time.Millisecond
+	// meanSpoilInterval is the mean pause between targets that spoil spoiledShare of their answers.
+	meanSpoilInterval = time.Second
+	spoiledShare      = 0.3
+	// floodRepeats is the number of pieces of a flood after each floodPause.
+	floodRepeats = 2000
+	floodPause   = time.Millisecond
 	// maxClockStep is the largest step of a store's clock, forward or back.
 	maxClockStep = 4 * time.Second
 )
 
-// goBackStream is the stream of random numbers of letStoreGoBack.
-const goBackStream = 1 << 32
+// goBackStream and spoilStream are the streams of random numbers of letStoreGoBack and
+// spoilAnswers.
+const (
+	goBackStream = 1 << 32
+	spoilStream  = 1 << 33
+)
 
 // fault is a fault or a planned operation such as a drain. run starts it and returns
 // when it is over.
@@ -55,6 +67,7 @@
 	defer g.Wait()
 	g.Go(func() { s.applyChanges(faultCtx) })
 	g.Go(func() { s.letStoreGoBack(faultCtx) })
+	g.Go(func() { s.spoilAnswers(faultCtx) })
 	for sleep(faultCtx, time.Duration(s.rng.Float64()*2*float64(meanFaultInterval))) {
 		f := s.drawFault()
 		duration := time.Duration(s.rng.Float64() * float64(maxFaultDuration))
@@ -111,6 +124,45 @@
 	}
 }
 
+// floods are the bytes without end that targets send. Pauses keep them from using the processor
+// alone while a link swallows them.
+var floods = []flooder.Flood{
+	{Repeat: strings.Repeat("bytes ", floodRepeats), Pause: floodPause},
+	{Begin: "HTTP/1.1 200 OK\r\n", Repeat: strings.Repeat("X-A: b\r\n", floodRepeats), Pause: floodPause},
+	{Begin: "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Seal: s\r\n\r\n", Repeat: strings.Repeat("bytes ", floodRepeats), Pause: floodPause},
+	{Begin: "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\n\r\n", Repeat: strings.Repeat("bytes\n\n", floodRepeats), Pause: floodPause},
+	{Begin: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n", Pause: 10 * floodPause},
+}
+
+// spoilAnswers makes one target after the other send answers that end with their connections, some
+// of them early, or floods, until ctx ends. Series overlap with the other faults. It has random
+// numbers of its own, so that the other faults of a seed stay the same.
+func (s *Soaker) spoilAnswers(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, spoilStream))
+	all := s.cluster.targets()
+	for sleep(ctx, time.Duration(rng.Float64()*2*float64(meanSpoilInterval))) {
+		t, duration := all[rng.IntN(len(all))], time.Duration(rng.Float64()*float64(maxFaultDuration))
+		t.worker.SetFailureShare(spoiledShare)
+		if i := rng.IntN(2 * len(floods)); i < len(floods) {
+			s.recordEvent("flood by "+t.name, "flood", i, "duration", duration.String())
+			f := &floods[i]
+			t.worker.SetFlood(&flooder.Flood{Begin: f.Begin, Repeat: f.Repeat, Pause: f.Pause})
+		} else {
+			s.recordEvent("answers without framing by "+t.name, "duration", duration.String())
+			t.worker.SetUnframed(true)
+		}
+		sleep(ctx, duration)
+		t.endSpoiling()
+	}
+}
+
+// endSpoiling makes a target answer properly again.
+func (t *target) endSpoiling() {
+	t.worker.SetFailureShare(0)
+	t.worker.SetFlood(nil)
+	t.worker.SetUnframed(false)
+}
+
 // drawFault draws the next fault and the component that it affects.
 func (s *Soaker) drawFault() fault {
 	switch s.rng.IntN(5) {
--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// checkMemory adds a violation if the process uses more memory than a host has.
+func (h *host) checkMemory(chk *checker) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return
+	}
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", h.cmd.Process.Pid))
+	if err != nil {
+		return // The process has just exited.
+	}
+	chk.checkMemory(h.name, string(raw))
+}
+
 // pollReady probes the host's readiness at regular intervals, as the platform's balancer does.
 func (h *host) pollReady(ctx context.Context) {
 	client := &http.Client{Timeout: readyInterval}
@@ -229,6 +243,7 @@
 			ok = resp.StatusCode == http.StatusOK
 			_ = resp.Body.Close() // The body is empty.
 		}
+		h.checkMemory(h.cluster.checker)
 		h.mu.Lock()
 		if h.misses++; ok {
 			h.misses = 0
--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -44,7 +44,7 @@
 	build.Dir = filepath.Join("..", "..", "..")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, "%s", out)
-	const parallelRuns = 2
+	const parallelRuns = 3
 	slots := make(chan struct{}, parallelRuns)
 	for _, seed := range readSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
