--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -142,9 +142,10 @@
 	s.sendPeriodicMessages()
 }
 
-// Ready reports whether the host can serve callers.
+// Ready reports whether the host can serve callers. It can't before the configuration was confirmed
+// once, as requests with keys are refused until then.
 func (s *State) Ready() bool {
-	return !s.stopping && s.config != nil && len(s.targets) > 0
+	return !s.stopping && s.config != nil && !s.configConfirmedAt.IsZero() && len(s.targets) > 0
 }
 
 // Stores returns the addresses of the configured stores.
--- a/internal/relay/decider/fleet_test.go
+++ b/internal/relay/decider/fleet_test.go
@@ -335,3 +335,15 @@
 	h.handle(ConfigConfirmed{Era: 1, AsOf: h.clock})
 	assert.Equal(t, h.refusalOf(key).Kind, RefusalKind(""))
 }
+
+// TestReadyBeforeConfigIsConfirmed guards against a host that gets callers while it refuses requests
+// with keys because its configuration isn't confirmed yet.
+func TestReadyBeforeConfigIsConfirmed(t *testing.T) {
+	s := New(Config{Host: "a", DataCentre: "a", RetryWindow: 10 * time.Second, RevokeAfter: 5 * time.Second})
+	now := time.Unix(1000, 0)
+	s.Reduce(TargetsListed{Targets: []descriptor.Target{plainTarget(1)}, Whole: true}, now)
+	s.Reduce(ConfigListed{Config: testConfig(1)}, now)
+	assert.Assert(t, !s.Ready())
+	s.Reduce(ConfigConfirmed{AsOf: now}, now)
+	assert.Assert(t, s.Ready())
+}
