--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -176,11 +176,18 @@
 		servers = append(servers, &http.Server{Handler: r.meter.Handler(), ReadHeaderTimeout: readHeaderTimeout})
 		addrs = append(addrs, r.cfg.Metrics)
 	}
+	var callersListener *gracefulListener
+	callersServed := make(chan struct{})
 	for i, srv := range servers {
-		l, err := net.Listen("tcp4", addrs[i].String())
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addrs[i]))
 		if err != nil {
 			return &Error{failer.Detail[Kind]{Op: "listen", Kind: KindListen, Err: err}}
 		}
+		if srv == callers {
+			callersListener = &gracefulListener{TCPListener: l}
+			g.Go(func() error { defer close(callersServed); return serve(srv, callersListener) })
+			continue
+		}
 		g.Go(func() error { return serve(srv, l) })
 	}
 	g.Go(func() error {
@@ -188,7 +195,11 @@
 		case <-ctx.Done():
 		case <-running.Done():
 		}
-		r.drain(callers)
+		r.drain(callers, func() {
+			if err := callersListener.closeGracefully(); err == nil {
+				<-callersServed
+			}
+		})
 		for _, srv := range servers {
 			_ = srv.Close() // The grace period of requests still open is over.
 		}
@@ -202,20 +213,22 @@
 }
 
 func serve(srv *http.Server, l net.Listener) error {
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return &Error{failer.Detail[Kind]{Op: "serve", Kind: KindListen, Err: err}}
 	}
 	return nil
 }
 
-// drain announces the stop to the load balancer and the peers, and waits for
-// requests to finish until the grace period is almost over.
-func (r *Runner) drain(callers *http.Server) {
+// drain announces the stop to the load balancer and the peers, closes the listener after the
+// connections that were established, and waits for requests to finish until the grace period is
+// almost over.
+func (r *Runner) drain(callers *http.Server, closeListener func()) {
 	r.cfg.Logger.Info("leaving")
 	startedAt := time.Now()
 	r.post(decider.StopRequested{})
 	r.server.StartDraining()
 	time.Sleep(drainDelay)
+	closeListener()
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(r.cfg.Settings.GracePeriod-shutdownReserve))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
