--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -168,7 +168,7 @@
 	g.Go(func() error { r.registerHost(running); return nil })
 	callers := &http.Server{
 		Handler: r.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
+		ConnContext: server.ConnContext, DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
 	}
 	servers := []*http.Server{callers, {Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}}
 	addrs := []netip.AddrPort{r.cfg.Settings.Callers, r.cfg.Settings.Ready}
--- a/internal/relay/runner/truncated_test.go
+++ b/internal/relay/runner/truncated_test.go
@@ -1,8 +1,14 @@
 package runner
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -64,6 +70,28 @@
 	}
 }
 
+// TestAbortedAnswerLooksCompleteInHTTP10 guards against an aborted answer to a caller for which the
+// end of the connection is the end of the answer.
+func TestAbortedAnswerLooksCompleteInHTTP10(t *testing.T) {
+	for _, cut := range []int{0, 4} {
+		target := &imitator.Target{ID: "s", Events: 9, Cut: cut}
+		r := startRelay(t, target)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST /long/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: x\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n")
+		assert.NilError(t, err)
+		answer, err := io.ReadAll(conn)
+		assert.Check(t, bytes.HasPrefix(answer, []byte("HTTP/1.0 200")), "%q", answer)
+		if cut == 0 {
+			assert.Check(t, err == nil && bytes.HasSuffix(answer, []byte(sseEvents(9))), "%q, %v", answer, err)
+		} else {
+			assert.Check(t, errors.Is(err, syscall.ECONNRESET), "%q, %v", answer, err)
+		}
+		assert.NilError(t, conn.Close())
+		r.stop()
+	}
+}
+
 // TestIncompleteEventsReachCallers guards against parts of events, or bytes that are no event, that
 // reach the caller of a stream.
 func TestIncompleteEventsReachCallers(t *testing.T) {
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,12 @@
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler to abort the
 // connection of a caller that must not take a partial response for a complete one.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if aborted := recover(); aborted != nil {
+			resetUnframed(r)
+			panic(aborted)
+		}
+	}()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -71,6 +78,25 @@
 	x.run(r.Context())
 }
 
+// connKey is the key of a caller's connection in the contexts of its requests.
+type connKey struct{}
+
+// ConnContext adds a caller's connection to its context, as needed in an http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// resetUnframed makes the close of a connection a reset if the end of the connection would
+// complete the answer, as in HTTP/1.0.
+func resetUnframed(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	if conn, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // Fails only if the connection is closed.
+	}
+}
+
 // readBody returns the body, or the status with which the request is refused.
 func (s *Server) readBody(r *http.Request) ([]byte, int) {
 	if r.ContentLength == 0 {
