--- a/internal/relay/commander/operations_test.go
+++ b/internal/relay/commander/operations_test.go
@@ -19,7 +19,7 @@
 	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	examples := example.FindAllStringSubmatch(string(page), -1)
-	assert.Equal(t, len(examples), 7)
+	assert.Equal(t, len(examples), 8)
 	for _, ex := range examples {
 		cmd := exec.Command("bash", "-c", ex[1])
 		cmd.Dir = "testdata"
