--- a/internal/config/starter/sections.go
+++ b/internal/config/starter/sections.go
@@ -78,7 +78,7 @@
 type Session struct {
 	// Term is how long a registration or lease is valid without renewal; 100ms to 10m.
 	Term specifier.Duration `json:"term"`
-	// Margin is how long before the end of the term the daemon stops using its registration and leases; above 0s and at most half the term.
+	// Margin is how long before the end of the term the daemon stops using its registration and leases; above 0s and less than half the term.
 	Margin specifier.Duration `json:"margin"`
 }
 
--- a/internal/config/starter/validator.go
+++ b/internal/config/starter/validator.go
@@ -22,7 +22,7 @@
 	minTerm          = 100 * time.Millisecond
 	maxTerm          = 10 * time.Minute
 	minSecretBytes   = 16
-	minTermPerMargin = 2 // the term is at least this multiple of the margin
+	minTermPerMargin = 2 // the term is more than this multiple of the margin
 	minTimeout       = time.Millisecond
 )
 
@@ -143,8 +143,8 @@
 
 func (v *validator) checkSession(s Session) {
 	v.checkDuration("session.term", s.Term, minTerm, maxTerm)
-	if s.Margin.Duration <= 0 || minTermPerMargin*s.Margin.Duration > s.Term.Duration {
-		v.Reportf("session.margin", "is %v, want above 0s and at most half the term of %v", s.Margin, s.Term)
+	if s.Margin.Duration <= 0 || s.Margin.Duration >= s.Term.Duration/minTermPerMargin {
+		v.Reportf("session.margin", "is %v, want above 0s and less than half the term of %v", s.Margin, s.Term)
 	}
 }
 
