--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -562,6 +562,7 @@
 // register retries until it succeeds. It returns false if ctx ends first.
 func (f *Follower) register(ctx context.Context, host descriptor.Host, registered bool) bool {
 	spec := decoder.EncodeHost(host)
+	corrected := false // True once the store has said whether the entry exists.
 	for {
 		var err error
 		if registered {
@@ -571,7 +572,10 @@
 		}
 		if kind := caller.KindOf(err); err != nil && (kind == caller.KindConflict || kind == caller.KindMissing) {
 			registered = !registered
-			continue
+			if !corrected {
+				corrected = true
+				continue
+			}
 		}
 		if err == nil {
 			f.cfg.Logger.Info("host registered", "host", f.cfg.Host, "address", host.Address.String())
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -116,6 +116,23 @@
 
 const targetSpec = `{"service":"s","addr":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","born":1}`
 
+// TestRegistrationRetriesWithoutPause guards against a host that calls the platform's store without
+// pause while the store says of its entry both that it exists and that it doesn't.
+func TestRegistrationRetriesWithoutPause(t *testing.T) {
+	var writes atomic.Int64
+	s := newTestStoreBehind(t, imitator.NewStore(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writes.Add(1)
+		w.WriteHeader(map[string]int{http.MethodPost: http.StatusConflict, http.MethodPut: http.StatusNotFound}[r.Method])
+	}))
+	c, err := caller.New(caller.Config{Platform: s.addr, Dial: (&net.Dialer{}).DialContext, Timeout: time.Second})
+	assert.NilError(t, err)
+	f := New(Config{Host: hostName, Caller: c, Clock: timer.BootClock{}, Logger: hclog.NewNullLogger()})
+	ctx, cancel := context.WithTimeout(t.Context(), maxRetryPause/2)
+	defer cancel()
+	f.Register(ctx, descriptor.Host{Address: s.addr, DataCentre: "a"}, false)
+	assert.Assert(t, writes.Load() <= 2, "%d writes in half a pause", writes.Load())
+}
+
 // TestListReadsAllPages checks a list with more targets than fit on a page, one of
 // them invalid, and the removal of a target after it.
 func TestListReadsAllPages(t *testing.T) {
