--- a/internal/operator/commander/applier.go
+++ b/internal/operator/commander/applier.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return outcome{}, err
 	}
-	a.updateHistory(ctx, currentConfig{Document: specifier.Document{Change: change}, version: result.Version})
+	a.updateHistory(ctx, base.version, currentConfig{Document: specifier.Document{Change: change}, version: result.Version})
 	return result, nil
 }
 
--- a/internal/operator/commander/history.go
+++ b/internal/operator/commander/history.go
@@ -30,11 +30,11 @@
 	return err
 }
 
-// updateHistory records an accepted change and prunes old records if the version
-// is a multiple of pruneInterval. It ignores errors: the next change writes a
-// missing record.
-func (a *applier) updateHistory(ctx context.Context, c currentConfig) {
-	if err := a.writeRecord(ctx, c); err != nil || c.version%pruneInterval != 0 {
+// updateHistory records an accepted change of the version previous, and prunes old records if a
+// multiple of pruneInterval lies between the versions, which grow in uneven steps. It ignores
+// errors: the next change writes a missing record.
+func (a *applier) updateHistory(ctx context.Context, previous uint64, c currentConfig) {
+	if err := a.writeRecord(ctx, c); err != nil || c.version/pruneInterval == previous/pruneInterval {
 		return
 	}
 	objects, err := a.store.List(ctx, specifier.HistoryPrefix)
