--- a/cmd/cardamomctl/store.go
+++ b/cmd/cardamomctl/store.go
@@ -1,17 +1,21 @@
 package main
 
 import (
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"cardamomscale.example/cardamomscale/internal/operator/commander"
 	"cardamomscale.example/cardamomscale/internal/platform/client"
 )
 
-// openStore returns a client for the object API at the first platform address of c.
+// openStore returns a client for the object API at the platform addresses of c.
 func openStore(c commander.Connection) (client.ObjectStore, error) {
-	if len(c.Platform) == 0 {
-		return nil, errors.New("no platform address is given; use --platform IP:PORT")
+	var stores []client.ObjectStore
+	for _, addr := range c.Platform {
+		store, err := client.NewHTTPClient(client.HTTPConfig{Address: addr, Clock: clockwork.NewRealClock(), Timeout: c.Timeout})
+		if err != nil {
+			return nil, err
+		}
+		stores = append(stores, store)
 	}
-	return client.NewHTTPClient(client.HTTPConfig{Address: c.Platform[0], Clock: clockwork.NewRealClock()})
+	return client.NewFallback(stores...)
 }
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net/http"
 	"net/netip"
@@ -21,8 +20,6 @@
 type Connection struct {
 	// Platform lists the addresses of the object API.
 	Platform []netip.AddrPort
-	// TLS is nil for plain TCP.
-	TLS *tls.Config
 	// Timeout is the time limit of a call.
 	Timeout time.Duration
 }
--- a/internal/operator/commander/session.go
+++ b/internal/operator/commander/session.go
@@ -102,11 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tlsConfig, err := s.tlsConfig()
-	if err != nil {
-		return nil, err
-	}
-	store, err := s.cfg.OpenStore(Connection{Platform: platform, TLS: tlsConfig, Timeout: s.timeout})
+	store, err := s.cfg.OpenStore(Connection{Platform: platform, Timeout: s.timeout})
 	if err != nil {
 		return nil, platformError("open platform", err)
 	}
