--- a/internal/decision/reducer/status.go
+++ b/internal/decision/reducer/status.go
@@ -35,6 +35,8 @@
 	// those that this daemon sent.
 	Load     int
 	InFlight int
+	// Queued is the number of requests that waited at the target at its last load report.
+	Queued int
 	Owner    identifier.Host
 	// Age is the time since the last load report, or 0 if there was none.
 	Age time.Duration
@@ -68,7 +70,7 @@
 	status := TargetStatus{
 		Target: t.name, DataCentre: t.spec.DataCentre, State: state,
 		Incarnation: t.incarnation, Cold: t.cold, Limit: s.limit(t),
-		Load: t.load(), InFlight: t.inflight, Owner: s.expectedOwner(t),
+		Load: t.load(), InFlight: t.inflight, Queued: t.reportedQueued, Owner: s.expectedOwner(t),
 	}
 	if !t.observedAt.IsZero() {
 		status.Age = now.Sub(t.observedAt)
--- a/internal/decision/reducer/targets.go
+++ b/internal/decision/reducer/targets.go
@@ -32,7 +32,9 @@
 	// reportedLoad is the number of running and queued requests in the last load
 	// report, reportedQueueTokens its number of queued tokens, and inflightAtReport the
 	// value of inflight when the report was applied.
-	reportedLoad        int
+	reportedLoad int
+	// reportedQueued is the part of reportedLoad that was queued.
+	reportedQueued      int
 	reportedQueueTokens int
 	inflightAtReport    int
 	// observedAt is when the state was last reported or put in doubt. Older reports of
@@ -182,7 +184,7 @@
 	if s.updateIncarnation(ev.Target, ev.Incarnation, ev.Cold) && s.readsLoadOf(ev.Target) {
 		s.announceCold(t)
 	}
-	t.reportedLoad = ev.Running + ev.Queued
+	t.reportedLoad, t.reportedQueued = ev.Running+ev.Queued, ev.Queued
 	t.reportedQueueTokens = ev.QueuedTokens
 	t.inflightAtReport = t.inflight
 	t.pendingAtReport = t.pendingTokens
@@ -257,7 +259,7 @@
 func (s *State) resetIncarnation(t *target, incarnation identifier.Incarnation) {
 	t.incarnation = incarnation
 	t.cold = true
-	t.reportedLoad, t.reportedQueueTokens, t.inflightAtReport = 0, 0, t.inflight
+	t.reportedLoad, t.reportedQueued, t.reportedQueueTokens, t.inflightAtReport = 0, 0, 0, t.inflight
 	t.observedAt = time.Time{}
 	t.breaker = breaker{}
 	s.dropStalePermits(t)
--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -96,7 +96,7 @@
 func describeTarget(t reducer.TargetStatus) describer.Target {
 	return describer.Target{
 		Name: t.Target, State: t.State, Incarnation: t.Incarnation, Cold: t.Cold,
-		LimitInForce: t.Limit, Running: t.Load, Age: specifier.Duration{Duration: t.Age}, Owner: t.Owner,
+		LimitInForce: t.Limit, Running: t.Load, Queued: t.Queued, Age: specifier.Duration{Duration: t.Age}, Owner: t.Owner,
 	}
 }
 
--- a/internal/operator/describer/describer.go
+++ b/internal/operator/describer/describer.go
@@ -62,9 +62,9 @@
 	// LimitInForce is the number of requests that the target may currently run: its
 	// cold limit while it is cold, and up to its warm limit afterwards.
 	LimitInForce int `json:"cold-limit-in-force"`
-	// Running is the estimated number of requests on the target.
+	// Running is the estimated number of requests on the target, including queued ones.
 	Running int `json:"running"`
-	// Queued is not set by daemons.
+	// Queued is the number of requests that waited at the target at its last load report.
 	Queued int `json:"queued"`
 	// Age is the time since the target's last load report; 0 if there was none.
 	Age specifier.Duration `json:"age"`
