--- a/internal/decision/reducer/status.go
+++ b/internal/decision/reducer/status.go
@@ -37,7 +37,7 @@
 	InFlight int
 	// Queued is the number of requests that waited at the target at its last load report.
 	Queued int
-	Owner    identifier.Host
+	Owner  identifier.Host
 	// Age is the time since the last load report, or 0 if there was none.
 	Age time.Duration
 }
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -151,6 +151,8 @@
 	failing bool
 	// overdue is true from a call that was given up to the next successful one.
 	overdue bool
+	// answeredAt is when the last answer or update of another host came, or zero before the first.
+	answeredAt time.Time
 }
 
 // freshness describes how current an answer of the platform is.
@@ -265,12 +267,44 @@
 
 func (w *watch) recordSuccess() {
 	w.failures = 0
-	w.setOverdue(false)
-	if w.failing {
+	now := w.cfg.Clock.Now()
+	silentFor := now.Sub(w.setAnswered(now))
+	switch {
+	case w.failing:
 		w.setFailing(false)
-		w.recoveredAt = w.cfg.Clock.Now()
-		w.cfg.Logger.Info("platform regained", "kind", w.kind)
+		w.recoveredAt = now
+		w.cfg.Logger.Info("platform regained", "kind", w.kind, "after", w.revision, "silent-for", silentFor)
+	case w.overdue:
+		w.cfg.Logger.Info("watch resumed", "kind", w.kind, "after", w.revision, "silent-for", silentFor)
+	}
+	w.setOverdue(false)
+}
+
+// setAnswered records the time of an answer or update, and returns that of the one before or now.
+func (w *watch) setAnswered(now time.Time) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.answeredAt
+	w.answeredAt = now
+	if before.IsZero() {
+		return now
+	}
+	return before
+}
+
+// WatchAges returns the time since the last answer to each watch of the platform, or the last
+// update of another host, by kind of object. A watch without changes is answered at the end of its
+// wait.
+func (f *Follower) WatchAges() map[string]time.Duration {
+	ages := make(map[string]time.Duration, len(f.watches))
+	for _, w := range f.watches {
+		w.mu.Lock()
+		if !w.answeredAt.IsZero() {
+			ages[w.kind] = f.cfg.Clock.Now().Sub(w.answeredAt)
+		}
+		w.mu.Unlock()
 	}
+	return ages
 }
 
 // checkEra records the era of an answer. It returns an error if a newer era is known.
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -514,3 +515,23 @@
 	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Era == 1 })
 	assert.Assert(t, time.Since(returned) < time.Second, "listed %v after the store returned", time.Since(returned))
 }
+
+// TestWatchAgeShowsOutage guards against an outage of the platform that the metrics don't show.
+func TestWatchAgeShowsOutage(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindConfig, caller.ConfigName, `{"version":1}`)
+	f, events := newTestStore(t, store).start(always, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(decider.ConfigConfirmed) bool { return true })
+	store.SetDown(true)
+	await := func(what string, ok func(age time.Duration) bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if age, known := f.WatchAges()[caller.KindConfig]; !known || !ok(age) {
+				return poll.Continue("%s: the age is %v", what, age)
+			}
+			return poll.Success()
+		})
+	}
+	await("outage", func(age time.Duration) bool { return age > 1500*time.Millisecond })
+	store.SetDown(false)
+	await("end of the outage", func(age time.Duration) bool { return age < time.Second })
+}
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -230,6 +230,7 @@
 		return
 	}
 	w.lastUpdate = u.receivedAt
+	w.setAnswered(u.receivedAt)
 	if u.Era > w.era || u.After > w.revision {
 		w.behind = true
 		return
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -16,6 +17,9 @@
 	DroppedLines func() int64
 	// BufferedBytes returns the number of bytes of responses that are held back. It may be nil.
 	BufferedBytes func() int64
+	// WatchAges returns the time since the last answer to each watch of the platform, by kind of
+	// object. It may be nil.
+	WatchAges func() map[string]time.Duration
 }
 
 // Meter holds the relay's metrics. It is safe for concurrent use.
@@ -60,9 +64,29 @@
 			func() float64 { return float64(cfg.BufferedBytes()) },
 		))
 	}
+	if cfg.WatchAges != nil {
+		m.registry.MustRegister(watchAges{cfg.WatchAges})
+	}
 	return m
 }
 
+// watchAges collects the ages of the watches when metrics are read.
+type watchAges struct {
+	ages func() map[string]time.Duration
+}
+
+var watchAgeDesc = prometheus.NewDesc("cardamom_watch_age_seconds", "Time since the last answer to a watch of the platform, by kind of object.", []string{"kind"}, nil)
+
+// Describe implements prometheus.Collector.
+func (w watchAges) Describe(descs chan<- *prometheus.Desc) { descs <- watchAgeDesc }
+
+// Collect implements prometheus.Collector.
+func (w watchAges) Collect(metrics chan<- prometheus.Metric) {
+	for kind, age := range w.ages() {
+		metrics <- prometheus.MustNewConstMetric(watchAgeDesc, prometheus.GaugeValue, age.Seconds(), kind)
+	}
+}
+
 func newCounterVec(name, help, label string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 }
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -98,7 +98,11 @@
 	}
 	bufferBytes := int64(bufferedShare * float64(cfg.Settings.MemoryMB) * (1 << 20))
 	buffers := bounder.NewBudget(bufferBytes)
-	r := &Runner{cfg: cfg, meter: meter.New(meter.Config{DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used}), callSlots: make(chan struct{}, maxConcurrentCalls)}
+	r := &Runner{cfg: cfg, callSlots: make(chan struct{}, maxConcurrentCalls)}
+	r.meter = meter.New(meter.Config{
+		DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used,
+		WatchAges: func() map[string]time.Duration { return r.follower.WatchAges() },
+	})
 	state := decider.New(decider.Config{
 		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
 		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack, RetryWindow: cfg.Settings.RetryWindow,
