--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,13 +85,15 @@
 	watches []*watch
 	// unregistered receives a value when the store has lost the entry of this host.
 	unregistered chan struct{}
+	// lost is true from a call without an answer, or one that lost changes, to the next answer.
+	lost atomic.Bool
 }
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
-		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1)})
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
 	}
 	return f
 }
@@ -130,6 +133,8 @@
 	updates chan receivedUpdate
 	// suspected has a value if the current call may be silent.
 	suspected chan struct{}
+	// answered has a value if the platform is known to answer since a call was lost.
+	answered chan struct{}
 	// changed is true if the last answer had changes.
 	changed bool
 	// lastUpdate is when the last update of another host was received.
@@ -149,6 +154,8 @@
 	era int64
 	// failing is true from a failed call to the next successful one.
 	failing bool
+	// refused is true if the platform refused the last failed call.
+	refused bool
 	// overdue is true from a call that was given up to the next successful one.
 	overdue bool
 	// answeredAt is when the last answer or update of another host came, or zero before the first.
@@ -187,12 +194,12 @@
 		}
 		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
 			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
-			w.suspectOthers()
+			w.platformLost(w)
 			w.setPosition(w.era, 0)
 			continue
 		}
 		w.recordFailure(ctx, err)
-		if !sleep(ctx, pause) {
+		if !w.pause(ctx, pause) {
 			break
 		}
 		pause = min(2*pause, w.maxPause())
@@ -216,10 +223,10 @@
 	w.era, w.revision = era, revision
 }
 
-func (w *watch) setFailing(failing bool) {
+func (w *watch) setFailing(failing, refused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failing = failing
+	w.failing, w.refused = failing, refused
 }
 
 func (w *watch) setOverdue(overdue bool) {
@@ -231,31 +238,86 @@
 func (w *watch) recordFailure(ctx context.Context, err error) {
 	w.lastFailure = w.cfg.Clock.Now()
 	w.failures++
-	if !w.failing && ctx.Err() == nil {
-		w.suspectOthers()
-		w.setFailing(true)
+	if ctx.Err() != nil {
+		return
+	}
+	if !w.failing {
+		w.platformLost(w)
 		w.cfg.Logger.Warn("platform lost", "kind", w.kind, "error", err.Error())
 	}
+	w.setFailing(true, caller.KindOf(err) == caller.KindUnavailable)
 }
 
-// suspectOthers ends the calls of the other watches, which may wait for changes on connections
-// that the platform has forgotten.
-func (w *watch) suspectOthers() {
-	for _, other := range w.watches {
-		if other != w {
-			other.suspect()
+// suspect ends the current call, unless it ends soon by itself.
+func (w *watch) suspect() {
+	select {
+	case w.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// ObserveCall reports the outcome of another call of this host to the platform.
+func (f *Follower) ObserveCall(err error) {
+	switch kind := caller.KindOf(err); {
+	case err != nil && kind == caller.KindUnanswered:
+		f.platformLost(nil)
+	case err == nil || kind != caller.KindUnavailable:
+		f.platformAnswered(nil)
+	}
+}
+
+// platformLost records that a call of a watch, or another one if by is nil, was lost. All watches
+// may be silent then.
+func (f *Follower) platformLost(by *watch) {
+	f.lost.Store(true)
+	for _, w := range f.watches {
+		if w != by {
+			w.suspect()
 		}
 	}
 }
 
-// suspect ends the current call, unless it ends soon by itself.
-func (w *watch) suspect() {
+// platformAnswered lets the other watches continue at once if the platform was lost.
+func (f *Follower) platformAnswered(by *watch) {
+	if !f.lost.CompareAndSwap(true, false) {
+		return
+	}
+	for _, w := range f.watches {
+		if w != by {
+			w.noticeAnswer()
+		}
+	}
+}
+
+// noticeAnswer ends the pause or the current call of the watch, as the platform answers again. A
+// refused call was answered too, so its pause stands.
+func (w *watch) noticeAnswer() {
+	w.mu.Lock()
+	refused := w.refused
+	w.mu.Unlock()
+	if refused {
+		return
+	}
 	select {
-	case w.suspected <- struct{}{}:
+	case w.answered <- struct{}{}:
 	default:
 	}
 }
 
+// pause waits for d after a failed call, or until the platform is known to answer. It returns false
+// if ctx ends first.
+func (w *watch) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.answered:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Refresh asks the platform soon for the changes of a kind that this host may lack.
 func (f *Follower) Refresh(kind string) {
 	for _, w := range f.watches {
@@ -269,9 +331,10 @@
 	w.failures = 0
 	now := w.cfg.Clock.Now()
 	silentFor := now.Sub(w.setAnswered(now))
+	w.platformAnswered(w)
 	switch {
 	case w.failing:
-		w.setFailing(false)
+		w.setFailing(false, false)
 		w.recoveredAt = now
 		w.cfg.Logger.Info("platform regained", "kind", w.kind, "after", w.revision, "silent-for", silentFor)
 	case w.overdue:
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -110,8 +110,8 @@
 }
 
 // awaitAnswer makes a watch call and applies updates of other hosts while it waits, so that a
-// call without an answer doesn't hold them up. It gives up a call that is overdue or suspected to
-// be silent, unless the call ends soon by itself. The call has ended when awaitAnswer returns.
+// call without an answer doesn't hold them up. It gives up a call that is overdue, or suspected to
+// be silent unless it ends soon by itself, or that lasts after the platform has answered another. The call has ended when awaitAnswer returns.
 func (w *watch) awaitAnswer(ctx context.Context, after int64, wait time.Duration) watchAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -144,6 +144,10 @@
 			if due == nil && wait > confirmWait {
 				overtaken, due = true, time.After(overduePause)
 			}
+		case <-w.answered:
+			if due == nil {
+				overtaken, due = true, time.After(overduePause)
+			}
 		case <-due:
 			cancel()
 			answer := <-answers
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -110,6 +110,7 @@
 
 func (r *Runner) leaseEvent(object caller.Object, err error, sentAt time.Time, written bool) decider.LeaseAnswered {
 	r.follower.ObserveEra(object.Era)
+	r.follower.ObserveCall(err)
 	ev := decider.LeaseAnswered{CalledAt: sentAt, Written: written}
 	switch {
 	case err == nil:
