--- a/internal/relay/scanner/scanner.go
+++ b/internal/relay/scanner/scanner.go
@@ -3,7 +3,10 @@
 
 // Scanner follows a stream across reads. Lines end with LF, CR or both, and an event ends with
 // an empty line. Comment lines belong to no event. The zero value is at the start of a stream.
-type Scanner struct {
+type Scanner struct{ state }
+
+// state is the position within a stream.
+type state struct {
 	line line
 	// open is true within an event, after its first line.
 	open bool
@@ -12,7 +15,7 @@
 }
 
 // line is the kind of the current line, as far as it has been read.
-type line int
+type line uint8
 
 const (
 	lineEmpty line = iota
@@ -23,17 +26,19 @@
 // Scan reads the next bytes of the stream. It returns the length of the part of p after which the
 // stream is between events for the last time, or 0.
 func (s *Scanner) Scan(p []byte) int {
-	complete := 0
+	complete, st := 0, s.state
 	for i, b := range p {
-		s.scanByte(b)
-		if !s.InsideEvent() {
+		st = st.next(b)
+		if !st.InsideEvent() {
 			complete = i + 1
 		}
 	}
+	s.state = st
 	return complete
 }
 
-func (s *Scanner) scanByte(b byte) {
+// next returns the state after b.
+func (s state) next(b byte) state {
 	continued := s.afterCR && b == '\n'
 	s.afterCR = b == '\r'
 	switch {
@@ -47,7 +52,8 @@
 	default:
 		s.line = lineField
 	}
+	return s
 }
 
 // InsideEvent reports whether the stream would be truncated if it ended here.
-func (s *Scanner) InsideEvent() bool { return s.open || s.line != lineEmpty }
+func (s state) InsideEvent() bool { return s.open || s.line != lineEmpty }
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -191,7 +191,7 @@
 	x.received.Framing = resp.Framing
 	stream := send.Stream && resp.Success()
 	switch {
-	case stream && resp.Length > maxStreamSize, !stream && resp.Length > maxBufferedBody:
+	case stream && resp.Length > streamLimit(x.req.Prompt), !stream && resp.Length > maxBufferedBody:
 		resp.Abort()
 		return x.readFailed(ctx, errTooLong)
 	case stream:
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -8,16 +8,29 @@
 	"net/http"
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/forwarder"
 	"cardamomscale.example/cardamomscale/internal/relay/scanner"
 )
 
 const (
-	// maxEventSize bounds one event of a stream, maxStreamSize all of them.
-	maxEventSize  = 256 << 10
-	maxStreamSize = 32 << 20
+	// maxEventSize bounds one event of a stream.
+	maxEventSize = 256 << 10
+	// maxStreamSize bounds a stream, maxUnsizedStream one of a request that doesn't say how many
+	// tokens it may get. Each token has an event at most, of maxTokenSize.
+	maxStreamSize    = 32 << 20
+	maxUnsizedStream = 4 << 20
+	maxTokenSize     = 4 << 10
 )
 
+// streamLimit returns the bound for the answer to a request, in bytes.
+func streamLimit(prompt *descriptor.Prompt) int64 {
+	if prompt == nil || prompt.MaxOutput <= 0 {
+		return maxUnsizedStream
+	}
+	return min(maxStreamSize, maxEventSize+int64(prompt.MaxOutput)*maxTokenSize)
+}
+
 // errTooLong reports a stream or an announced length that exceeds its bound.
 var errTooLong = errors.New("the response is too long")
 
@@ -27,7 +40,7 @@
 	flush := http.NewResponseController(x.w)
 	buf := x.server.cfg.Buffers.NewBuffer(maxEventSize)
 	defer buf.Release()
-	reported := false
+	limit, reported := streamLimit(x.req.Prompt), false
 	var events scanner.Scanner
 	for {
 		held := len(buf.Bytes())
@@ -50,7 +63,7 @@
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(ctx, resp, reported)
 		}
-		if err == nil && x.received.Bytes > maxStreamSize {
+		if err == nil && x.received.Bytes > limit {
 			err = errTooLong
 		}
 		if err != nil {
