--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
-	"cardamomscale.example/cardamomscale/internal/standin/flooder"
 	"cardamomscale.example/cardamomscale/internal/standin/proxier"
 	"cardamomscale.example/cardamomscale/internal/standin/server"
 	"cardamomscale.example/cardamomscale/platform/imitator"
@@ -36,9 +34,6 @@
 	// meanSpoilInterval is the mean pause between targets that spoil spoiledShare of their answers.
 	meanSpoilInterval = time.Second
 	spoiledShare      = 0.3
-	// floodRepeats is the number of pieces of a flood after each floodPause.
-	floodRepeats = 2000
-	floodPause   = time.Millisecond
 	// maxClockStep is the largest step of a store's clock, forward or back.
 	maxClockStep = 4 * time.Second
 )
@@ -124,16 +119,6 @@
 	}
 }
 
-// floods are the bytes without end that targets send. Pauses keep them from using the processor
-// alone while a link swallows them.
-var floods = []flooder.Flood{
-	{Repeat: strings.Repeat("bytes ", floodRepeats), Pause: floodPause},
-	{Begin: "HTTP/1.1 200 OK\r\n", Repeat: strings.Repeat("X-A: b\r\n", floodRepeats), Pause: floodPause},
-	{Begin: "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nReply-Seal: s\r\n\r\n", Repeat: strings.Repeat("bytes ", floodRepeats), Pause: floodPause},
-	{Begin: "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\n\r\n", Repeat: strings.Repeat("bytes\n\n", floodRepeats), Pause: floodPause},
-	{Begin: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n", Pause: 10 * floodPause},
-}
-
 // spoilAnswers makes one target after the other send answers that end with their connections, some
 // of them early, or floods, until ctx ends. Series overlap with the other faults. It has random
 // numbers of its own, so that the other faults of a seed stay the same.
@@ -143,10 +128,9 @@
 	for sleep(ctx, time.Duration(rng.Float64()*2*float64(meanSpoilInterval))) {
 		t, duration := all[rng.IntN(len(all))], time.Duration(rng.Float64()*float64(maxFaultDuration))
 		t.worker.SetFailureShare(spoiledShare)
-		if i := rng.IntN(2 * len(floods)); i < len(floods) {
-			s.recordEvent("flood by "+t.name, "flood", i, "duration", duration.String())
-			f := &floods[i]
-			t.worker.SetFlood(&flooder.Flood{Begin: f.Begin, Repeat: f.Repeat, Pause: f.Pause})
+		if kind := rng.IntN(2 * imitator.FloodKinds); kind < imitator.FloodKinds {
+			s.recordEvent("flood by "+t.name, "flood", kind, "duration", duration.String())
+			t.worker.SetFlood(imitator.NewFlood(kind))
 		} else {
 			s.recordEvent("answers without framing by "+t.name, "duration", duration.String())
 			t.worker.SetUnframed(true)
