--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -110,8 +110,9 @@
 }
 
 // awaitAnswer makes a watch call and applies updates of other hosts while it waits, so that a
-// call without an answer doesn't hold them up. It gives up a call that is overdue, or suspected to
-// be silent unless it ends soon by itself, or that lasts after the platform has answered another. The call has ended when awaitAnswer returns.
+// call without an answer doesn't hold them up. It gives up a call that is overdue, suspected to be
+// silent unless it ends soon by itself, or still open some time after the platform has answered
+// another call. The call has ended when awaitAnswer returns.
 func (w *watch) awaitAnswer(ctx context.Context, after int64, wait time.Duration) watchAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
