--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -132,12 +133,22 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.stopping {
-		chk.addViolation("processes run", fmt.Sprintf("%s ended by itself: %v", h.name, err))
+		chk.addViolation("processes run", fmt.Sprintf("%s ended by itself: %v: %s", h.name, err, lastLine(log.Name())))
 	}
 	h.cmd = nil
 	close(exited)
 }
 
+// lastLine returns the last line of a file, or why it can't be read.
+func lastLine(path string) string {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process if it is running.
 func (h *host) signal(sig syscall.Signal) {
 	h.mu.Lock()
