Reserve ports across processes, and force both suspected orders of the soak

Cause: TestSoak failed twice beside load, with two suspicions and no run that showed either.

TestPortsOfStoppedHostsStayFree runs seed 427 beside a process that takes each port it can get; TestResetIsNotSeenAsEndOfAnswer lets the context close the connections inside reset.

--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -19,6 +19,7 @@
 
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/standin/proxier"
+	"cardamomscale.example/cardamomscale/internal/standin/reserver"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
@@ -92,6 +93,7 @@
 type cluster struct {
 	cfg        Config
 	checker    *checker
+	ports      *reserver.Reserver
 	ctx        context.Context
 	cancel     context.CancelFunc
 	group      sync.WaitGroup
@@ -116,7 +118,11 @@
 
 // newCluster starts the stand-ins, the links to them, and the hosts.
 func newCluster(ctx context.Context, cfg Config, chk *checker) (*cluster, error) {
-	c := &cluster{cfg: cfg, checker: chk, platform: imitator.NewStore(), activeKeys: map[string]string{}, revokedKeys: map[string]string{}, issuedAt: map[string]time.Time{}, publishedVersion: 1}
+	ports, err := reserver.New(cfg.ports)
+	if err != nil {
+		return nil, newError("reserve ports", KindInvalid, err)
+	}
+	c := &cluster{cfg: cfg, checker: chk, ports: ports, platform: imitator.NewStore(), activeKeys: map[string]string{}, revokedKeys: map[string]string{}, issuedAt: map[string]time.Time{}, publishedVersion: 1}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	if err := c.start(); err != nil {
 		c.close()
@@ -439,6 +445,7 @@
 	}
 	c.cancel()
 	c.group.Wait()
+	c.ports.Close()
 }
 
 // logFile returns the path of a host's log.
--- a/internal/bench/soaker/host.go
+++ b/internal/bench/soaker/host.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -27,9 +25,6 @@
 	maxReadyMisses = 2
 	// minReloadDelay is several times what a busy machine needs to load a program.
 	minReloadDelay = 100 * time.Millisecond
-	// Ports of hosts are drawn at random between firstPort and lastPort, with up to
-	// maxPortAttempts attempts to find a free one.
-	firstPort, lastPort, maxPortAttempts = 20000, 32000, 100
 )
 
 // host is a relay process and the settings it runs with.
@@ -54,32 +49,12 @@
 	misses int
 }
 
-// usedPorts holds the ports that this process has given out. A host doesn't hold its ports until it
-// has started, and another soak of this process may ask for some in between.
-var usedPorts sync.Map
-
-// freePort returns a loopback address with a free TCP port. The port lies below the
-// ephemeral range, so that no connection takes it while the host is down.
-func freePort() (netip.AddrPort, error) {
-	for range maxPortAttempts {
-		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
-		if _, used := usedPorts.LoadOrStore(port, true); used {
-			continue
-		}
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if l, err := net.Listen("tcp4", addr.String()); err == nil {
-			return addr, l.Close()
-		}
-	}
-	return netip.AddrPort{}, newError("listen", KindStart, os.ErrExist)
-}
-
 func (c *cluster) newHost(n int, platform netip.AddrPort) (*host, error) {
 	h := &host{name: fmt.Sprint("host-", n), index: n, cluster: c, misses: maxReadyMisses}
 	var ports [3]netip.AddrPort
 	for i := range ports {
 		var err error
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = c.ports.Reserve(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cardamomscale.example/cardamomscale/internal/core/failer"
+	"cardamomscale.example/cardamomscale/internal/standin/reserver"
 )
 
 // Kind classifies failures of this package.
@@ -49,6 +50,8 @@
 	Binary string
 	Dir    string
 	Logger hclog.Logger
+	// ports is the range of the hosts' ports; the default one of reserver if it is empty.
+	ports reserver.Config
 }
 
 const (
@@ -100,6 +103,9 @@
 	case cfg.Hosts < 2 || cfg.Hosts > maxHosts || cfg.Engines < 2 || cfg.PlainTargets < 2 || cfg.Callers < 1 || cfg.FaultDuration < 0:
 		return nil, newError("new soaker", KindInvalid, errors.Newf("hosts is %d, want 2 to %d; engines and plains at least 2; callers at least 1", cfg.Hosts, maxHosts))
 	}
+	if cfg.ports == (reserver.Config{}) {
+		cfg.ports = reserver.Config{First: reserver.DefaultFirst, Last: reserver.DefaultLast}
+	}
 	return &Soaker{cfg: cfg, checker: newChecker(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), faults: map[string]int{}}, nil
 }
 
--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/standin/reserver"
 )
 
 // faultDuration is the duration of the phase with faults for each seed.
@@ -36,14 +39,21 @@
 	return list
 }
 
-// TestSoak runs each recorded seed with real processes, so that faults which were found
-// with it don't return.
-func TestSoak(t *testing.T) {
+// buildDaemon builds cardamomd and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "cardamomd")
 	build := exec.Command("go", "build", "-o", binary, "./cmd/cardamomd")
 	build.Dir = filepath.Join("..", "..", "..")
 	out, err := build.CombinedOutput()
 	assert.NilError(t, err, "%s", out)
+	return binary
+}
+
+// TestSoak runs each recorded seed with real processes, so that faults which were found
+// with it don't return.
+func TestSoak(t *testing.T) {
+	binary := buildDaemon(t)
 	const parallelRuns = 3
 	slots := make(chan struct{}, parallelRuns)
 	for _, seed := range readSeeds(t) {
@@ -65,6 +75,53 @@
 	}
 }
 
+// TestPortsOfStoppedHostsStayFree guards against a host that ends at its start because a process
+// of another test took its port while it was down. Another process that reserves ports of the
+// same range, of which few are left, listens on each one that it gets.
+func TestPortsOfStoppedHostsStayFree(t *testing.T) {
+	const hosts, portsPerHost = 4, 3
+	ports := reserver.Config{First: 10_800, Last: 10_800 + hosts*portsPerHost}
+	s, err := New(Config{
+		Seed: 427, FaultDuration: faultDuration, Hosts: hosts, Engines: 4, PlainTargets: 3, Callers: 8,
+		Binary: buildDaemon(t), Dir: t.TempDir(), Logger: hclog.NewNullLogger(), ports: ports,
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		takePorts(ctx, ports)
+	}()
+	result, err := s.Run(t.Context())
+	cancel()
+	<-done
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%s", strings.Join(result.Violations, "\n"))
+}
+
+// takePorts listens on each port of a range that it can reserve, until ctx ends. It begins once
+// the hosts have reserved theirs.
+func takePorts(ctx context.Context, ports reserver.Config) {
+	const startDelay, retryInterval = 2 * time.Second, 5 * time.Millisecond
+	other, err := reserver.New(ports)
+	if err != nil {
+		panic(err)
+	}
+	defer other.Close()
+	if !sleep(ctx, startDelay) {
+		return
+	}
+	for sleep(ctx, retryInterval) {
+		addr, err := other.Reserve()
+		if err != nil {
+			continue // All are reserved.
+		}
+		if ln, err := net.Listen("tcp4", addr.String()); err == nil {
+			defer func() { _ = ln.Close() }()
+		}
+	}
+}
+
 // TestNewRejectsInvalidConfig checks that the error names the invalid field.
 func TestNewRejectsInvalidConfig(t *testing.T) {
 	_, err := New(Config{Binary: "x", Dir: "y", Logger: hclog.NewNullLogger(), Hosts: maxHosts + 1, Engines: 2, PlainTargets: 2, Callers: 1})
--- a/internal/standin/proxier/proxier_test.go
+++ b/internal/standin/proxier/proxier_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -173,6 +174,35 @@
 	return err
 }
 
+// TestResetIsNotSeenAsEndOfAnswer guards against a reset that reaches the client as the end of the
+// stream, which completes an answer that ends with its connection. The end of the connection's
+// context closes it; here it does so before reset goes on.
+func TestResetIsNotSeenAsEndOfAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, ln.Close()) }()
+	accept := func() (near, far net.Conn) {
+		far, err := net.Dial("tcp4", ln.Addr().String())
+		assert.NilError(t, err)
+		near, err = ln.Accept()
+		assert.NilError(t, err)
+		return near, far
+	}
+	client, caller := accept()
+	target, worker := accept()
+	c := &connection{client: client, target: target}
+	c.cancel = func() {
+		_ = client.Close()
+		_ = target.Close()
+	}
+	c.reset()
+	for _, far := range []net.Conn{caller, worker} {
+		_, err := far.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+		assert.NilError(t, far.Close())
+	}
+}
+
 func TestDelayAndRateLimit(t *testing.T) {
 	tests := map[string]Direction{
 		"delay": {Delay: server.Duration{Duration: time.Second}},
--- a/internal/testing/prover/process_test.go
+++ b/internal/testing/prover/process_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -15,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/standin/reserver"
 )
 
 // binDir is the directory of the built commands.
@@ -112,40 +112,20 @@
 	assert.Equal(t, p.cmd.ProcessState.ExitCode(), 0, "exit code of %s:\n%s", p.name, p.tail())
 }
 
-// reservedPorts holds the ports that were handed out in this test run.
-var reservedPorts = struct {
-	sync.Mutex
-	ports map[uint16]bool
-}{ports: map[uint16]bool{}}
-
-// The range lies below the kernel's ephemeral ports, so that no outgoing
-// connection takes a free port before its process listens on it, and below the
-// ports of the soak, whose tests may run at the same time.
-const (
-	minPort = 12_000
-	maxPort = 20_000
-)
+// ports reserves the ports of all tests. Tests of other packages run processes at the same time,
+// and a port must stay free for a daemon that is down.
+var ports = sync.OnceValues(func() (*reserver.Reserver, error) {
+	return reserver.New(reserver.Config{First: reserver.DefaultFirst, Last: reserver.DefaultLast})
+})
 
-// freeAddress returns a loopback address whose port is free and was not handed
-// out before.
+// freeAddress returns a loopback address whose port is free and was not handed out before.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	reservedPorts.Lock()
-	defer reservedPorts.Unlock()
-	for {
-		port := uint16(minPort + rand.IntN(maxPort-minPort))
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if reservedPorts.ports[port] {
-			continue
-		}
-		ln, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, ln.Close())
-		reservedPorts.ports[port] = true
-		return address
-	}
+	r, err := ports()
+	assert.NilError(t, err)
+	address, err := r.Reserve()
+	assert.NilError(t, err)
+	return address
 }
 
 // pollInterval is the time between two evaluations of a polled condition.
