--- a/internal/relay/decider/helpers_test.go
+++ b/internal/relay/decider/helpers_test.go
@@ -20,7 +20,7 @@
 // host is the State of one host with its own clock.
 type host struct {
 	*State
-	t          *testing.T
+	t          testing.TB
 	clock      time.Time
 	lastNumber int64
 	// storeRevision is the revision of the platform's store.
@@ -39,7 +39,7 @@
 }
 
 func address(n int) netip.AddrPort {
-	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:8080", n))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8080)
 }
 
 func storeAddress(n int) netip.AddrPort {
@@ -77,14 +77,21 @@
 	return descriptor.Target{ID: fmt.Sprintf("plain-%d", n), Service: "plain", Address: address(100 + n), DataCentre: "a", Slots: 6, StartedAt: time.UnixMilli(1)}
 }
 
-// newHost returns a host with plain targets and with engines of version 1.
-func newHost(t *testing.T, name string, engines, plains int) *host {
-	t.Helper()
-	h := &host{t: t, clock: time.Unix(1000, 0)}
+// newUnconfiguredHost returns a host that knows nothing yet.
+func newUnconfiguredHost(tb testing.TB, name, dataCentre string) *host {
+	tb.Helper()
+	h := &host{t: tb, clock: time.Unix(1000, 0)}
 	h.State = New(Config{
-		Host: name, DataCentre: "a", Regions: map[string]string{"a": "r"}, Boot: 1, Seed: 7,
+		Host: name, DataCentre: dataCentre, Regions: map[string]string{dataCentre: "r"}, Boot: 1, Seed: 7,
 		RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, LeaseTerm: leaseTerm, RevokeAfter: 5 * time.Second, WeightsWithin: 8 * time.Second,
 	})
+	return h
+}
+
+// newHost returns a host with plain targets and with engines of version 1.
+func newHost(t *testing.T, name string, engines, plains int) *host {
+	t.Helper()
+	h := newUnconfiguredHost(t, name, "a")
 	h.handle(ConfigListed{Config: testConfig(1)})
 	h.handle(ConfigConfirmed{AsOf: h.clock})
 	var list []descriptor.Target
