Count hosts and outdated parts without a pass over all of them per target and tick

Cause: with 195 hosts, each request counted the hosts once for each of 130 targets, and each tick parsed the salt of every known part of every store. A host at rest spent 1.6% of a core on ticks, and a request cost 1.9 ms.

Change: the count of hosts is kept for 100 ms or until their list changes. Stores count their parts by salt, and a tick looks at the salts only.

--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -94,6 +94,8 @@
 	confirmedAt time.Time
 	bootSeenAt  time.Time
 	parts       map[partKey]int
+	// partsBySalt counts parts by salt.
+	partsBySalt map[string]int
 	usedTokens  int
 	// delay is the mean time by which imports from the store exceeded the prediction, as of
 	// delayUpdatedAt.
@@ -118,7 +120,7 @@
 			list = append(list, s.stores[i])
 			continue
 		}
-		list = append(list, &store{Store: *svc.Store, parts: map[partKey]int{}})
+		list = append(list, &store{Store: *svc.Store, parts: map[partKey]int{}, partsBySalt: map[string]int{}})
 	}
 	slices.SortFunc(list, func(a, b *store) int { return a.Address.Compare(b.Address) })
 	s.stores = list
@@ -169,6 +171,7 @@
 		}
 		st.boot, st.usedTokens = ev.Changes.Boot, 0
 		clear(st.parts)
+		clear(st.partsBySalt)
 	}
 	if !st.alive {
 		s.log("store answers", "", "store", ev.Store, "boot", st.boot)
@@ -188,15 +191,28 @@
 
 func (s *State) applyPartChange(st *store, c descriptor.PartChange) {
 	key := partKey{c.Salt, c.Part}
-	st.usedTokens -= st.parts[key]
-	delete(st.parts, key)
+	st.remove(key)
 	if c.Held {
 		st.parts[key] = c.Tokens
+		st.partsBySalt[key.salt]++
 		st.usedTokens += c.Tokens
 		delete(s.savingUntil, key)
 	}
 }
 
+// remove removes a part from the known content, if it is there.
+func (st *store) remove(key partKey) {
+	tokens, ok := st.parts[key]
+	if !ok {
+		return
+	}
+	delete(st.parts, key)
+	st.usedTokens -= tokens
+	if st.partsBySalt[key.salt]--; st.partsBySalt[key.salt] == 0 {
+		delete(st.partsBySalt, key.salt)
+	}
+}
+
 func (s *State) onStoreLost(ev StoreLost) {
 	st := s.storeByAddress(ev.Store)
 	if st == nil {
@@ -458,19 +474,28 @@
 	}
 }
 
+// partsWithSalt returns the IDs of up to limit parts with a salt.
+func (st *store) partsWithSalt(salt string, limit int) []string {
+	var parts []string
+	for key := range st.parts {
+		if key.salt == salt && len(parts) < limit {
+			parts = append(parts, key.part)
+		}
+	}
+	return parts
+}
+
 // freeOutdatedPartsOf drops the parts of st that were made by versions of model below oldest.
 func (s *State) freeOutdatedPartsOf(st *store, model string, oldest int) {
 	if !st.alive {
 		return
 	}
-	bySalt := map[string][]string{}
-	for key := range st.parts {
-		keyModel, version := parseSalt(key.salt)
-		if keyModel == model && version < oldest && len(bySalt[key.salt]) < freeBatchSize {
-			bySalt[key.salt] = append(bySalt[key.salt], key.part)
+	for salt := range st.partsBySalt {
+		saltModel, version := parseSalt(salt)
+		if saltModel != model || version >= oldest {
+			continue
 		}
-	}
-	for salt, parts := range bySalt {
+		parts := st.partsWithSalt(salt, freeBatchSize)
 		for _, part := range parts {
 			s.applyPartChange(st, descriptor.PartChange{Salt: salt, Part: part})
 		}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -30,8 +30,10 @@
 	weightsAnnounceTime = 700 * time.Millisecond
 	// peerTimeout is how long the load of a silent peer counts.
 	peerTimeout = 3500 * time.Millisecond
-	// peerForgetAfter is how long a silent host counts when limits are shared.
+	// peerForgetAfter is how long a silent host counts when limits are shared, and hostCountAge
+	// the age from which hosts are counted again.
 	peerForgetAfter = 30 * time.Second
+	hostCountAge    = 100 * time.Millisecond
 	// minSilenceBeforeOlderBoot is how long a peer must have been silent before a process with
 	// a lower boot replaces it: its clock may have been set back.
 	minSilenceBeforeOlderBoot = 300 * time.Millisecond
@@ -93,6 +95,9 @@
 	hosts map[string]descriptor.Host
 	partition
 	peerByHost map[string]*peer
+	// countedHosts is the hostCount as of hostsCountedAt; 0 if the list of hosts has changed since.
+	countedHosts   int
+	hostsCountedAt time.Time
 	// messageNumber is the number of the last message sent. lastNeighbourMessageAt is when the
 	// last one went to the neighbours; neighbourMessagePending is true when the load has
 	// changed since.
@@ -130,14 +135,21 @@
 }
 
 func (s *State) onHostsListed(ev HostsListed) {
-	s.hosts = ev.Hosts
+	s.hosts, s.countedHosts = ev.Hosts, 0
 	s.computePartition()
 	s.log("hosts listed", "", "hosts", len(ev.Hosts))
 }
 
 // hostCount returns the number of hosts among which limits are shared: those seen
-// recently and registered ones not seen yet.
+// recently and registered ones not seen yet. It is up to a hostCountAge old.
 func (s *State) hostCount() int {
+	if s.countedHosts == 0 || s.now.Sub(s.hostsCountedAt) >= hostCountAge {
+		s.countedHosts, s.hostsCountedAt = s.countHosts(), s.now
+	}
+	return s.countedHosts
+}
+
+func (s *State) countHosts() int {
 	n := 1
 	for host := range s.hosts {
 		if p := s.peerByHost[host]; host != s.cfg.Host && (p == nil || s.now.Sub(p.lastSeenAt) < peerForgetAfter) {
