Keep the rendezvous orders of hosts until their list changes

Cause: each choice of watchers, followers, senders to cold targets and successors hashed the names of all hosts, several times a second for each store.

Change: the orders are computed once for each list of hosts and name, in a file of their own, which the four choices share.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -45,6 +45,7 @@
 	noticing
 	requests
 	cacheDirectory
+	hostRanking
 	peers
 	retries
 	rollout
@@ -55,7 +56,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
-		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), peers: newPeers(),
+		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), hostRanking: newHostRanking(), peers: newPeers(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
 	}
 }
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
@@ -136,6 +134,7 @@
 
 func (s *State) onHostsListed(ev HostsListed) {
 	s.hosts, s.countedHosts = ev.Hosts, 0
+	s.rankHosts()
 	s.computePartition()
 	s.log("hosts listed", "", "hosts", len(ev.Hosts))
 }
@@ -228,22 +227,6 @@
 	return weights
 }
 
-// rankFor returns this host's rank among the recently seen hosts in the rendezvous order of
-// name.
-func (s *State) rankFor(name string) int { return s.rankWithin(name, peerForgetAfter) }
-
-// rankWithin is like rankFor among the hosts seen within the given time.
-func (s *State) rankWithin(name string, within time.Duration) int {
-	own := xxh3.HashString(s.cfg.Host + "|" + name)
-	n := 0
-	for host := range s.hosts {
-		if p := s.peerByHost[host]; host != s.cfg.Host && p != nil && s.now.Sub(p.lastSeenAt) < within && xxh3.HashString(host+"|"+name) < own {
-			n++
-		}
-	}
-	return n
-}
-
 // newMessage returns the next message, without loads.
 func (s *State) newMessage() Message {
 	s.messageNumber++
--- a/internal/relay/decider/relaying.go
+++ b/internal/relay/decider/relaying.go
@@ -1,13 +1,10 @@
 package decider
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
@@ -76,24 +73,14 @@
 	if len(s.hosts) <= maxDirectFollowers {
 		return nil
 	}
-	type ranked struct {
-		host string
-		rank uint64
-	}
-	var list []ranked
-	for host := range s.hosts {
-		if p := s.peerByHost[host]; host == s.cfg.Host || p != nil && s.now.Sub(p.lastSeenAt) < peerTimeout {
-			list = append(list, ranked{host, xxh3.HashString(host + "|" + store)})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	ownRank := slices.IndexFunc(list, func(r ranked) bool { return r.host == s.cfg.Host })
-	if ownRank >= maxDirectFollowers {
+	live := slices.DeleteFunc(slices.Clone(s.orderFor(store)), func(host string) bool { return !s.isLive(host, peerTimeout) })
+	ownRank := slices.Index(live, s.cfg.Host)
+	if ownRank < 0 || ownRank >= maxDirectFollowers {
 		return nil
 	}
 	var to []netip.AddrPort
-	for i := ownRank + maxDirectFollowers; i < len(list); i += maxDirectFollowers {
-		to = append(to, s.hosts[list[i].host].Address)
+	for i := ownRank + maxDirectFollowers; i < len(live); i += maxDirectFollowers {
+		to = append(to, s.hosts[live[i]].Address)
 	}
 	return to
 }
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
@@ -141,16 +139,7 @@
 }
 
 // takeoverRank is this host's rank among the hosts that may take over the lease.
-func (s *State) takeoverRank() int {
-	own := xxh3.HashString(s.cfg.Host)
-	n := 0
-	for host := range s.hosts {
-		if p := s.peerByHost[host]; p != nil && s.now.Sub(p.lastSeenAt) < peerTimeout && xxh3.HashString(host) < own {
-			n++
-		}
-	}
-	return n
-}
+func (s *State) takeoverRank() int { return s.rankWithin("lease", peerTimeout) }
 
 // advanceLease renews the lease, takes it over when its holder has been silent for long enough,
 // or reads it.
--- a/internal/relay/decider/watching.go
+++ b/internal/relay/decider/watching.go
@@ -1,11 +1,8 @@
 package decider
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
-
-	"github.com/zeebo/xxh3"
 )
 
 // watchersPerDataCentre is how many hosts of each data centre watch the platform for the others
@@ -15,16 +12,7 @@
 // watchers returns the hosts that watch the platform for this host's data centre. If all hosts
 // did, every change would end all their watches at once and cost a call for each.
 func (s *State) watchers() []string {
-	var names []string
-	for host, h := range s.hosts {
-		p := s.peerByHost[host]
-		if h.DataCentre == s.cfg.DataCentre && (host == s.cfg.Host || p != nil && s.now.Sub(p.lastSeenAt) < peerTimeout) {
-			names = append(names, host)
-		}
-	}
-	rank := func(host string) uint64 { return xxh3.HashString(host + "|platform") }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
-	return names[:min(watchersPerDataCentre, len(names))]
+	return s.firstHosts("platform", s.cfg.DataCentre, watchersPerDataCentre)
 }
 
 // WatchesPlatform reports whether this host should watch the platform itself rather than receive
