Exchange the state of large fleets through aggregators

Cause: each host of a fleet sent its state to all others each second and more often on changes: 38,000 messages a second with 195 hosts. All read the lease themselves when its holder's message was 2 s old, and each answer that began or ended sent the loads to eight neighbours.

Change: above 12 hosts, a host sends its state to two aggregators of its data centre, which send each other summaries and pass them on to its hosts: who is silent, the loads by partition, engines being updated, leaving targets, named weights. Lower loads reach neighbours up to 150 ms later. Hosts send their loads to the lease holder while it updates engines, and read the lease the later the lower they rank as its successors. A data centre that nothing is heard of gets a message to another host each second, so that both sides meet after a partition.

Measured: tests run fleets of 30, 100 and 300 hosts in virtual time.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -266,7 +266,7 @@
 	t.ownLoad.add(r.load, -1)
 	r.load = targetLoad{}
 	r.target = nil
-	s.sendLoadToNeighbours()
+	s.sendLowerLoadToNeighbours()
 	if pinned && s.now.Before(s.updatingUntil[t.ID]) {
 		s.sendLoadToLeaseHolder() // The weights order may be waiting for this request.
 	}
--- /dev/null
+++ b/internal/relay/decider/aggregating_test.go
@@ -0,0 +1,295 @@
+package decider
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+// fleetNetwork runs the hosts of a fleet, which receive each other's messages a tick later.
+type fleetNetwork struct {
+	t       *testing.T
+	clock   time.Time
+	hosts   []*host
+	byAddr  map[netip.AddrPort]*host
+	stopped map[*host]bool
+	// cutOff is the data centre whose hosts reach only each other, or empty.
+	cutOff   string
+	inFlight []sentMessage
+	// messages and bytes count what was sent to single hosts, leaseCalls the calls for the lease.
+	messages, bytes, leaseCalls int
+	// sentBy counts the messages of each host.
+	sentBy map[string]int
+}
+
+// sentMessage is a message on its way.
+type sentMessage struct {
+	SendMessage
+	from *host
+}
+
+// reaches reports whether messages of one host reach another.
+func (f *fleetNetwork) reaches(from, to *host) bool {
+	return to != nil && !f.stopped[to] && (from.cfg.DataCentre == f.cutOff) == (to.cfg.DataCentre == f.cutOff)
+}
+
+// newFleetNetwork returns a fleet whose hosts have just listed each other.
+func newFleetNetwork(t *testing.T, n, dataCentres int) *fleetNetwork {
+	t.Helper()
+	f := &fleetNetwork{t: t, clock: time.Unix(1000, 0), byAddr: map[netip.AddrPort]*host{}, stopped: map[*host]bool{}, sentBy: map[string]int{}}
+	list := map[string]descriptor.Host{}
+	for i := range n {
+		list[fmt.Sprint("host-", i)] = descriptor.Host{Address: address(i + 1), DataCentre: fmt.Sprint("dc-", i%dataCentres)}
+	}
+	for i := range n {
+		name := fmt.Sprint("host-", i)
+		f.addHost(name, list)
+	}
+	return f
+}
+
+func (f *fleetNetwork) addHost(name string, list map[string]descriptor.Host) *host {
+	h := newUnconfiguredHost(f.t, name, list[name].DataCentre)
+	h.clock = f.clock
+	h.handle(ConfigListed{Config: testConfig(1)})
+	h.handle(ConfigConfirmed{AsOf: h.clock})
+	var targets []descriptor.Target
+	for n := range 10 {
+		t := engineTarget(n+1, 1)
+		t.DataCentre = fmt.Sprint("dc-", n%5)
+		targets = append(targets, t)
+	}
+	h.handle(TargetsListed{Targets: targets, Whole: true})
+	h.handle(DesiredWeightsChanged{Model: model, Version: 1, Listed: true})
+	h.handle(HostsListed{Hosts: list})
+	f.hosts = append(f.hosts, h)
+	f.byAddr[list[name].Address] = h
+	return h
+}
+
+// carryOut records the effects of a host.
+func (f *fleetNetwork) carryOut(h *host, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case SendMessage:
+			raw, err := cbor.Marshal(e.Message)
+			assert.NilError(f.t, err)
+			f.messages += len(e.To)
+			f.bytes += len(e.To) * len(raw)
+			f.sentBy[h.cfg.Host] += len(e.To)
+			f.inFlight = append(f.inFlight, sentMessage{e, h})
+		case ReadLease, RenewLease:
+			f.leaseCalls++
+		}
+	}
+}
+
+// run lets time pass with ticks of all hosts.
+func (f *fleetNetwork) run(d time.Duration) {
+	const tick = 50 * time.Millisecond
+	for ; d > 0; d -= tick {
+		f.clock = f.clock.Add(tick)
+		arriving := f.inFlight
+		f.inFlight = nil
+		for _, h := range f.hosts {
+			h.clock = f.clock
+		}
+		for _, sent := range arriving {
+			for _, to := range sent.To {
+				if h := f.byAddr[to]; f.reaches(sent.from, h) {
+					f.carryOut(h, h.handle(MessageReceived{Message: sent.Message}))
+				}
+			}
+		}
+		for _, h := range f.hosts {
+			if !f.stopped[h] {
+				f.carryOut(h, h.handle(Tick{}))
+			}
+		}
+	}
+}
+
+// aggregatorsOf returns the aggregators of a data centre by what its hosts think.
+func (f *fleetNetwork) aggregatorsOf(dataCentre string) map[string]bool {
+	found := map[string]bool{}
+	for _, h := range f.hosts {
+		if h.cfg.DataCentre == dataCentre && !f.stopped[h] && h.isAggregator() {
+			found[h.cfg.Host] = true
+		}
+	}
+	return found
+}
+
+// TestMessagesAtRestGrowWithHosts guards against fleets whose hosts spend their processor time on
+// messages of each other: at rest, a host of a fleet of any size sends and receives a few a second.
+func TestMessagesAtRestGrowWithHosts(t *testing.T) {
+	// A message to seven neighbours four times a second, one to two aggregators each second, and those
+	// of two aggregators.
+	const maxPerHost = 4*(partitionSize+partitionSize/2) + 2*aggregatorsPerDataCentre + aggregatorsPerDataCentre
+	for _, n := range []int{30, 100, 300} {
+		f := newFleetNetwork(t, n, 5)
+		f.run(3 * time.Second)
+		f.messages, f.bytes, f.leaseCalls = 0, 0, 0
+		clear(f.sentBy)
+		const length = 4 * time.Second
+		f.run(length)
+		perHost := float64(f.messages) / float64(n) / length.Seconds()
+		most := 0
+		for _, sent := range f.sentBy {
+			most = max(most, sent)
+		}
+		t.Logf("%d hosts: %.1f messages and %.0f bytes a second each, most of one host %.0f messages, %d calls for the lease", n, perHost, float64(f.bytes)/float64(n)/length.Seconds(), float64(most)/length.Seconds(), f.leaseCalls)
+		assert.Assert(t, perHost <= maxPerHost, "%.1f messages a second for each of %d hosts, want at most %d", perHost, n, maxPerHost)
+	}
+}
+
+// TestLargeFleetLearnsOfTargetDown guards against hosts that go on sending to a target that another
+// host, in any data centre, can't reach.
+func TestLargeFleetLearnsOfTargetDown(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	from := f.hosts[7]
+	f.carryOut(from, func() []Effect {
+		from.handle(Tick{})
+		from.effects = nil
+		from.markDown(from.targets["engine-1"], "test")
+		return from.effects
+	}())
+	f.run(time.Second)
+	for _, h := range f.hosts {
+		assert.Assert(t, h.targets["engine-1"].down, "%s doesn't know that the target is down", h.cfg.Host)
+	}
+}
+
+// TestLargeFleetSharesLoads guards against hosts that don't know the load of others, in any data
+// centre, or count it twice.
+func TestLargeFleetSharesLoads(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	sent := map[string]int{}
+	for i, h := range f.hosts {
+		if i%3 == 0 {
+			_, effect := h.request("/short/", key, shortPrompt(fmt.Sprint("s", i)))
+			sent[effect.(Send).Target]++
+		}
+	}
+	f.run(3 * time.Second)
+	for _, h := range f.hosts {
+		for id, n := range sent {
+			assert.Equal(t, h.targets[id].ownLoad.Requests+h.targets[id].peerLoad.Requests, n, "load of %s at %s", id, h.cfg.Host)
+		}
+	}
+}
+
+// TestLargeFleetSurvivesLossOfAggregators guards against a data centre whose hosts hear nothing from
+// others after both of its aggregators have stopped at once, and against one that never comes to
+// agree on others.
+func TestLargeFleetSurvivesLossOfAggregators(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	before := f.aggregatorsOf("dc-1")
+	assert.Equal(t, len(before), aggregatorsPerDataCentre)
+	for _, h := range f.hosts {
+		if before[h.cfg.Host] {
+			f.stopped[h] = true
+		}
+	}
+	f.run(2 * peerTimeout)
+	after := f.aggregatorsOf("dc-1")
+	assert.Equal(t, len(after), aggregatorsPerDataCentre)
+	for _, h := range f.hosts {
+		if f.stopped[h] {
+			continue
+		}
+		live := 0
+		for host := range h.hosts {
+			if !before[host] && h.isLive(host, peerTimeout) {
+				live++
+			}
+			assert.Assert(t, !before[host] || !h.isLive(host, peerTimeout), "%s takes the stopped %s for live", h.cfg.Host, host)
+		}
+		assert.Equal(t, live, len(f.hosts)-len(before), "live hosts by %s", h.cfg.Host)
+	}
+}
+
+// TestLargeFleetReunitesAfterPartition guards against data centres that send each other nothing after
+// a partition, because neither knows a live host of the other.
+func TestLargeFleetReunitesAfterPartition(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	f.cutOff = "dc-2"
+	f.run(3 * peerTimeout)
+	for _, h := range f.hosts {
+		for host, desc := range h.hosts {
+			assert.Equal(t, h.isLive(host, peerTimeout), (desc.DataCentre == "dc-2") == (h.cfg.DataCentre == "dc-2"), "%s at %s", host, h.cfg.Host)
+		}
+	}
+	f.cutOff = ""
+	f.run(3 * time.Second)
+	for _, h := range f.hosts {
+		for host := range h.hosts {
+			assert.Assert(t, h.isLive(host, peerTimeout), "%s at %s", host, h.cfg.Host)
+		}
+	}
+}
+
+// TestLargeFleetSurvivesLossOfDataCentre guards against hosts that go on counting those of a data
+// centre that has gone, and against more than a few calls for the lease while its holder is among them.
+func TestLargeFleetSurvivesLossOfDataCentre(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	for _, h := range f.hosts {
+		if h.cfg.DataCentre == "dc-2" {
+			f.stopped[h] = true
+		}
+	}
+	f.run(2*peerTimeout + time.Second)
+	for _, h := range f.hosts {
+		if f.stopped[h] {
+			continue
+		}
+		for host, desc := range h.hosts {
+			assert.Equal(t, h.isLive(host, peerTimeout), desc.DataCentre != "dc-2", "%s at %s", host, h.cfg.Host)
+		}
+	}
+}
+
+// TestLargeFleetUpdatesWithoutCuttingRequests guards against orders that abort requests which can't go
+// on elsewhere, at hosts that send no messages to the lease holder by themselves.
+func TestLargeFleetUpdatesWithoutCuttingRequests(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	holder := f.hosts[11]
+	far := f.hosts[12]
+	assert.Assert(t, holder.cfg.DataCentre != far.cfg.DataCentre)
+	_, effect := far.request("/long/", key, longPrompt("s"))
+	engine := effect.(Send).Target
+	f.carryOut(holder, holder.handle(LeaseAnswered{Missing: true, CalledAt: f.clock}))
+	renew := func(revision int64) {
+		f.carryOut(holder, holder.handle(LeaseAnswered{Lease: Lease{Revision: revision, Holder: holder.cfg.Host, Boot: 1}, Written: true, CalledAt: f.clock}))
+	}
+	renew(2)
+	for _, h := range f.hosts {
+		h.nameWeights(2)
+	}
+	holder.updates[engine] = &weightUpdate{model: model, version: 2, startedAt: f.clock}
+	f.carryOut(holder, holder.handle(Tick{}))
+	f.run(400 * time.Millisecond)
+	renew(3)
+	assert.Assert(t, !holder.canAbortRunning(holder.targets[engine], holder.updates[engine]), "a request can't go on elsewhere")
+	f.run(400 * time.Millisecond)
+	assert.Equal(t, holder.pinnedAt(holder.targets[engine]), 1)
+	for _, h := range f.hosts {
+		assert.Assert(t, h.isUpdating(h.targets[engine]), "%s doesn't know of the update", h.cfg.Host)
+	}
+	f.carryOut(far, far.handle(AttemptDone{Number: far.lastNumber, Status: 200}))
+	f.run(200 * time.Millisecond)
+	renew(4)
+	assert.Assert(t, holder.canAbortRunning(holder.targets[engine], holder.updates[engine]), "all hosts have sent their loads since")
+}
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -35,10 +35,12 @@
 // State holds all state that the decisions of one host depend on. Each embedded struct has a
 // file of its own. State is not safe for concurrent use.
 type State struct {
-	cfg     Config
-	now     time.Time
-	rng     *rand.Rand
-	effects []Effect
+	cfg Config
+	now time.Time
+	// startedAt is the time of the first event.
+	startedAt time.Time
+	rng       *rand.Rand
+	effects   []Effect
 
 	fleet
 	naming
@@ -47,6 +49,7 @@
 	cacheDirectory
 	hostRanking
 	peers
+	aggregation
 	retries
 	rollout
 	stopping bool
@@ -56,7 +59,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
-		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), hostRanking: newHostRanking(), peers: newPeers(),
+		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), hostRanking: newHostRanking(), peers: newPeers(), aggregation: newAggregation(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
 	}
 }
@@ -67,6 +70,9 @@
 func (s *State) Reduce(ev Event, now time.Time) []Effect {
 	s.effects = nil
 	s.detectSuspension(now)
+	if s.now.IsZero() {
+		s.startedAt = now
+	}
 	s.now = now
 	switch ev := ev.(type) {
 	case RequestArrived:
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -222,9 +222,7 @@
 		if s.hadLeft(desc) {
 			s.holdBack(t, "it had left")
 		}
-		for _, p := range s.peerByHost {
-			t.peerLoad.add(p.loads[desc.ID], 1)
-		}
+		s.addKnownPeerLoad(t)
 		s.log("target added", "", "target", desc.ID, "service", desc.Service, "address", desc.Address, "data-centre", desc.DataCentre, "cold", desc.ColdFor, "draining", desc.Draining)
 	case desc.StartedAt.Before(t.StartedAt):
 		return
@@ -440,6 +438,7 @@
 	}
 	t.Weights[model], t.weightsChangedAt = version, s.now
 	s.log("target has new weights", "", "target", t.ID, "model", model, "version", version)
+	s.passOn()
 }
 
 // markDown takes t out of use until it answers a probe.
--- a/internal/relay/decider/naming.go
+++ b/internal/relay/decider/naming.go
@@ -172,8 +172,12 @@
 	for _, model := range slices.Sorted(maps.Keys(s.namedVersions)) {
 		for _, n := range s.namedVersions[model] {
 			a := NamedVersion{Model: model, Version: n.version, Previous: n.previous, Seen: s.now.Sub(n.seenAt)}
-			if !n.ownNotBefore.IsZero() {
-				a.NotBefore = s.now.Sub(n.ownNotBefore)
+			notBefore := n.ownNotBefore
+			if s.isAggregator() {
+				notBefore = n.notBefore // Each receiver adds the greatest delay of a message to the age.
+			}
+			if !notBefore.IsZero() {
+				a.NotBefore = s.now.Sub(notBefore)
 			}
 			if n.version == s.desiredWeights[model] || a.NotBefore > 0 && a.NotBefore < s.cfg.WeightsWithin {
 				announced = append(announced, a)
@@ -192,6 +196,7 @@
 		}
 		if a.Version > s.desiredWeights[a.Model] {
 			s.log("weights named", "", "model", a.Model, "version", a.Version, "peer", host, "within", a.NotBefore, "age-used", !named.notBefore.IsZero())
+			s.passOn()
 		}
 		s.addNamedVersion(a.Model, named)
 	}
--- a/internal/relay/decider/noticing.go
+++ b/internal/relay/decider/noticing.go
@@ -83,6 +83,10 @@
 			continue
 		}
 		n.leaving = true
+		if s.isAggregator() {
+			n.announceUntil = s.now.Add(leavingAnnounceTime)
+			s.passOn()
+		}
 		s.log("target leaving", "", "target", id, "listed", s.targets[id] != nil, "peer", host)
 		s.setNotice(id, n)
 	}
--- a/internal/relay/decider/partition.go
+++ b/internal/relay/decider/partition.go
@@ -18,6 +18,12 @@
 type partition struct {
 	// neighbours are the peers of the same partition, allPeers those of all partitions.
 	neighbours, allPeers []netip.AddrPort
+	// neighbourHosts holds the names of the neighbours.
+	neighbourHosts map[string]struct{}
+	// partitions is the number of partitions of this data centre, ownPartition the one of this host,
+	// and partitionOf that of each host of the data centre.
+	partitions, ownPartition int
+	partitionOf              map[string]int
 	// distant holds the engines of other partitions and data centres.
 	distant map[string]bool
 }
@@ -26,31 +32,35 @@
 // targets, so that all hosts with the same lists agree.
 func (s *State) computePartition() {
 	s.neighbours, s.allPeers, s.distant = nil, nil, nil
-	hosts := map[string][]string{}
+	s.neighbourHosts, s.partitionOf = map[string]struct{}{}, map[string]int{}
+	s.partitions, s.ownPartition = 1, 0
 	for host, h := range s.hosts {
-		hosts[h.DataCentre] = append(hosts[h.DataCentre], host)
 		if host != s.cfg.Host {
 			s.allPeers = append(s.allPeers, h.Address)
 		}
 	}
-	if len(s.hosts) <= partitionSize+partitionSize/2 {
+	if !s.isLarge() {
 		s.neighbours = s.allPeers
 		return
 	}
-	local := sortByHash(hosts[s.cfg.DataCentre])
-	partitions := max(1, (len(local)+partitionSize/2)/partitionSize)
-	ownPartition := slices.Index(local, s.cfg.Host) % partitions
+	local := sortByHash(slices.Clone(s.byDataCentre[s.cfg.DataCentre]))
+	s.partitions = max(1, (len(local)+partitionSize/2)/partitionSize)
 	for i, host := range local {
-		if i%partitions == ownPartition && host != s.cfg.Host {
+		s.partitionOf[host] = i % s.partitions
+	}
+	s.ownPartition = s.partitionOf[s.cfg.Host]
+	for _, host := range local {
+		if s.partitionOf[host] == s.ownPartition && host != s.cfg.Host {
 			s.neighbours = append(s.neighbours, s.hosts[host].Address)
+			s.neighbourHosts[host] = struct{}{}
 		}
 	}
-	s.partitionTargets(partitions, ownPartition)
+	s.partitionTargets()
 }
 
 // partitionTargets determines the engines outside this host's partition. Plain targets are few
 // and fast, and belong to all partitions.
-func (s *State) partitionTargets(partitions, ownPartition int) {
+func (s *State) partitionTargets() {
 	s.distant = map[string]bool{}
 	for _, list := range s.byService {
 		var ids []string
@@ -65,7 +75,7 @@
 			}
 		}
 		for i, id := range sortByHash(ids) {
-			if i%partitions != ownPartition {
+			if i%s.partitions != s.ownPartition {
 				s.distant[id] = true
 			}
 		}
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -12,6 +12,9 @@
 const (
 	// neighbourInterval is the interval between messages to neighbours when no load changes.
 	neighbourInterval = 250 * time.Millisecond
+	// lowerLoadInterval is the shortest interval between messages to neighbours of a large fleet when
+	// the load has fallen.
+	lowerLoadInterval = 150 * time.Millisecond
 	// maxReceiveRate limits the messages per second that a host receives from its neighbours;
 	// one costs about 20 us of a core.
 	maxReceiveRate = 400
@@ -83,6 +86,9 @@
 	LeaseIdleFor time.Duration `cbor:"16,keyasint,omitempty"`
 	// Named lists the weight versions that were named recently.
 	Named []NamedVersion `cbor:"14,keyasint,omitempty"`
+	// DataCentres and Updating are what an aggregator of a large fleet passes on.
+	DataCentres []DataCentreSummary `cbor:"18,keyasint,omitempty"`
+	Updating    *Updating           `cbor:"19,keyasint,omitempty"`
 	// Leaving maps the targets that recently said in an answer that they are leaving to the start
 	// of their process, in Unix milliseconds.
 	Leaving map[string]int64 `cbor:"17,keyasint,omitempty"`
@@ -102,6 +108,8 @@
 	messageNumber           uint64
 	lastNeighbourMessageAt  time.Time
 	neighbourMessagePending bool
+	// lowerLoadPending is true when the load has fallen since, which large fleets announce later.
+	lowerLoadPending bool
 	// lastBroadcastAt and broadcastPending are the same for broadcasts; lastLoadBroadcastAt is
 	// when the last broadcast with this host's loads was sent.
 	lastBroadcastAt     time.Time
@@ -118,8 +126,13 @@
 type peer struct {
 	boot       int64
 	lastNumber uint64
-	lastSeenAt time.Time
-	loads      map[string]targetLoad
+	// lastSeenAt is when the peer was last seen, by itself or by an aggregator; heardAt is when it
+	// last sent a message to this host.
+	lastSeenAt, heardAt time.Time
+	// loads is the load that the peer sent last. counted is true while it is part of the loads of
+	// the targets.
+	loads   map[string]targetLoad
+	counted bool
 	// loadsAt is when the peer last sent its loads. avoided are the targets being updated to
 	// which it sent no more requests at that time.
 	loadsAt time.Time
@@ -135,7 +148,11 @@
 func (s *State) onHostsListed(ev HostsListed) {
 	s.hosts, s.countedHosts = ev.Hosts, 0
 	s.rankHosts()
+	if s.isLarge() {
+		s.expectListedHosts()
+	}
 	s.computePartition()
+	s.recountPeers()
 	s.log("hosts listed", "", "hosts", len(ev.Hosts))
 }
 
@@ -161,12 +178,31 @@
 // sendPeriodicMessages sends the messages that are pending or due.
 func (s *State) sendPeriodicMessages() {
 	s.dropSilentPeerLoads()
+	if s.lowerLoadPending && s.now.Sub(s.lastNeighbourMessageAt) >= lowerLoadInterval {
+		s.neighbourMessagePending = true
+	}
 	if s.neighbourMessagePending || s.now.Sub(s.lastNeighbourMessageAt) >= neighbourInterval {
 		s.sendLoadToNeighbours()
 	}
-	if s.broadcastPending || s.now.Sub(s.lastBroadcastAt) >= broadcastInterval {
+	s.noticeNewAggregators()
+	last := s.lastBroadcastAt
+	if s.isLarge() {
+		last = s.lastLoadBroadcastAt // Summaries are due even if there was news in between.
+	}
+	if s.broadcastPending || s.now.Sub(last) >= broadcastInterval {
 		s.broadcast()
 	}
+	s.sendLoadWhileUpdating()
+}
+
+// sendLowerLoadToNeighbours sends this host's loads to its neighbours after a request has ended or a
+// prompt was read. In large fleets that can wait: the messages would cost more than the requests.
+func (s *State) sendLowerLoadToNeighbours() {
+	if s.isLarge() && s.now.Sub(s.lastNeighbourMessageAt) < lowerLoadInterval {
+		s.lowerLoadPending = true
+		return
+	}
+	s.sendLoadToNeighbours()
 }
 
 // sendLoadToNeighbours sends this host's loads to its neighbours within milliseconds of a
@@ -176,32 +212,41 @@
 	if s.now.Sub(s.lastNeighbourMessageAt) < time.Second*time.Duration(len(s.neighbours)+1)/maxReceiveRate {
 		return // A later event or tick sends it.
 	}
-	s.neighbourMessagePending, s.lastNeighbourMessageAt = false, s.now
+	s.neighbourMessagePending, s.lowerLoadPending, s.lastNeighbourMessageAt = false, false, s.now
 	s.emit(SendMessage{To: s.neighbours, Message: s.newLoadMessage()})
 }
 
-// broadcast sends this host's state to all peers. When many engines change weights or go down
-// at once, the messages must not fill the link that responses use too. So loads are left out
-// between the regular broadcasts, and the rate is limited by the number of peers.
+// broadcast sends this host's state to all peers, or to the aggregators of a large fleet. When many
+// engines change weights or go down at once, the messages must not fill the link that responses use
+// too. So loads are left out between the regular broadcasts, and the rate is limited by the number of
+// receivers.
 func (s *State) broadcast() {
 	s.broadcastPending = true
-	interval := max(minBroadcastInterval, time.Second*time.Duration(len(s.allPeers))/maxBroadcastRate)
-	if s.now.Sub(s.lastBroadcastAt) < interval {
+	receivers := len(s.allPeers)
+	if s.isLarge() {
+		receivers = len(s.byDataCentre[s.cfg.DataCentre])
+	}
+	if s.now.Sub(s.lastBroadcastAt) < max(minBroadcastInterval, time.Second*time.Duration(receivers)/maxBroadcastRate) {
 		return // A later tick sends it.
 	}
 	s.broadcastPending, s.lastBroadcastAt = false, s.now
+	regular := s.now.Sub(s.lastLoadBroadcastAt) >= broadcastInterval
 	var m Message
-	if s.now.Sub(s.lastLoadBroadcastAt) < broadcastInterval {
-		m = s.newMessage()
-		m.LoadsUnchanged = true
-	} else {
+	if regular {
 		m = s.newLoadMessage()
 		s.lastLoadBroadcastAt = s.now
+	} else {
+		m = s.newMessage()
+		m.LoadsUnchanged = true
 	}
 	m.Named, m.Leaving = s.announcedVersions(), s.leavingTargets()
-	if s.holdsLease() {
+	if s.holdsLease() || s.isAggregator() {
 		m.Weights = s.recentWeights()
 	}
+	if s.isLarge() {
+		s.broadcastInLargeFleet(m, regular)
+		return
+	}
 	s.emit(SendMessage{To: s.allPeers, Message: m})
 }
 
@@ -267,12 +312,16 @@
 	if m.Boot != p.boot || m.Number <= p.lastNumber {
 		return
 	}
-	p.lastNumber, p.lastSeenAt = m.Number, s.now
+	p.lastNumber, p.lastSeenAt, p.heardAt = m.Number, s.now, s.now
 	if !m.LoadsUnchanged {
 		s.dropPeerLoads(p)
 		p.loads, p.loadsAt, p.avoided = m.Loads, s.now, m.Avoided
-		s.addPeerLoads(p.loads, 1)
+		if p.loads == nil {
+			p.loads = map[string]targetLoad{}
+		}
+		s.countPeer(m.Host, p)
 	}
+	s.applySummaries(m)
 	for _, id := range m.Down {
 		if t := s.targets[id]; t != nil && !slices.Contains(p.down, id) {
 			s.markDownByPeer(t, m.Host)
@@ -291,6 +340,7 @@
 	t.down = true
 	t.nextProbeAt = s.now
 	s.log("target down", "", "target", t.ID, "why", "a peer can't reach it", "peer", host)
+	s.passOn()
 }
 
 // detectSuspension records that the host was suspended if there was no event for long. Messages
@@ -338,18 +388,25 @@
 		s.setLease(lease)
 	}
 	if m.Holder {
-		s.applyUpdatingTargets(m)
+		s.applyUpdating(Updating{Host: m.Host, Era: m.LeaseEra, Lease: m.Lease, Number: m.Number, Engines: m.Orders})
+	}
+	if m.Updating != nil {
+		s.applyUpdating(*m.Updating)
 	}
 }
 
-// applyUpdatingTargets records the targets that the lease holder is updating. If some are new,
+// applyUpdating records the targets that the lease holder is updating. If some are new,
 // it replies with this host's loads.
-func (s *State) applyUpdatingTargets(m Message) {
+func (s *State) applyUpdating(u Updating) {
+	if !u.newerThan(s.updating) {
+		return
+	}
+	s.updating, s.updatingAt = u, s.now
 	before := maps.Clone(s.updatingUntil)
 	clear(s.updatingUntil)
-	s.leaseHolderHost = m.Host
+	s.leaseHolderHost = u.Host
 	added := false
-	for _, id := range m.Orders {
+	for _, id := range u.Engines {
 		_, known := before[id]
 		added = added || !known
 		s.updatingUntil[id] = s.now.Add(peerTimeout)
@@ -357,11 +414,15 @@
 	if added {
 		s.sendLoadToLeaseHolder()
 	}
+	if added || len(before) != len(u.Engines) {
+		s.passOn()
+	}
 }
 
 // sendLoadToLeaseHolder sends this host's loads to the lease holder.
 func (s *State) sendLoadToLeaseHolder() {
-	if h, ok := s.hosts[s.leaseHolderHost]; ok {
+	if h, ok := s.hosts[s.leaseHolderHost]; ok && s.leaseHolderHost != s.cfg.Host {
+		s.lastHolderLoadAt = s.now
 		s.emit(SendMessage{To: []netip.AddrPort{h.Address}, Message: s.newLoadMessage()})
 	}
 }
@@ -392,17 +453,21 @@
 }
 
 func (s *State) dropPeerLoads(p *peer) {
-	if p != nil {
+	if p == nil {
+		return
+	}
+	if p.counted {
 		s.addPeerLoads(p.loads, -1)
-		p.loads = nil
 	}
+	p.loads, p.counted = nil, false
 }
 
 // dropSilentPeerLoads removes the loads of silent peers from the targets.
 func (s *State) dropSilentPeerLoads() {
 	for _, p := range s.peerByHost {
-		if p.loads != nil && s.now.Sub(p.lastSeenAt) > peerTimeout {
+		if p.loads != nil && s.now.Sub(p.heardAt) > peerTimeout {
 			s.dropPeerLoads(p)
 		}
 	}
+	s.dropLoadSums(false)
 }
--- a/internal/relay/decider/peers_test.go
+++ b/internal/relay/decider/peers_test.go
@@ -11,10 +11,21 @@
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
-// newHostWithPeers returns a host that has received a message from each of n others.
-func newHostWithPeers(t *testing.T, n, engines int) *host {
-	h := newHost(t, "a", engines, 0)
-	names := map[string]descriptor.Host{"a": {Address: address(1), DataCentre: "a"}}
+// newHostWithPeers returns a host that has received a message from each of n others. It is an
+// aggregator of a large fleet or isn't.
+func newHostWithPeers(t *testing.T, n, engines int, aggregator bool) *host {
+	for i := range 1000 {
+		if h := newNamedHostWithPeers(t, fmt.Sprint("self-", i), n, engines); h.isAggregator() == aggregator {
+			return h
+		}
+	}
+	t.Fatal("no host has the role")
+	return nil
+}
+
+func newNamedHostWithPeers(t *testing.T, name string, n, engines int) *host {
+	h := newHost(t, name, engines, 0)
+	names := map[string]descriptor.Host{name: {Address: address(1), DataCentre: "a"}}
 	for i := range n {
 		names[fmt.Sprint("host-", i)] = descriptor.Host{Address: address(2 + i), DataCentre: "a"}
 	}
@@ -27,19 +38,29 @@
 
 // TestLeaseHolderMessagesFitLink guards against messages that crowd out responses. While sixty
 // engines change weights, the messages of the lease holder to sixty hosts may take at most a
-// quarter of the smallest link, 10 Mbit/s.
+// quarter of the smallest link, 10 Mbit/s, and must state the new weights of each engine.
 func TestLeaseHolderMessagesFitLink(t *testing.T) {
+	for role, aggregator := range map[string]bool{"aggregator": true, "other": false} {
+		t.Run(role, func(t *testing.T) { testLeaseHolderMessages(t, aggregator) })
+	}
+}
+
+func testLeaseHolderMessages(t *testing.T, aggregator bool) {
 	const engines, inFlight, link = 60, 20, 10e6 / 8
-	h := newHostWithPeers(t, 62, engines)
+	h := newHostWithPeers(t, 62, engines, aggregator)
+	self := h.cfg.Host
 	h.handle(LeaseAnswered{Missing: true, CalledAt: h.clock})
-	h.handle(LeaseAnswered{Lease: Lease{Revision: 2, Holder: "a", Boot: 1}, Written: true, CalledAt: h.clock})
+	h.handle(LeaseAnswered{Lease: Lease{Revision: 2, Holder: self, Boot: 1}, Written: true, CalledAt: h.clock})
 	h.nameWeights(2)
 	sentBytes := 0
 	announced := map[string]int{}
 	const length = 4 * time.Second
 	h.lastNumber = 1000
 	for step := range int(length / (20 * time.Millisecond)) {
-		effects := h.handle(LeaseAnswered{Lease: Lease{Revision: int64(3 + step), Holder: "a", Boot: 1}, Written: true, CalledAt: h.clock})
+		for host := range h.hosts {
+			h.handle(MessageReceived{Message: Message{Host: host, Boot: 1, Number: uint64(2 + step)}})
+		}
+		effects := h.handle(LeaseAnswered{Lease: Lease{Revision: int64(3 + step), Holder: self, Boot: 1}, Written: true, CalledAt: h.clock})
 		effects = append(effects, h.handle(Tick{})...)
 		id := fmt.Sprint("engine-", 1+step%engines)
 		if step > 100 {
@@ -54,10 +75,8 @@
 			raw, err := cbor.Marshal(sent.Message)
 			assert.NilError(t, err)
 			sentBytes += len(sent.To) * (len(raw) + 28)
-			if len(sent.To) > 30 {
-				for target, weights := range sent.Message.Weights {
-					announced[target] = weights[model]
-				}
+			for target, weights := range sent.Message.Weights {
+				announced[target] = weights[model]
 			}
 		}
 		h.advance(20 * time.Millisecond)
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -104,7 +104,7 @@
 	}
 	r.target.ownLoad.PrefillTokens -= r.load.PrefillTokens
 	r.load.PrefillTokens = 0
-	s.sendLoadToNeighbours()
+	s.sendLowerLoadToNeighbours()
 	s.recordSuccess(r.target)
 	if r.prompt != nil {
 		s.observeWeights(r.target, r.prompt.Model, ev.Weights)
--- a/internal/relay/decider/retrying_test.go
+++ b/internal/relay/decider/retrying_test.go
@@ -79,7 +79,7 @@
 // host's share of the budget in every window.
 func TestRetryBudgetMayBeSpentAtOnce(t *testing.T) {
 	const hosts, slack, perSecond = 60, 160, 8
-	h := newHostWithPeers(t, hosts-1, 6)
+	h := newNamedHostWithPeers(t, "a", hosts-1, 6)
 	h.cfg.RetrySlack = slack
 	var samples []sample
 	refuses := func(second int) bool { return second%17 == 15 }
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -25,6 +25,9 @@
 	// between reads of the lease while no peer announces that it holds it.
 	leaseRetryDelay   = 300 * time.Millisecond
 	leaseReadInterval = 2 * time.Second
+	// leasePassOnInterval is the shortest interval at which an aggregator passes on a new revision of
+	// the lease without other news.
+	leasePassOnInterval = 500 * time.Millisecond
 	// callTimeout is how long a call for the lease, a report or an order may take.
 	callTimeout = 1500 * time.Millisecond
 	// reportInterval is the interval between reports of an engine being updated, and
@@ -153,18 +156,35 @@
 	silence := s.now.Sub(s.leaseSeenAt)
 	switch {
 	case !s.leaseKnown:
-		s.readLease()
+		if !s.leaveLeaseToOthers() {
+			s.readLease()
+		}
 	case s.leaseNamesSelf() && !s.lease.inherited():
 		if s.now.Sub(s.renewedAt) >= s.renewInterval() {
 			s.writeLease()
 		}
 	case silence >= s.takeoverDelay():
 		s.writeLease()
-	case silence > leaseReadInterval && s.now.Sub(s.leaseReadAt) > leaseReadInterval:
+	case silence > s.leaseReadAfter() && s.now.Sub(s.leaseReadAt) > s.leaseReadAfter():
 		s.readLease()
 	}
 }
 
+// leaseReadAfter returns after which silence of the holder this host reads the lease. In large
+// fleets, hosts that would be late to take it over leave that to others.
+func (s *State) leaseReadAfter() time.Duration {
+	if !s.isLarge() {
+		return leaseReadInterval
+	}
+	return leaseReadInterval + time.Duration(s.takeoverRank())*takeoverStagger
+}
+
+// leaveLeaseToOthers reports whether this host, which hasn't read the lease yet, relies on the others
+// to announce it.
+func (s *State) leaveLeaseToOthers() bool {
+	return s.isLarge() && s.leaseReadAt.IsZero() && s.now.Sub(latest(s.startedAt, s.leaseSeenAt)) < s.leaseReadAfter()
+}
+
 // takeoverDelay returns how long this host must have known the current lease before it takes it.
 // The delay ensures that any earlier holder gave its last order more than a lease term ago.
 func (s *State) takeoverDelay() time.Duration {
@@ -273,6 +293,9 @@
 	first := s.leaseSeenAt.IsZero()
 	if first || s.lease.olderThan(lease) {
 		s.leaseSeenAt = s.now
+		if s.now.Sub(s.lastBroadcastAt) >= leasePassOnInterval {
+			s.passOn()
+		}
 	}
 	if !first && lease.Era != s.lease.Era {
 		s.log("store went back to a copy", "", "era", lease.Era, "before", s.lease.Era, "lease", lease.Holder, "revision", lease.Revision, "since-renewed", s.now.Sub(s.renewedAt))
@@ -452,7 +475,7 @@
 // remaining requests are short. All other hosts must have sent their loads since they learned of
 // the update.
 func (s *State) canAbortRunning(t *target, u *weightUpdate) bool {
-	if t.ownLoad.Pinned+t.peerLoad.Pinned > 0 {
+	if s.pinnedAt(t) > 0 {
 		return false
 	}
 	for host := range s.hosts {
@@ -468,7 +491,7 @@
 	u.orderedAt = s.now
 	u.nextCheckAt = s.now.Add(callTimeout)
 	abortRunning := s.canAbortRunning(t, u)
-	s.log("order given", "", "target", t.ID, "model", u.model, "version", u.version, "fence", s.fencingToken, "after", acceptedOrders, "bound", t.ownLoad.Pinned+t.peerLoad.Pinned, "break-off", abortRunning, "since-begun", s.now.Sub(u.startedAt), "lease-age", s.now.Sub(s.renewedAt))
+	s.log("order given", "", "target", t.ID, "model", u.model, "version", u.version, "fence", s.fencingToken, "after", acceptedOrders, "bound", s.pinnedAt(t), "break-off", abortRunning, "since-begun", s.now.Sub(u.startedAt), "lease-age", s.now.Sub(s.renewedAt))
 	s.ordersUntil = s.renewedAt.Add(orderPeriod)
 	s.emit(GiveOrder{
 		Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Until: s.ordersUntil,
--- a/internal/relay/decider/rollout_test.go
+++ b/internal/relay/decider/rollout_test.go
@@ -311,7 +311,7 @@
 // being updated to the lease holder at once, and again when their last pinned request there has
 // ended.
 func TestHostsReportLoadsOfUpdatingTargets(t *testing.T) {
-	h := newHostWithPeers(t, 60, 2)
+	h := newNamedHostWithPeers(t, "a", 60, 2)
 	n, effect := h.request("/long/", key, longPrompt("s"))
 	engine := effect.(Send).Target
 	receiveOrders := func(number uint64) []SendMessage {
