Relay the contents of stores through aggregators

Cause: eight hosts followed each of 24 stores and sent each change, and each answer without one, to all 195 hosts: 9,000 to 50,000 messages a second. All hosts listed all stores at their start: 4,680 calls that stall the stores.

Change: in large fleets two hosts follow a store and send its changes to the aggregators, which pass on those of all stores together four times a second. Changes are numbered, so that the second copy is dropped. A host that hears of a store that was empty needs no list; one that starts later lists it once. If both followers stop, only the next few in line call the store.

--- a/internal/relay/decider/aggregating.go
+++ b/internal/relay/decider/aggregating.go
@@ -218,9 +218,8 @@
 		case host == s.cfg.Host:
 			addLoads(sum, s.ownLoads())
 		case p == nil || s.now.Sub(p.heardAt) >= silentAfter:
-			if !s.isLive(host, silentAfter) {
-				own.Silent = append(own.Silent, host)
-			}
+			// What other aggregators say doesn't count, or they would keep a host alive together.
+			own.Silent = append(own.Silent, host)
 		default:
 			addLoads(sum, p.loads)
 		}
--- a/internal/relay/decider/aggregating_test.go
+++ b/internal/relay/decider/aggregating_test.go
@@ -22,6 +22,8 @@
 	// cutOff is the data centre whose hosts reach only each other, or empty.
 	cutOff   string
 	inFlight []sentMessage
+	// relays counts the messages about stores, lists the lists of stores.
+	relays, lists int
 	// messages and bytes count what was sent to single hosts, leaseCalls the calls for the lease.
 	messages, bytes, leaseCalls int
 	// sentBy counts the messages of each host.
@@ -30,8 +32,9 @@
 
 // sentMessage is a message on its way.
 type sentMessage struct {
-	SendMessage
-	from *host
+	to     []netip.AddrPort
+	events []Event
+	from   *host
 }
 
 // reaches reports whether messages of one host reach another.
@@ -83,7 +86,16 @@
 			f.messages += len(e.To)
 			f.bytes += len(e.To) * len(raw)
 			f.sentBy[h.cfg.Host] += len(e.To)
-			f.inFlight = append(f.inFlight, sentMessage{e, h})
+			f.inFlight = append(f.inFlight, sentMessage{e.To, []Event{MessageReceived{Message: e.Message}}, h})
+		case RelayParts:
+			f.relays += len(e.To)
+			sent := sentMessage{to: e.To, from: h}
+			for _, parts := range e.Parts {
+				sent.events = append(sent.events, parts)
+			}
+			f.inFlight = append(f.inFlight, sent)
+		case ListParts:
+			f.lists++
 		case ReadLease, RenewLease:
 			f.leaseCalls++
 		}
@@ -101,9 +113,13 @@
 			h.clock = f.clock
 		}
 		for _, sent := range arriving {
-			for _, to := range sent.To {
-				if h := f.byAddr[to]; f.reaches(sent.from, h) {
-					f.carryOut(h, h.handle(MessageReceived{Message: sent.Message}))
+			for _, to := range sent.to {
+				h := f.byAddr[to]
+				if !f.reaches(sent.from, h) {
+					continue
+				}
+				for _, ev := range sent.events {
+					f.carryOut(h, h.handle(ev))
 				}
 			}
 		}
@@ -218,6 +234,23 @@
 	}
 }
 
+// TestLargeFleetNoticesStoppedHosts guards against aggregators that keep a stopped host alive in each
+// other's summaries.
+func TestLargeFleetNoticesStoppedHosts(t *testing.T) {
+	f := newFleetNetwork(t, 100, 5)
+	f.run(3 * time.Second)
+	for _, n := range []int{13, 14, 60} {
+		assert.Assert(t, !f.hosts[n].isAggregator())
+		f.stopped[f.hosts[n]] = true
+	}
+	f.run(silentAfter + broadcastInterval + peerTimeout)
+	for _, h := range f.hosts {
+		for _, other := range f.hosts {
+			assert.Assert(t, f.stopped[h] || h.isLive(other.cfg.Host, peerTimeout) != f.stopped[other], "%s at %s", other.cfg.Host, h.cfg.Host)
+		}
+	}
+}
+
 // TestLargeFleetReunitesAfterPartition guards against data centres that send each other nothing after
 // a partition, because neither knows a live host of the other.
 func TestLargeFleetReunitesAfterPartition(t *testing.T) {
--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -74,6 +74,12 @@
 	clockSkewAt    time.Time
 	// lastRelayedAt is when another host last relayed changes of a store to this host.
 	lastRelayedAt map[netip.AddrPort]time.Time
+	// partsQueue holds the changes of stores that this host has yet to pass on as an aggregator, and
+	// passedOn the boot and the newest change of each store that it has. It does so since
+	// partsPassedOnAt.
+	partsQueue      map[netip.AddrPort]*queuedParts
+	passedOn        map[netip.AddrPort]PartsRelayed
+	partsPassedOnAt time.Time
 	// oldestVersions holds the oldest version of each model that any engine has.
 	oldestVersions map[string]oldestVersion
 }
@@ -87,6 +93,10 @@
 type store struct {
 	descriptor.Store
 	boot int64
+	// next identifies the change that follows the last one known; 0 if unknown. listedAt is when this
+	// host last asked for the whole content because it knew nothing of the store.
+	next     int64
+	listedAt time.Time
 	// alive is true while the store answers and its content is known.
 	alive bool
 	// confirmedAt is the last time at which parts was known to be correct, and bootSeenAt the
@@ -104,7 +114,10 @@
 }
 
 func newCacheDirectory() cacheDirectory {
-	return cacheDirectory{savingUntil: map[partKey]time.Time{}, oldestVersions: map[string]oldestVersion{}, lastRelayedAt: map[netip.AddrPort]time.Time{}}
+	return cacheDirectory{
+		savingUntil: map[partKey]time.Time{}, oldestVersions: map[string]oldestVersion{}, lastRelayedAt: map[netip.AddrPort]time.Time{},
+		partsQueue: map[netip.AddrPort]*queuedParts{}, passedOn: map[netip.AddrPort]PartsRelayed{},
+	}
 }
 
 // updateStores adopts the stores of the configuration and keeps the state of known ones.
@@ -141,7 +154,7 @@
 		return
 	}
 	s.applyPartChanges(st, ev)
-	s.relayPartChanges(ev)
+	s.relayPartChanges(st, ev)
 }
 
 // observeClockSkew records how far the targets' clock was ahead of this host's when an answer
@@ -169,7 +182,7 @@
 				st.bootSeenAt = s.now.Add(-saveDelayAfterBoot)
 			}
 		}
-		st.boot, st.usedTokens = ev.Changes.Boot, 0
+		st.boot, st.next, st.usedTokens = ev.Changes.Boot, 0, 0
 		clear(st.parts)
 		clear(st.partsBySalt)
 	}
@@ -184,6 +197,7 @@
 		s.emit(ListParts{Store: ev.Store})
 		return
 	}
+	st.next = max(st.next, ev.Changes.Next)
 	for _, c := range ev.Changes.Changes {
 		s.applyPartChange(st, c)
 	}
@@ -223,9 +237,7 @@
 		s.log("store lost", "", "store", ev.Store, "parts", len(st.parts), "confirmed", s.now.Sub(st.confirmedAt))
 	}
 	// Relay each failure, so that the other hosts needn't call the store themselves.
-	if to := s.relayReceivers(ev.Store.String()); len(to) > 0 {
-		s.emit(RelayParts{To: to, Parts: PartsRelayed{Store: ev.Store, Lost: true}})
-	}
+	s.relay(PartsRelayed{Store: ev.Store, Lost: true})
 }
 
 // salt returns the cache salt, which separates models, versions and isolated teams.
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -146,6 +146,7 @@
 	s.advanceLease()
 	s.advanceUpdates()
 	s.freeOutdatedParts()
+	s.passOnParts()
 	s.sendPeriodicMessages()
 }
 
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -710,12 +710,12 @@
 // store again after a restart of the store or a gap in the changes.
 func (f *Follower) pollStore(ctx context.Context, addr netip.AddrPort) error {
 	var last descriptor.PartChanges
-	listed, everListed := false, false
+	listed := false
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		if everListed && !f.cfg.FollowsStore(addr) {
-			// Other hosts send the changes, and the reducer lists the store after a gap in
-			// them. This poller must list it again before it resumes.
+		if !f.cfg.FollowsStore(addr) {
+			// Other hosts send the changes, and the reducer lists the store if it knows nothing of it
+			// and after a gap in the changes. This poller must list it again before it resumes.
 			listed = false
 			sleep(ctx, maxRetryPause)
 			continue
@@ -741,7 +741,7 @@
 			sleep(ctx, partPause)
 			continue
 		}
-		listed, everListed, pause, last = true, true, minRetryPause, changes
+		listed, pause, last = true, minRetryPause, changes
 		if end := sentAt.Add(partWait - waitTolerance); !full && len(changes.Changes) == 0 && f.cfg.Clock.Now().After(end) {
 			sentAt = end // Without changes the store answers at the end of its wait.
 		}
--- a/internal/relay/gossiper/gossiper.go
+++ b/internal/relay/gossiper/gossiper.go
@@ -72,7 +72,9 @@
 		}
 		switch {
 		case d.Parts != nil:
-			g.cfg.Post(*d.Parts)
+			for _, parts := range d.Parts {
+				g.cfg.Post(parts)
+			}
 		case d.Message != nil:
 			g.cfg.Post(decider.MessageReceived{Message: *d.Message})
 		case d.Updates != nil:
@@ -84,7 +86,7 @@
 // datagram is the content of a datagram. Exactly one field is set.
 type datagram struct {
 	Message *decider.Message       `cbor:"1,keyasint,omitempty"`
-	Parts   *decider.PartsRelayed  `cbor:"2,keyasint,omitempty"`
+	Parts   []decider.PartsRelayed `cbor:"4,keyasint,omitempty"`
 	Updates []follower.WatchUpdate `cbor:"3,keyasint,omitempty"`
 }
 
@@ -94,9 +96,9 @@
 	g.send(to, datagram{Message: &m})
 }
 
-// RelayParts sends changes of a store's parts to hosts.
-func (g *Gossiper) RelayParts(to []netip.AddrPort, parts decider.PartsRelayed) {
-	g.send(to, datagram{Parts: &parts})
+// RelayParts sends changes of the parts of stores to hosts.
+func (g *Gossiper) RelayParts(to []netip.AddrPort, parts []decider.PartsRelayed) {
+	g.send(to, datagram{Parts: parts})
 }
 
 // SendUpdates sends changes of the platform's objects to hosts.
