Start a fleet with few calls to the platform

Cause: hosts that start together know too few others to leave the platform's watches to them, so all watched, and each registration and change ended the watches of all. A host that listed a kind just before a watching host did also called again, as revisions count the changes of all kinds.

Change: on the first start a host waits 0.6 s before it lists the hosts, lists the other kinds once it knows them, and lets those that watch list first. Updates between hosts continue from the last change of their kind rather than from the revision of the last answer.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -19,6 +19,8 @@
 	// Boot identifies the process; it differs between all processes of a host.
 	Boot int64
 	Seed uint64
+	// FirstStart is true if all hosts start at about the same time.
+	FirstStart bool
 	// RetryRatio and RetrySlack limit the retries of all hosts together in any RetryWindow.
 	RetryRatio  float64
 	RetrySlack  float64
--- a/internal/relay/decider/rollout.go
+++ b/internal/relay/decider/rollout.go
@@ -28,6 +28,9 @@
 	// leasePassOnInterval is the shortest interval at which an aggregator passes on a new revision of
 	// the lease without other news.
 	leasePassOnInterval = 500 * time.Millisecond
+	// hostListTime is how long a host of a fleet that has just started waits for the list of hosts
+	// before it reads the lease.
+	hostListTime = 2 * time.Second
 	// callTimeout is how long a call for the lease, a report or an order may take.
 	callTimeout = 1500 * time.Millisecond
 	// reportInterval is the interval between reports of an engine being updated, and
@@ -182,6 +185,9 @@
 // leaveLeaseToOthers reports whether this host, which hasn't read the lease yet, relies on the others
 // to announce it.
 func (s *State) leaveLeaseToOthers() bool {
+	if s.cfg.FirstStart && len(s.hosts) == 0 {
+		return s.now.Sub(s.startedAt) < hostListTime
+	}
 	return s.isLarge() && s.leaseReadAt.IsZero() && s.now.Sub(latest(s.startedAt, s.leaseSeenAt)) < s.leaseReadAfter()
 }
 
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -48,6 +48,12 @@
 	// initialPollPause is the time between checks for stores until the first
 	// configuration names some.
 	initialPollPause = 20 * time.Millisecond
+	// firstStartPause is longer than the time within which all hosts start, and maxHostsWait the
+	// longest wait for the list of hosts. firstListDelay lets the watching hosts list first: what
+	// others list later lacks none of the changes that these pass on.
+	firstStartPause = 600 * time.Millisecond
+	maxHostsWait    = 500 * time.Millisecond
+	firstListDelay  = 800 * time.Millisecond
 	// overloadPause is the pause after an overloaded store refused a call, as a refused
 	// call costs as much as an answered one.
 	overloadPause = 2 * time.Second
@@ -74,8 +80,10 @@
 	WatchesPlatform func() bool
 	// SendUpdates sends updates to other hosts.
 	SendUpdates func([]WatchUpdate)
-	// FollowsStore reports whether this host polls a store itself after it has listed it.
+	// FollowsStore reports whether this host polls a store itself.
 	FollowsStore func(store netip.AddrPort) bool
+	// FirstStart is true if all hosts start at about the same time.
+	FirstStart bool
 }
 
 // Follower runs one watch for each kind of platform objects and one poller for each store.
@@ -83,6 +91,9 @@
 	cfg     Config
 	newest  newestEra
 	watches []*watch
+	// hostsKnown is closed once the hosts have been listed.
+	hostsKnown     chan struct{}
+	hostsKnownOnce sync.Once
 	// unregistered receives a value when the store has lost the entry of this host.
 	unregistered chan struct{}
 	// lost is true from a call without an answer, or one that lost changes, to the next answer.
@@ -91,27 +102,52 @@
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, unregistered: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, hostsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
 		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
 	}
 	return f
 }
 
-// Run watches the platform and polls the stores until ctx ends.
+// Run watches the platform and polls the stores until ctx ends. On the first start it lets the other
+// hosts register first, as each new host ends the watches of all that know too few hosts to leave
+// them to others.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.cfg.FirstStart && !pause(ctx, firstStartPause) {
+		return nil
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	for _, w := range f.watches {
-		g.Go(func() error { return w.run(ctx) })
+		g.Go(func() error {
+			if w.kind != caller.KindHosts {
+				f.awaitHosts(ctx)
+				if f.cfg.FirstStart && !f.cfg.WatchesPlatform() {
+					sleep(ctx, firstListDelay)
+				}
+			}
+			return w.run(ctx)
+		})
 	}
 	g.Go(func() error { return f.sendHeartbeats(ctx) })
 	g.Go(func() error { return f.pollStores(ctx) })
 	return g.Wait()
 }
 
-// sleep waits between 0.5 and 1.5 times d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d))
+// awaitHosts waits until the hosts have been listed, but not for long. Which hosts there are decides
+// whether this one watches the platform.
+func (f *Follower) awaitHosts(ctx context.Context) {
+	timer := time.NewTimer(maxHostsWait)
+	defer timer.Stop()
+	select {
+	case <-f.hostsKnown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// pause waits for d. It returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -121,6 +157,11 @@
 	}
 }
 
+// sleep waits between 0.5 and 1.5 times d. It returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	return pause(ctx, d/2+rand.N(d))
+}
+
 // unknownEra is the era of a watch that hasn't listed its objects yet.
 const unknownEra = -1
 
@@ -148,8 +189,9 @@
 
 	// mu guards the fields below, which heartbeats read. Only the watch writes them.
 	mu sync.Mutex
-	// revision is the revision up to which all changes are known; 0 before each list.
-	revision int64
+	// revision is the revision up to which all changes are known; 0 before each list. There were no
+	// changes after changedAt up to it.
+	revision, changedAt int64
 	// era is the store's era of revision; unknownEra before the first list.
 	era int64
 	// failing is true from a failed call to the next successful one.
@@ -174,11 +216,11 @@
 }
 
 func (w *watch) run(ctx context.Context) error {
-	pause := minRetryPause
+	backoff := minRetryPause
 	for ctx.Err() == nil {
 		w.applyQueued()
 		if w.eraIsOver() {
-			w.setPosition(w.era, 0)
+			w.setPosition(w.era, 0, 0)
 		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
@@ -186,7 +228,7 @@
 		}
 		err := w.poll(ctx)
 		if err == nil {
-			pause = minRetryPause
+			backoff = minRetryPause
 			continue
 		}
 		if w.eraIsOver() {
@@ -195,14 +237,14 @@
 		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
 			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
 			w.platformLost(w)
-			w.setPosition(w.era, 0)
+			w.setPosition(w.era, 0, 0)
 			continue
 		}
 		w.recordFailure(ctx, err)
-		if !w.pause(ctx, pause) {
+		if !w.pause(ctx, backoff) {
 			break
 		}
-		pause = min(2*pause, w.maxPause())
+		backoff = min(2*backoff, w.maxPause())
 	}
 	return nil
 }
@@ -216,11 +258,11 @@
 	return updateTimeout
 }
 
-// setPosition sets the era and the revision up to which all changes are known.
-func (w *watch) setPosition(era, revision int64) {
+// setPosition sets the era, the revision up to which all changes are known, and that of the last one.
+func (w *watch) setPosition(era, revision, changedAt int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.era, w.revision = era, revision
+	w.era, w.revision, w.changedAt = era, revision, changedAt
 }
 
 func (w *watch) setFailing(failing, refused bool) {
@@ -426,7 +468,7 @@
 	}
 	w.recordSuccess()
 	wentBack := w.recordEra(all.Era)
-	w.setPosition(all.Era, all.Revision)
+	w.setPosition(all.Era, all.Revision, all.Revision)
 	clear(w.objects)
 	w.updateObjects(all.Objects)
 	if wentBack && w.kind == caller.KindHosts {
@@ -442,7 +484,7 @@
 // awaitChanges waits for changes and applies them.
 func (w *watch) awaitChanges(ctx context.Context) error {
 	sentAt := w.cfg.Clock.Now()
-	after := w.revision
+	after, changedAt := w.revision, w.changedAt
 	wait := w.watchWait()
 	watchCtx, cancel := w.newest.untilRisen(ctx, w.era)
 	defer cancel()
@@ -465,7 +507,7 @@
 	fresh := freshness{asOf: w.answerTime(sentAt, wait, len(changes.Objects)), returnUntil: w.returnUntil()}
 	w.recordSuccess()
 	w.confirmRevision(changes, fresh)
-	w.forwardChanges(after, changes, fresh)
+	w.forwardChanges(changedAt, changes, fresh)
 	w.changed = len(changes.Objects) > 0
 	if w.revision > after && changes.Revision <= w.revision {
 		changes.Objects = nil // Updates during the call had these changes and may have had later ones.
@@ -514,7 +556,11 @@
 	}
 	w.updateObjects(objects)
 	w.postChanges(objects, false, fresh)
-	w.setPosition(w.era, max(w.revision, changes.Revision))
+	revision, changedAt := max(w.revision, changes.Revision), w.changedAt
+	if len(objects) > 0 {
+		changedAt = revision
+	}
+	w.setPosition(w.era, revision, changedAt)
 }
 
 // answerTime returns the time at which an answer is known to be current: the start of the
@@ -630,6 +676,7 @@
 }
 
 func (w *watch) postHosts() {
+	defer w.hostsKnownOnce.Do(func() { close(w.hostsKnown) })
 	ev := decider.HostsListed{Hosts: make(map[string]descriptor.Host, len(w.objects))}
 	for name, o := range w.objects {
 		host, err := decoder.Host(o.Spec)
@@ -696,11 +743,11 @@
 				g.Go(func() error { return f.pollStore(ctx, addr) })
 			}
 		}
-		pause := maxRetryPause
+		interval := maxRetryPause
 		if len(started) == 0 {
-			pause = initialPollPause // Prompts can't use cached parts until the stores are known.
+			interval = initialPollPause // Prompts can't use cached parts until the stores are known.
 		}
-		if !sleep(ctx, pause) {
+		if !sleep(ctx, interval) {
 			return g.Wait()
 		}
 	}
@@ -711,7 +758,7 @@
 func (f *Follower) pollStore(ctx context.Context, addr netip.AddrPort) error {
 	var last descriptor.PartChanges
 	listed := false
-	pause := minRetryPause
+	backoff := minRetryPause
 	for ctx.Err() == nil {
 		if !f.cfg.FollowsStore(addr) {
 			// Other hosts send the changes, and the reducer lists the store if it knows nothing of it
@@ -730,8 +777,8 @@
 			if ctx.Err() == nil {
 				f.cfg.Post(decider.StoreLost{Store: addr})
 			}
-			sleep(ctx, pause)
-			pause = min(2*pause, maxRetryPause)
+			sleep(ctx, backoff)
+			backoff = min(2*backoff, maxRetryPause)
 			continue
 		}
 		full := !listed
@@ -741,7 +788,7 @@
 			sleep(ctx, partPause)
 			continue
 		}
-		listed, pause, last = true, minRetryPause, changes
+		listed, backoff, last = true, minRetryPause, changes
 		if end := sentAt.Add(partWait - waitTolerance); !full && len(changes.Changes) == 0 && f.cfg.Clock.Now().After(end) {
 			sentAt = end // Without changes the store answers at the end of its wait.
 		}
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -316,7 +316,7 @@
 	clock := &fakeClock{time.Unix(1000, 0)}
 	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: always, SendUpdates: func([]WatchUpdate) {}, Post: func(decider.Event) {}})
 	w := f.watches[1]
-	w.setPosition(0, 5)
+	w.setPosition(0, 5, 5)
 	receiveHeartbeat := func() {
 		w.applyUpdate(receivedUpdate{WatchUpdate{Kind: w.kind, After: 5, UpTo: 5, Heartbeat: true}, clock.now})
 	}
@@ -435,7 +435,7 @@
 	events := &eventLog{}
 	f := New(Config{Clock: clock, Logger: hclog.NewNullLogger(), WatchesPlatform: never, Post: events.post})
 	w := f.watches[1]
-	w.setPosition(1, 5)
+	w.setPosition(1, 5, 5)
 	change := func(era int64) receivedUpdate {
 		objects := []caller.Object{{Kind: w.kind, Name: "a", Revision: 6, Spec: []byte(targetSpec)}}
 		return receivedUpdate{WatchUpdate{Kind: w.kind, Era: era, After: 5, UpTo: 6, Objects: objects}, clock.now}
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -35,7 +35,8 @@
 // changes or a heartbeat.
 type WatchUpdate struct {
 	Kind string `cbor:"1,keyasint"`
-	// Objects are all changes after revision After, up to and including UpTo.
+	// Objects are all changes after revision After, up to and including UpTo. After is that of the
+	// last change before, so that updates of several hosts continue each other.
 	After   int64           `cbor:"2,keyasint"`
 	UpTo    int64           `cbor:"3,keyasint"`
 	Objects []caller.Object `cbor:"4,keyasint,omitempty"`
@@ -180,12 +181,12 @@
 func (w *watch) heartbeat() (WatchUpdate, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return WatchUpdate{Kind: w.kind, Era: w.era, After: w.revision, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing && !w.overdue
+	return WatchUpdate{Kind: w.kind, Era: w.era, After: w.changedAt, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing && !w.overdue
 }
 
-// forwardChanges sends the platform's answer to a watch after the given revision to
-// other hosts.
-func (w *watch) forwardChanges(after int64, changes caller.Objects, fresh freshness) {
+// forwardChanges sends the platform's answer to a watch to other hosts. The last change before it was
+// that of the given revision.
+func (w *watch) forwardChanges(changedAt int64, changes caller.Objects, fresh freshness) {
 	if !w.cfg.WatchesPlatform() {
 		return
 	}
@@ -197,7 +198,7 @@
 		return // The next heartbeat shows the other hosts that they are behind.
 	}
 	now := w.cfg.Clock.Now()
-	u := WatchUpdate{Kind: w.kind, Era: w.era, After: after, UpTo: max(after, changes.Revision), Objects: changes.Objects, Age: now.Sub(fresh.asOf)}
+	u := WatchUpdate{Kind: w.kind, Era: w.era, After: changedAt, UpTo: max(changedAt, changes.Revision), Objects: changes.Objects, Age: now.Sub(fresh.asOf)}
 	if now.Before(fresh.returnUntil) {
 		u.AfterOutage, u.ReturnWithin = true, fresh.returnUntil.Sub(now)
 	}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -104,7 +104,7 @@
 		WatchAges: func() map[string]time.Duration { return r.follower.WatchAges() },
 	})
 	state := decider.New(decider.Config{
-		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed,
+		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed, FirstStart: cfg.Settings.FirstStart,
 		RetryRatio: cfg.Settings.RetryRatio, RetrySlack: cfg.Settings.RetrySlack, RetryWindow: cfg.Settings.RetryWindow,
 		LeaseTerm: cfg.Settings.LeaseTerm, RevokeAfter: cfg.Settings.RevokeAfter,
 		WeightsWithin: cfg.Settings.WeightsWithin,
@@ -120,7 +120,7 @@
 	}
 	r.follower = follower.New(follower.Config{
 		Host: cfg.Settings.Host, Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
-		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates,
+		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates, FirstStart: cfg.Settings.FirstStart,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
 		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.postFromPeer, ReceiveUpdates: r.follower.Receive,
