End idle watches before the platform forgets their revision

Cause: a watch without changes waited 25 s and the platform keeps changes for 20 s, so it failed with 410 and listed its objects again.

Change: a watch waits three quarters of the time that the platform keeps changes (platform.historyS). A list of the same objects at the same revisions is no change.

--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -266,7 +266,9 @@
 	// FirstPort and LastPort are the range of ports for traffic between hosts.
 	FirstPort, LastPort uint16
 	Platform            netip.AddrPort
-	MemoryMB            int
+	// History is how long the platform keeps the changes of its objects.
+	History  time.Duration
+	MemoryMB int
 	// Cores is the processor time that the host has, or 0 if unknown.
 	Cores float64
 	// FirstStart is true if the whole deployment starts for the first time.
--- a/internal/relay/follower/first_start_test.go
+++ b/internal/relay/follower/first_start_test.go
@@ -86,3 +86,37 @@
 	t.Logf("%d calls", calls.Load())
 	assert.Assert(t, calls.Load() <= most, "%d calls, want at most %d", calls.Load(), most)
 }
+
+// TestIdleWatchEndsBeforeHistory guards against watches without changes that wait longer than the
+// platform keeps history, and so fail and list their objects again.
+func TestIdleWatchEndsBeforeHistory(t *testing.T) {
+	const history = 20 * time.Second
+	f := New(Config{Clock: timer.BootClock{}, Logger: hclog.NewNullLogger(), WatchesPlatform: always, History: history})
+	for _, w := range f.watches {
+		assert.Assert(t, w.watchWait() < history, "%s waits %v", w.kind, w.watchWait())
+	}
+}
+
+// TestListOfSameObjectsCausesNoCalls guards against hosts that all call the platform because one that
+// watches it for them had to list its objects again, although they hadn't changed.
+func TestListOfSameObjectsCausesNoCalls(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	var calls atomic.Int64
+	counted := newTestStoreBehind(t, store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		store.ServeHTTP(w, r)
+	}))
+	other, events := counted.start(never, func([]WatchUpdate) {})
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole })
+	_, watcherEvents := newTestStore(t, store).start(always, other.Receive)
+	waitForEvent(t, watcherEvents, func(ev decider.TargetsListed) bool { return ev.Whole })
+	time.Sleep(2 * updateTimeout) // The other host catches up once.
+	before := calls.Load()
+	watcherEvents.clear()
+	store.Put(caller.KindLeases, "lease", `{}`)
+	store.Compact()
+	waitForEvent(t, watcherEvents, func(ev decider.TargetsListed) bool { return ev.Whole })
+	time.Sleep(updateTimeout)
+	assert.Equal(t, calls.Load(), before)
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -34,8 +34,11 @@
 	confirmWait = 100 * time.Millisecond
 	// waitTolerance is how much earlier than requested the platform may end a wait.
 	waitTolerance = 50 * time.Millisecond
-	// objectWait is the wait of all other watches. The platform allows 30 s.
-	objectWait = 25 * time.Second
+	// maxObjectWait is the longest wait of all other watches. The platform allows 30 s. historyShare is
+	// the share of the time for which the platform keeps changes that a watch may wait: it fails
+	// if that time ends before it.
+	maxObjectWait = 25 * time.Second
+	historyShare  = 0.75
 	// batchPause lets changes accumulate before the next watch, as each answer costs every
 	// watching host a call. Targets that are taken out must stop getting requests within
 	// 2 s, which bounds it.
@@ -84,6 +87,8 @@
 	FollowsStore func(store netip.AddrPort) bool
 	// FirstStart is true if all hosts start at about the same time.
 	FirstStart bool
+	// History is how long the platform keeps changes.
+	History time.Duration
 }
 
 // Follower runs one watch for each kind of platform objects and one poller for each store.
@@ -102,6 +107,9 @@
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
+	if cfg.History <= 0 {
+		cfg.History = maxObjectWait
+	}
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, hostsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
 		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
@@ -220,7 +228,7 @@
 	for ctx.Err() == nil {
 		w.applyQueued()
 		if w.eraIsOver() {
-			w.setPosition(w.era, 0, 0)
+			w.forgetRevision()
 		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
@@ -237,7 +245,7 @@
 		if kind := caller.KindOf(err); kind == caller.KindCompacted || kind == caller.KindReset {
 			w.cfg.Logger.Info("changes are lost, listing again", "kind", w.kind, "after", w.revision, "error", err.Error())
 			w.platformLost(w)
-			w.setPosition(w.era, 0, 0)
+			w.forgetRevision()
 			continue
 		}
 		w.recordFailure(ctx, err)
@@ -258,6 +266,9 @@
 	return updateTimeout
 }
 
+// forgetRevision makes the watch list its objects again.
+func (w *watch) forgetRevision() { w.setPosition(w.era, 0, w.changedAt) }
+
 // setPosition sets the era, the revision up to which all changes are known, and that of the last one.
 func (w *watch) setPosition(era, revision, changedAt int64) {
 	w.mu.Lock()
@@ -467,8 +478,12 @@
 		return err
 	}
 	w.recordSuccess()
+	changedAt := all.Revision
+	if w.era == all.Era && w.holds(all.Objects) {
+		changedAt = w.changedAt // Other hosts needn't list the objects again.
+	}
 	wentBack := w.recordEra(all.Era)
-	w.setPosition(all.Era, all.Revision, all.Revision)
+	w.setPosition(all.Era, all.Revision, changedAt)
 	clear(w.objects)
 	w.updateObjects(all.Objects)
 	if wentBack && w.kind == caller.KindHosts {
@@ -481,6 +496,16 @@
 	return nil
 }
 
+// holds reports whether the known objects are exactly these.
+func (w *watch) holds(objects []caller.Object) bool {
+	for _, o := range objects {
+		if known, ok := w.objects[o.Name]; !ok || known.Revision != o.Revision {
+			return false
+		}
+	}
+	return len(objects) == len(w.objects)
+}
+
 // awaitChanges waits for changes and applies them.
 func (w *watch) awaitChanges(ctx context.Context) error {
 	sentAt := w.cfg.Clock.Now()
@@ -582,7 +607,7 @@
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
 	case w.kind != caller.KindConfig:
-		return objectWait
+		return min(maxObjectWait, time.Duration(historyShare*float64(w.cfg.History)))
 	case w.changed:
 		return confirmWait
 	}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -120,7 +120,7 @@
 	}
 	r.follower = follower.New(follower.Config{
 		Host: cfg.Settings.Host, Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
-		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates, FirstStart: cfg.Settings.FirstStart,
+		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates, FirstStart: cfg.Settings.FirstStart, History: cfg.Settings.History,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
 		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.postFromPeer, ReceiveUpdates: r.follower.Receive,
