--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -232,7 +232,7 @@
 	if s.isCold(t) {
 		t.coldAllowance--
 	}
-	fields := []any{"route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.sends, "predicted", predicted,
+	fields := []any{"route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.sends, "predicted", predicted, "left", r.deadline.Sub(s.now),
 		"own", t.ownLoad.Requests, "others", t.peerLoad.Requests, "unread", t.ownLoad.PrefillTokens + t.peerLoad.PrefillTokens, "memory", t.ownLoad.MemoryTokens + t.peerLoad.MemoryTokens,
 		"weights", out.Weights, "read", r.load.PrefillTokens, "read-slow", r.misses.slowStore, "read-saving", r.misses.beingSaved, "read-unknown", r.misses.notStored}
 	if r.prompt != nil && s.hasOutdatedWeights(t, r.prompt.Model) {
