Keep the retries of many hosts within their common budget

Cause: each host had at least one retry in each window, however many hosts there were. Above 0.7 times the slack in hosts, that is more than all may have.

Change: if a host's share is below one, the first hosts in the service's order have one retry each and the others none.

Measured: TestRetriesOfManyHostsFitBudget, 1,000 hosts with a slack of 100: 1,000 retries before, 70 now. At 195 hosts with 430 nothing changes.

--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -76,7 +76,10 @@
 	b := s.retryBudgetOf(service)
 	requests, retries := b.totals()
 	limit := retryBudgetShare * (s.cfg.RetryRatio*float64(requests) + s.cfg.RetrySlack/float64(s.hostCount()))
-	if float64(retries+1) > max(1, limit) {
+	if limit < 1 && s.rankFor(service) < int(retryBudgetShare*s.cfg.RetrySlack) {
+		limit = 1 // There are more hosts than retries, so some have one and the others none.
+	}
+	if float64(retries+1) > limit {
 		return false
 	}
 	b.retries[b.bucket%retryBuckets]++
--- a/internal/relay/decider/retrying_test.go
+++ b/internal/relay/decider/retrying_test.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,6 +104,26 @@
 	checkRetryWindows(t, samples, float64(slack)/hosts)
 }
 
+// TestRetriesOfManyHostsFitBudget guards against a retry for each host in each window, however many
+// hosts there are: a thousand of them share a slack of 100 retries and serve next to no requests.
+func TestRetriesOfManyHostsFitBudget(t *testing.T) {
+	const hosts, slack = 1000, 100
+	list := map[string]descriptor.Host{}
+	for i := range hosts {
+		list[fmt.Sprint("host-", i)] = descriptor.Host{Address: address(i), DataCentre: "a"}
+	}
+	retries := 0
+	for name := range list {
+		h := newUnconfiguredHost(t, name, "a")
+		h.cfg.RetrySlack = slack
+		h.handle(HostsListed{Hosts: list})
+		for h.tryWithdrawRetry("service") {
+			retries++
+		}
+	}
+	assert.Assert(t, retries > slack/2 && retries <= slack, "%d retries", retries)
+}
+
 // TestKeptErrorNotDeliveredAfterStreamStarted guards against appending an error response to a
 // started response. The first target returns an error, which is kept, and the second starts a
 // response and aborts it.
