Choose and check only what may have changed where there are thousands of targets

A request looked at all targets, and each tick and message passed over all of them.

Change: a request looks at the targets of its host's partition and at 64 others. The targets that are down are kept apart, a host's own loads come from its requests, and passes over all targets of a large fleet take place four times a second.

--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -11,6 +11,10 @@
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
+// targetsCheckInterval is the interval between passes over all targets of a large fleet. Requests check
+// what they depend on themselves.
+const targetsCheckInterval = 250 * time.Millisecond
+
 // Config holds the fixed settings of a State.
 type Config struct {
 	Host       string
@@ -39,10 +43,10 @@
 type State struct {
 	cfg Config
 	now time.Time
-	// startedAt is the time of the first event.
-	startedAt time.Time
-	rng       *rand.Rand
-	effects   []Effect
+	// startedAt is the time of the first event, targetsCheckedAt that of the last pass over all targets.
+	startedAt, targetsCheckedAt time.Time
+	rng                         *rand.Rand
+	effects                     []Effect
 
 	fleet
 	naming
@@ -143,11 +147,14 @@
 }
 
 func (s *State) onTick() {
-	s.expireMissing()
+	if !s.isLarge() || s.now.Sub(s.targetsCheckedAt) >= targetsCheckInterval {
+		s.targetsCheckedAt = s.now
+		s.expireMissing()
+		s.freeOutdatedParts()
+	}
 	s.probeDownTargets()
 	s.advanceLease()
 	s.advanceUpdates()
-	s.freeOutdatedParts()
 	s.passOnParts()
 	s.sendPeriodicMessages()
 }
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -66,6 +66,8 @@
 	configEra   int64
 	configEraAt time.Time
 	targets     map[string]*target
+	// downTargets are those that don't answer.
+	downTargets map[string]*target
 	// byService lists the targets of each service, sorted by ID.
 	byService map[string][]*target
 	// evacuatedDataCentres maps the data centres that are out of use to the time until which
@@ -146,7 +148,7 @@
 
 func newFleet() fleet {
 	return fleet{
-		targets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]time.Time{},
+		targets: map[string]*target{}, downTargets: map[string]*target{}, byService: map[string][]*target{}, evacuatedDataCentres: map[string]time.Time{},
 		departed: map[string]departure{}, meanServiceTime: map[string]float64{},
 	}
 }
@@ -280,7 +282,8 @@
 			weights[model] = max(weights[model], version)
 		}
 	} else {
-		t.down, t.downCount, t.failureRate = false, 0, 0
+		s.setDown(t, false)
+		t.downCount, t.failureRate = 0, 0
 		t.pausedUntil = time.Time{}
 	}
 	t.Target = *desc
@@ -333,6 +336,7 @@
 		return
 	}
 	delete(s.targets, id)
+	delete(s.downTargets, id)
 	s.departed[id] = departure{s.now, s.targetsEra, t.StartedAt, t.Weights}
 	delete(s.updates, id)
 	s.expireNotices()
@@ -446,7 +450,7 @@
 	if t.down {
 		return
 	}
-	t.down = true
+	s.setDown(t, true)
 	t.downCount++
 	t.nextProbeAt = s.now.Add(min(maxProbeBackoff, minProbeBackoff<<min(t.downCount-1, 4)))
 	s.log("target down", "", "target", t.ID, "why", reason, "downs", t.downCount)
@@ -456,8 +460,8 @@
 // probeDownTargets probes the targets that are down and due. One that wants no requests for a
 // while gets no probe either.
 func (s *State) probeDownTargets() {
-	for _, t := range s.targets {
-		if !t.down || s.now.Before(t.nextProbeAt) || s.now.Before(t.pausedUntil) {
+	for _, t := range s.downTargets {
+		if s.now.Before(t.nextProbeAt) || s.now.Before(t.pausedUntil) {
 			continue
 		}
 		t.nextProbeAt = s.now.Add(maxProbeBackoff)
@@ -479,11 +483,22 @@
 		t.nextProbeAt = s.now.Add(min(maxProbeBackoff, minProbeBackoff<<min(t.downCount-1, 4)))
 		return
 	}
-	t.down, t.lastAnsweredAt = false, s.now
+	s.setDown(t, false)
+	t.lastAnsweredAt = s.now
 	t.coldUntil = latest(t.coldUntil, s.now.Add(coldAfterDown))
 	s.log("target up", "", "target", t.ID, "downs", t.downCount)
 }
 
+// setDown records whether t is down.
+func (s *State) setDown(t *target, down bool) {
+	t.down = down
+	if down {
+		s.downTargets[t.ID] = t
+	} else {
+		delete(s.downTargets, t.ID)
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/relay/decider/partition.go
+++ b/internal/relay/decider/partition.go
@@ -24,8 +24,10 @@
 	// and partitionOf that of each host of the data centre.
 	partitions, ownPartition int
 	partitionOf              map[string]int
-	// distant holds the engines of other partitions and data centres.
-	distant map[string]bool
+	// distant holds the engines of other partitions and data centres. near and far list the targets of
+	// each service, sorted by ID: far those that are distant.
+	distant   map[string]bool
+	near, far map[string][]*target
 }
 
 // computePartition determines this host's partition. It depends only on the lists of hosts and
@@ -39,6 +41,7 @@
 			s.allPeers = append(s.allPeers, h.Address)
 		}
 	}
+	defer s.splitTargets()
 	if !s.isLarge() {
 		s.neighbours = s.allPeers
 		return
@@ -82,6 +85,20 @@
 	}
 }
 
+// splitTargets divides the targets of each service into near and far ones.
+func (s *State) splitTargets() {
+	s.near, s.far = map[string][]*target{}, map[string][]*target{}
+	for service, list := range s.byService {
+		for _, t := range list {
+			if s.distant[t.ID] {
+				s.far[service] = append(s.far[service], t)
+			} else {
+				s.near[service] = append(s.near[service], t)
+			}
+		}
+	}
+}
+
 // sortByHash sorts names by hash, which separates consecutively numbered names.
 func sortByHash(names []string) []string {
 	slices.SortFunc(names, func(a, b string) int {
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -253,9 +253,11 @@
 // ownLoads returns the load from this host's requests by target.
 func (s *State) ownLoads() map[string]targetLoad {
 	loads := map[string]targetLoad{}
-	for id, t := range s.targets {
-		if t.ownLoad != (targetLoad{}) {
-			loads[id] = t.ownLoad
+	for _, r := range s.byNumber {
+		if r.target != nil {
+			load := loads[r.target.ID]
+			load.add(r.load, 1)
+			loads[r.target.ID] = load
 		}
 	}
 	return loads
@@ -276,10 +278,8 @@
 func (s *State) newMessage() Message {
 	s.messageNumber++
 	m := Message{Host: s.cfg.Host, Boot: s.cfg.Boot, Number: s.messageNumber}
-	for id, t := range s.targets {
-		if t.down {
-			m.Down = append(m.Down, id)
-		}
+	for id := range s.downTargets {
+		m.Down = append(m.Down, id)
 	}
 	if s.config != nil && !s.configAnsweredAt.IsZero() {
 		// Passed on, a confirmation by a peer would get younger by the delay of each message.
@@ -337,7 +337,7 @@
 	if t.down || t.ownLoad.Requests > 0 || s.now.Sub(t.lastAnsweredAt) < recentAnswerAge {
 		return
 	}
-	t.down = true
+	s.setDown(t, true)
 	t.nextProbeAt = s.now
 	s.log("target down", "", "target", t.ID, "why", "a peer can't reach it", "peer", host)
 	s.passOn()
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -23,6 +23,9 @@
 	// distantPenalty applies to targets outside this host's partition, whose known load may be a
 	// second old.
 	distantPenalty = 40 * time.Millisecond
+	// maxDistantSample is how many targets outside this host's partition are considered for a request,
+	// unless none of them can take it.
+	maxDistantSample = 64
 	// runningRequestDelay is how much longer the first ten steps of a response take together for
 	// each running request.
 	runningRequestDelay = 400 * time.Microsecond
@@ -43,20 +46,31 @@
 	var shortest time.Duration
 	plans := map[importPlanKey]importPlan{}
 	var distant distantTargets
-	for _, t := range s.byService[r.service] {
+	for _, t := range s.near[r.service] {
 		if !s.usable(t, r) {
 			continue
 		}
 		load := t.ownLoad
 		load.add(t.peerLoad, 1)
-		if s.distant[t.ID] {
-			distant.add(t, load, s.rng)
-			continue
-		}
 		if delay := s.expectedDelay(r, t, load, plans); best == nil || delay < shortest {
 			best, shortest = t, delay
 		}
 	}
+	far := s.far[r.service]
+	first := 0
+	if len(far) > maxDistantSample {
+		first = s.rng.IntN(len(far))
+	}
+	for i := range far {
+		if i >= maxDistantSample && distant.picked != nil {
+			break
+		}
+		if t := far[(first+i)%len(far)]; s.usable(t, r) {
+			load := t.ownLoad
+			load.add(t.peerLoad, 1)
+			distant.add(t, load, s.rng)
+		}
+	}
 	if t := distant.picked; t != nil {
 		if delay := s.expectedDelay(r, t, distant.mean(), plans) + distantPenalty; best == nil || delay < shortest {
 			best, shortest = t, delay
--- a/internal/relay/decider/scale_bench_test.go
+++ b/internal/relay/decider/scale_bench_test.go
@@ -119,3 +119,28 @@
 		h.handle(MessageReceived{Message: Message{Host: "host-7", Boot: 1, Number: n, Loads: loads}})
 	}
 }
+
+// BenchmarkManyTargets measures a tick, a message to neighbours and a request of a host with ten
+// targets for each host of its fleet.
+func BenchmarkManyTargets(b *testing.B) {
+	h := newLargeFleet(b, 300, 3000, 24)
+	h.hearPeers(1)
+	b.Run("tick", func(b *testing.B) {
+		for b.Loop() {
+			h.advance(50 * time.Millisecond)
+			h.handle(Tick{})
+		}
+	})
+	h.hearPeers(2)
+	n := int64(0)
+	b.Run("request", func(b *testing.B) {
+		for b.Loop() {
+			n++
+			h.advance(100 * time.Microsecond)
+			h.handle(ConfigConfirmed{AsOf: h.clock})
+			h.handle(RequestArrived{Number: n, ID: "r", Host: "h", Path: "/long/", Key: key, Timeout: 5 * time.Second, Prompt: shortPrompt(fmt.Sprintf("%08x", n%400))})
+			h.handle(ResponseStarted{Number: n, Weights: 1})
+			h.handle(AttemptDone{Number: n, Status: 200})
+		}
+	})
+}
