Send loads of engines of other data centres as sums, and split large summaries

Cause: an aggregator's message states the load of each engine, 87 kB for 3,000 of them, more than a datagram holds. It was dropped without a trace, and with it who is live.

Change: hosts use the loads of engines in other data centres only as a mean, so they get their sum by service, and single loads for plain targets only. The loads of the own data centre are divided over several messages if there are more than 1,000.

--- a/internal/relay/decider/aggregating.go
+++ b/internal/relay/decider/aggregating.go
@@ -20,6 +20,8 @@
 	silentAfter = 2*broadcastInterval + maxMessageDelay
 	// summaryLag is how long ago a host that isn't silent was heard at the latest, on average.
 	summaryLag = silentAfter / 2
+	// maxSummaryLoads is how many loads of single targets are in one message, each of some 30 bytes.
+	maxSummaryLoads = 1000
 	// holderLoadInterval is the interval at which hosts repeat their loads to the lease holder while
 	// it updates engines.
 	holderLoadInterval = 500 * time.Millisecond
@@ -33,8 +35,10 @@
 	// Silent lists the registered hosts that the aggregator doesn't hear.
 	Silent []string `cbor:"3,keyasint,omitempty"`
 	// Loads is the sum of the hosts' loads by target, for each partition. Summaries for other data
-	// centres have a single sum.
-	Loads []map[string]targetLoad `cbor:"4,keyasint,omitempty"`
+	// centres have a single sum, of plain targets only, and the loads of engines by service: those of
+	// thousands of engines would not fit into a message.
+	Loads       []map[string]targetLoad `cbor:"4,keyasint,omitempty"`
+	EngineLoads map[string]targetLoad   `cbor:"5,keyasint,omitempty"`
 }
 
 // Updating states which engines the lease holder is updating.
@@ -62,8 +66,10 @@
 
 // loadSum is the sum of the loads of several hosts at a time.
 type loadSum struct {
-	loads  map[string]targetLoad
-	madeAt time.Time
+	loads map[string]targetLoad
+	// engines are the loads of engines by service, of hosts that send no loads of single engines.
+	engines map[string]targetLoad
+	madeAt  time.Time
 }
 
 // aggregation replaces the exchange of state between all hosts of a large fleet, of which each
@@ -194,16 +200,45 @@
 		m.Updating = &updating
 	}
 	toOthers := m
+	members := s.addressesOf(s.byDataCentre[s.cfg.DataCentre])
 	if regular {
 		own := s.summariseOwn()
-		m.DataCentres = append(s.knownSummaries(), own)
-		own.Loads = []map[string]targetLoad{sumLoads(own.Loads)}
+		parts := splitLoads(own.Loads)
+		for _, loads := range parts[1:] {
+			s.messageNumber++
+			more := Message{Host: m.Host, Boot: m.Boot, Number: s.messageNumber, LoadsUnchanged: true, Down: m.Down, DataCentres: []DataCentreSummary{own}}
+			more.DataCentres[0].Loads = loads
+			s.emit(SendMessage{To: members, Message: more})
+		}
+		s.messageNumber++
+		m.Number, toOthers.Number = s.messageNumber, s.messageNumber
+		first := own
+		first.Loads = parts[0]
+		m.DataCentres = append(s.knownSummaries(), first)
+		own.EngineLoads = map[string]targetLoad{}
+		own.Loads = []map[string]targetLoad{s.sumForOthers(own.Loads, own.EngineLoads)}
 		toOthers.DataCentres = []DataCentreSummary{own}
 	}
-	s.emit(SendMessage{To: s.addressesOf(s.byDataCentre[s.cfg.DataCentre]), Message: m})
+	s.emit(SendMessage{To: members, Message: m})
 	s.emit(SendMessage{To: s.otherAggregatorAddresses(), Message: toOthers})
 }
 
+// splitLoads divides the loads of partitions so that each part fits into a message. A part is empty for
+// the partitions of others.
+func splitLoads(loads []map[string]targetLoad) [][]map[string]targetLoad {
+	var parts [][]map[string]targetLoad
+	left := 0
+	for i, partition := range loads {
+		if len(parts) == 0 || len(partition) > left {
+			parts = append(parts, make([]map[string]targetLoad, len(loads)))
+			left = maxSummaryLoads
+		}
+		parts[len(parts)-1][i] = partition
+		left -= len(partition)
+	}
+	return parts
+}
+
 // summariseOwn returns the summary of this data centre by what its hosts sent to this one, and
 // applies its loads here.
 func (s *State) summariseOwn() DataCentreSummary {
@@ -251,12 +286,22 @@
 	}
 }
 
-func sumLoads(list []map[string]targetLoad) map[string]targetLoad {
-	sum := map[string]targetLoad{}
+// sumForOthers returns the sum of loads at plain targets, and adds those of engines to their services.
+func (s *State) sumForOthers(list []map[string]targetLoad, engines map[string]targetLoad) map[string]targetLoad {
+	plain := map[string]targetLoad{}
 	for _, loads := range list {
-		addLoads(sum, loads)
+		for id, load := range loads {
+			t := s.targets[id]
+			switch {
+			case t == nil:
+			case t.service != nil && t.service.Engine != nil:
+				addLoads(engines, map[string]targetLoad{t.Service: load})
+			default:
+				addLoads(plain, map[string]targetLoad{id: load})
+			}
+		}
 	}
-	return sum
+	return plain
 }
 
 // applySummaries records which hosts are live and the loads of distant ones. Several aggregators pass
@@ -286,7 +331,7 @@
 			s.summaries[sum.DataCentre] = receivedSummary{sum, madeAt}
 		}
 		if len(sum.Loads) > 0 {
-			s.setLoadSum(sumKey{dataCentre: sum.DataCentre}, loadSum{sum.Loads[0], madeAt})
+			s.setLoadSum(sumKey{dataCentre: sum.DataCentre}, loadSum{loads: sum.Loads[0], engines: sum.EngineLoads, madeAt: madeAt})
 		}
 	}
 }
@@ -294,8 +339,8 @@
 // setPartitionLoads records the loads of the other partitions of this data centre.
 func (s *State) setPartitionLoads(own DataCentreSummary, madeAt time.Time) {
 	for i, loads := range own.Loads {
-		if i != s.ownPartition {
-			s.setLoadSum(sumKey{own.DataCentre, i}, loadSum{loads, madeAt})
+		if i != s.ownPartition && loads != nil {
+			s.setLoadSum(sumKey{own.DataCentre, i}, loadSum{loads: loads, madeAt: madeAt})
 		}
 	}
 }
@@ -311,6 +356,16 @@
 	s.addPeerLoads(sum.loads, 1)
 }
 
+// meanUnassignedLoad returns the mean load of the engines of a service from hosts that send no loads of
+// single engines.
+func (s *State) meanUnassignedLoad(service string) targetLoad {
+	var sum targetLoad
+	for _, known := range s.sums {
+		sum.add(known.engines[service], 1)
+	}
+	return sum.dividedBy(max(1, len(s.byService[service])))
+}
+
 // dropLoadSums removes the sums that weren't renewed, or all of them.
 func (s *State) dropLoadSums(all bool) {
 	for key, sum := range s.sums {
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -110,6 +110,10 @@
 	l.Pinned += sign * o.Pinned
 }
 
+func (l targetLoad) dividedBy(n int) targetLoad {
+	return targetLoad{Requests: l.Requests / n, PrefillTokens: l.PrefillTokens / n, MemoryTokens: l.MemoryTokens / n, Pinned: l.Pinned / n}
+}
+
 // target holds the state of a target as known to this host.
 type target struct {
 	descriptor.Target
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -72,7 +72,9 @@
 		}
 	}
 	if t := distant.picked; t != nil {
-		if delay := s.expectedDelay(r, t, distant.mean(), plans) + distantPenalty; best == nil || delay < shortest {
+		load := distant.sum.dividedBy(distant.count)
+		load.add(s.meanUnassignedLoad(r.service), 1)
+		if delay := s.expectedDelay(r, t, load, plans) + distantPenalty; best == nil || delay < shortest {
 			best, shortest = t, delay
 		}
 	}
@@ -96,10 +98,6 @@
 	}
 }
 
-func (d *distantTargets) mean() targetLoad {
-	return targetLoad{Requests: d.sum.Requests / d.count, PrefillTokens: d.sum.PrefillTokens / d.count, MemoryTokens: d.sum.MemoryTokens / d.count}
-}
-
 // expectedDelay returns the time until the response to r begins at t under the given load, plus
 // penalties for distance and failures. It caches import plans in plans.
 func (s *State) expectedDelay(r *request, t *target, load targetLoad, plans map[importPlanKey]importPlan) time.Duration {
