--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"strings"
 	"time"
 
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -235,6 +236,9 @@
 	fields := []any{"route", r.route.Name, "config", s.config.Version, "target", t.ID, "attempt", r.sends, "predicted", predicted, "left", r.deadline.Sub(s.now),
 		"own", t.ownLoad.Requests, "others", t.peerLoad.Requests, "unread", t.ownLoad.PrefillTokens + t.peerLoad.PrefillTokens, "memory", t.ownLoad.MemoryTokens + t.peerLoad.MemoryTokens,
 		"weights", out.Weights, "read", r.load.PrefillTokens, "read-slow", r.misses.slowStore, "read-saving", r.misses.beingSaved, "read-unknown", r.misses.notStored}
+	if r.prompt != nil {
+		fields = append(fields, "parts", describeParts(r.prompt, out.Sources))
+	}
 	if r.prompt != nil && s.hasOutdatedWeights(t, r.prompt.Model) {
 		fields = append(fields, "weights-named", s.desiredWeights[r.prompt.Model], "since-named", s.now.Sub(s.replacement(t, r.prompt.Model).notBefore))
 	}
@@ -243,6 +247,23 @@
 	s.sendLoadToNeighbours()
 }
 
+// describeParts lists the shared parts of a prompt for the log, each with the store that it is imported
+// from, if any.
+func describeParts(p *descriptor.Prompt, sources []netip.AddrPort) string {
+	var b strings.Builder
+	for i, part := range p.Shared() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(part.ID)
+		if sources[i].IsValid() {
+			b.WriteByte('@')
+			b.WriteString(sources[i].String())
+		}
+	}
+	return b.String()
+}
+
 // urgency returns the team's priority if it has one, and the route's otherwise.
 func (r *request) urgency() int {
 	if r.team != nil && r.team.Priority >= 0 {
