Add failing tests for a part that crashes engine after engine

Requests that share a part crash each engine that begins an answer on it, and no host relates the crashes to the part.

--- a/internal/relay/decider/aggregating_test.go
+++ b/internal/relay/decider/aggregating_test.go
@@ -29,6 +29,8 @@
 	messages, bytes, leaseCalls int
 	// sentBy counts the messages of each host.
 	sentBy map[string]int
+	// carryOutCall carries out the effects that concern more than messages, if it isn't nil.
+	carryOutCall func(h *host, e Effect)
 }
 
 // sentMessage is a message on its way.
@@ -105,6 +107,9 @@
 		case ReadLease, RenewLease:
 			f.leaseCalls++
 		}
+		if f.carryOutCall != nil {
+			f.carryOutCall(h, e)
+		}
 	}
 }
 
@@ -113,28 +118,33 @@
 	const tick = 50 * time.Millisecond
 	for ; d > 0; d -= tick {
 		f.clock = f.clock.Add(tick)
-		arriving := f.inFlight
-		f.inFlight = nil
-		for _, h := range f.hosts {
-			h.clock = f.clock
-		}
-		for _, sent := range arriving {
-			for _, to := range sent.to {
-				h := f.byAddr[to]
-				if !f.reaches(sent.from, h) {
-					continue
-				}
-				for _, ev := range sent.events {
-					f.carryOut(h, h.handle(ev))
-				}
+		f.step()
+	}
+}
+
+// step delivers the messages sent since the last step, and then ticks all hosts.
+func (f *fleetNetwork) step() {
+	arriving := f.inFlight
+	f.inFlight = nil
+	for _, h := range f.hosts {
+		h.clock = f.clock
+	}
+	for _, sent := range arriving {
+		for _, to := range sent.to {
+			h := f.byAddr[to]
+			if !f.reaches(sent.from, h) {
+				continue
 			}
-		}
-		for _, h := range f.hosts {
-			if !f.stopped[h] {
-				f.carryOut(h, h.handle(Tick{}))
+			for _, ev := range sent.events {
+				f.carryOut(h, h.handle(ev))
 			}
 		}
 	}
+	for _, h := range f.hosts {
+		if !f.stopped[h] {
+			f.carryOut(h, h.handle(Tick{}))
+		}
+	}
 }
 
 // aggregatorsOf returns the aggregators of a data centre by what its hosts think.
--- /dev/null
+++ b/internal/relay/decider/crash_fleet_test.go
@@ -0,0 +1,312 @@
+package decider
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+const (
+	// fatalPart crashes each engine that begins an answer on it.
+	fatalPart = "fatal"
+	// contactTime is the platform's bound for how fast hosts must inform each other, and crashBound the
+	// number of crashes from which it counts. Then maxFatalRequests may reach engines.
+	contactTime      = 3 * time.Second
+	crashBound       = 5
+	maxFatalRequests = 3
+	// engineRestartTime is how long an engine is away after a crash.
+	engineRestartTime = 2 * time.Second
+	timeToFirstToken  = 80 * time.Millisecond
+	timeToLastToken   = 200 * time.Millisecond
+	// arrivalTick is the resolution of the model, stepInterval the time between ticks of hosts.
+	arrivalTick  = 10 * time.Millisecond
+	stepInterval = 50 * time.Millisecond
+)
+
+// crashFleet runs hosts in front of engines that crash when they begin an answer on fatalPart.
+type crashFleet struct {
+	*fleetNetwork
+	rng     *rand.Rand
+	engines map[string]*modelEngine
+	list    map[string]descriptor.Host
+	queue   modelQueue
+	// started numbers the processes of engines.
+	started int
+	// crashes holds the times of crashes on fatalPart, and reached those at which requests with it reached
+	// engines, by hosts in touch.
+	crashes, reached []time.Time
+	// bootedAt is when each host started. Hosts are in touch contactTime later.
+	bootedAt map[string]time.Time
+	// outcomes counts requests by kind.
+	outcomes map[string]*outcomeCount
+	// steppedAt is when messages were last delivered.
+	steppedAt time.Time
+}
+
+// outcomeCount counts requests by what became of them at their first attempt.
+type outcomeCount struct{ sent, begun, refused, refusedNotRun int }
+
+// modelEngine is one process of an engine. It is crashed from the moment it ends.
+type modelEngine struct {
+	descriptor.Target
+	crashed bool
+	running map[*modelRequest]bool
+}
+
+// modelRequest is one request of a caller.
+type modelRequest struct {
+	host   *host
+	number int64
+	kind   string
+	prompt *descriptor.Prompt
+	begun  bool
+	sends  int
+}
+
+// modelEvent is a function to run at a time.
+type modelEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type modelQueue []modelEvent
+
+func (q modelQueue) Len() int { return len(q) }
+func (q modelQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *modelQueue) Push(x any)   { *q = append(*q, x.(modelEvent)) }
+func (q *modelQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newCrashFleet(t *testing.T, hosts, engines int, seed uint64) *crashFleet {
+	t.Helper()
+	f := &crashFleet{
+		fleetNetwork: newFleetNetwork(t, hosts, 5), rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*modelEngine{},
+		list: map[string]descriptor.Host{}, bootedAt: map[string]time.Time{}, outcomes: map[string]*outcomeCount{},
+	}
+	f.carryOutCall = f.answerCall
+	for i, h := range f.hosts {
+		f.list[h.cfg.Host] = descriptor.Host{Address: address(i + 1), DataCentre: h.cfg.DataCentre}
+		f.bootedAt[h.cfg.Host] = f.clock.Add(-time.Minute)
+	}
+	var list []descriptor.Target
+	for n := range engines {
+		list = append(list, f.newEngine(fmt.Sprint("dc-", n%5)))
+	}
+	for _, h := range f.hosts {
+		h.handle(TargetsListed{Targets: list, Whole: true})
+	}
+	f.advance(3 * time.Second)
+	return f
+}
+
+func (f *crashFleet) newEngine(dataCentre string) descriptor.Target {
+	f.started++
+	d := engineTarget(f.started, 1)
+	d.DataCentre, d.StartedAt = dataCentre, time.UnixMilli(int64(f.started))
+	d.Address = address(20000 + f.started)
+	f.engines[d.ID] = &modelEngine{Target: d, running: map[*modelRequest]bool{}}
+	return d
+}
+
+func (f *crashFleet) after(d time.Duration, run func()) {
+	f.started++ // Also orders events at the same time.
+	heap.Push(&f.queue, modelEvent{f.clock.Add(d), f.started, run})
+}
+
+// advance lets time pass.
+func (f *crashFleet) advance(d time.Duration) {
+	end := f.clock.Add(d)
+	for f.clock.Before(end) {
+		for len(f.queue) > 0 && !f.queue[0].at.After(f.clock) {
+			heap.Pop(&f.queue).(modelEvent).run()
+		}
+		f.clock = f.clock.Add(arrivalTick)
+		for _, h := range f.hosts {
+			h.clock = f.clock
+		}
+		if f.clock.Sub(f.steppedAt) >= stepInterval {
+			f.steppedAt = f.clock
+			f.step()
+		}
+	}
+}
+
+// post reduces an event on a host and carries out the effects.
+func (f *crashFleet) post(h *host, ev Event) {
+	if !f.stopped[h] {
+		f.carryOut(h, h.handle(ev))
+	}
+}
+
+// answerCall answers the calls of a host.
+func (f *crashFleet) answerCall(h *host, e Effect) {
+	switch e := e.(type) {
+	case Probe:
+		f.after(5*time.Millisecond, func() {
+			f.post(h, ProbeAnswered{Target: e.Target, Alive: !f.engines[e.Target].crashed})
+		})
+	}
+}
+
+// inTouch reports whether the platform's bounds hold for a host.
+func (f *crashFleet) inTouch(h *host) bool { return f.clock.Sub(f.bootedAt[h.cfg.Host]) >= contactTime }
+
+// request sends a request of a kind to a random host.
+func (f *crashFleet) request(kind, path string, prompt *descriptor.Prompt) {
+	h := f.hosts[f.rng.IntN(len(f.hosts))]
+	for f.stopped[h] {
+		h = f.hosts[f.rng.IntN(len(f.hosts))]
+	}
+	h.lastNumber++
+	r := &modelRequest{host: h, number: h.lastNumber, kind: kind, prompt: prompt}
+	if f.outcomes[kind] == nil {
+		f.outcomes[kind] = &outcomeCount{}
+	}
+	f.outcomes[kind].sent++
+	h.handle(ConfigConfirmed{AsOf: h.clock})
+	f.execute(r, h.handle(RequestArrived{Number: r.number, ID: fmt.Sprint(h.cfg.Host, "-", r.number), Host: "h", Path: path, Key: key, Timeout: 5 * time.Second, Prompt: prompt}))
+}
+
+// execute carries out the effects of an event of a request.
+func (f *crashFleet) execute(r *modelRequest, effects []Effect) {
+	f.carryOut(r.host, effects)
+	switch e := requestEffect(effects).(type) {
+	case Refuse:
+		if r.sends == 0 {
+			f.outcomes[r.kind].refused++
+			if e.NotRun {
+				f.outcomes[r.kind].refusedNotRun++
+			}
+		}
+	case Send:
+		r.sends++
+		f.deliver(r, f.engines[e.Target])
+	}
+}
+
+// deliver lets a request reach its engine.
+func (f *crashFleet) deliver(r *modelRequest, e *modelEngine) {
+	if e == nil || e.crashed {
+		f.after(time.Millisecond, func() {
+			f.execute(r, r.host.handle(AttemptFailed{Number: r.number, Reason: FailureUnreachable, NotRun: true, Detail: "connection refused"}))
+		})
+		return
+	}
+	fatal := slices.ContainsFunc(r.prompt.Shared(), func(p descriptor.Part) bool { return p.ID == fatalPart })
+	if fatal && f.inTouch(r.host) {
+		f.reached = append(f.reached, f.clock)
+	}
+	e.running[r] = true
+	f.after(timeToFirstToken, func() {
+		switch {
+		case !e.running[r]:
+		case fatal:
+			f.crashes = append(f.crashes, f.clock)
+			f.crash(e)
+		default:
+			r.begun = true
+			if r.sends == 1 {
+				f.outcomes[r.kind].begun++
+			}
+			f.post(r.host, ResponseStarted{Number: r.number, Weights: 1})
+		}
+	})
+	f.after(timeToLastToken, func() {
+		if e.running[r] {
+			delete(e.running, r)
+			f.post(r.host, AttemptDone{Number: r.number, Status: 200})
+		}
+	})
+}
+
+// crash ends an engine and lets another process of it start later.
+func (f *crashFleet) crash(e *modelEngine) {
+	e.crashed = true
+	running := e.running
+	e.running = map[*modelRequest]bool{}
+	var list []*modelRequest
+	for r := range running {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *modelRequest) int { return int(a.number - b.number) })
+	for _, r := range list {
+		f.execute(r, r.host.handle(AttemptFailed{
+			Number: r.number, Reason: FailureBroken, Detail: "unexpected EOF", ResponseStarted: r.begun,
+			Body: ReceivedBody{Framing: FramingChunks, InsideEvent: r.begun},
+		}))
+	}
+	f.after(engineRestartTime, func() {
+		d := f.newEngine(e.DataCentre)
+		for _, h := range f.hosts {
+			f.post(h, TargetsListed{Targets: []descriptor.Target{d}, Removed: []string{e.ID}})
+		}
+	})
+}
+
+// fatalPrompt returns a prompt that shares all parts but fatalPart with sound ones.
+func (f *crashFleet) fatalPrompt() *descriptor.Prompt {
+	p := longPrompt(fmt.Sprint("subject-", f.rng.IntN(20)))
+	p.Parts = slices.Insert(p.Parts, 2, descriptor.Part{ID: fatalPart, Tokens: 500})
+	return p
+}
+
+// load sends sound requests at a rate per second, and requests with fatalPart at another.
+func (f *crashFleet) load(d time.Duration, sound, fatal float64) {
+	for end := f.clock.Add(d); f.clock.Before(end); f.advance(arrivalTick) {
+		if f.rng.Float64() < sound*arrivalTick.Seconds() {
+			f.request("sound", "/long/", longPrompt(fmt.Sprint("subject-", f.rng.IntN(20))))
+		}
+		if f.rng.Float64() < sound*arrivalTick.Seconds()/3 {
+			f.request("short", "/short/", shortPrompt(fmt.Sprint("session-", f.rng.IntN(100))))
+		}
+		if f.rng.Float64() < fatal*arrivalTick.Seconds() {
+			f.request("fatal", "/long/", f.fatalPrompt())
+		}
+	}
+}
+
+// requestsAfterBound counts the requests with fatalPart that reached engines contactTime after the
+// crash from which the bound counts.
+func (f *crashFleet) requestsAfterBound() int {
+	if len(f.crashes) < crashBound {
+		return 0
+	}
+	n := 0
+	for _, at := range f.reached {
+		if at.Sub(f.crashes[crashBound-1]) > contactTime {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPartCrashesEngineAfterEngine guards against requests that share one part and crash all engines,
+// one after the other, as no host relates the crashes to the part.
+func TestPartCrashesEngineAfterEngine(t *testing.T) {
+	for _, n := range []int{2, 7, 195} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			f := newCrashFleet(t, n, 12, uint64(n))
+			f.load(30*time.Second, 40, 3)
+			after := f.requestsAfterBound()
+			t.Logf("%d crashes, %d requests after the bound", len(f.crashes), after)
+			assert.Assert(t, after <= maxFatalRequests, "%d requests with the part reached engines later than %s after crash %d; %d crashes in all", after, contactTime, crashBound, len(f.crashes))
+		})
+	}
+}
--- a/internal/relay/runner/weights_test.go
+++ b/internal/relay/runner/weights_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,6 +32,13 @@
 	l.runs = append(l.runs, r)
 }
 
+// all returns the runs so far.
+func (l *runLog) all() []imitator.Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.runs)
+}
+
 func (*runLog) OrderReceived(imitator.Order)     {}
 func (*runLog) RuleViolated(rule, detail string) {}
 
