Quarantine parts of prompts that crash engines

Cause: a failed attempt said something about its target only. Nothing related the crashes of different engines, seen by different hosts, to what the requests at them had in common.

Change: a host that loses a request before its answer began probes the engine. If the engine has crashed, the shared parts of such requests are suspects, and all hosts hear of it. An answer that begins clears its parts, at all hosts. A part at three crashes without an answer in between is quarantined: requests with it are refused at once with 503. A trial is let through after 10 s, 40 s and so on, at one host of the fleet; an answer lifts the quarantine. Two hosts write the part to the platform's store, which hosts list when they start. A request that two engines broke off isn't repeated. Simultaneous crashes count once.

Why it works: the part at fault is in all requests that crash engines and in none that is answered; the parts that sound requests have too are cleared within a request.

No part is quarantined when 1 to 8 of 16 engines end for other reasons, each 0.5 to 4 s, for 20 s (TestPartsAreBlamedForOtherCrashes).

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -67,6 +67,10 @@
 	// unless another response has started.
 	hasErrorResponse bool
 	tried            map[string]bool
+	// answerBegun is true once a target has begun to answer the attempt in progress, and brokenOff counts
+	// the attempts that were broken off before.
+	answerBegun bool
+	brokenOff   int
 	// sends counts the times the request was sent to a target, runs those in which it may have
 	// run.
 	sends, runs int
@@ -147,6 +151,11 @@
 
 // dispatch sends r to the best target, or refuses it.
 func (s *State) dispatch(r *request) {
+	quarantined := s.quarantinedPartsOf(r)
+	if wait := s.waitForTrial(quarantined); wait > 0 {
+		s.refuse(r, RefusalQuarantined, max(transientRetryAfter, wait))
+		return
+	}
 	best, predicted := s.selectTarget(r)
 	if best == nil {
 		s.refuse(r, RefusalNoTarget, s.retryAfter(r))
@@ -158,6 +167,7 @@
 		s.refuse(r, RefusalOverload, retryAfter)
 		return
 	}
+	s.recordTrial(r, quarantined)
 	s.send(r, best, predicted)
 }
 
@@ -214,7 +224,7 @@
 func (s *State) send(r *request, t *target, predicted time.Duration) {
 	r.target = t
 	r.sends++
-	r.sentAt, r.predicted, r.sources = s.now, predicted, nil
+	r.sentAt, r.predicted, r.sources, r.answerBegun = s.now, predicted, nil, false
 	out := Send{
 		Number: r.number, Target: t.ID, StartedAt: t.StartedAt, Address: t.Address, Service: t.Service, Deadline: r.deadline,
 		Urgency: r.urgency(), Repeatable: r.route.Repeatable(), Stream: r.route.Kind == descriptor.KindStream,
--- a/internal/relay/decider/crash_fleet_test.go
+++ b/internal/relay/decider/crash_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -48,6 +49,13 @@
 	outcomes map[string]*outcomeCount
 	// steppedAt is when messages were last delivered.
 	steppedAt time.Time
+	// fatalIndex is where fatalPart is in the prompts, and mended is true once it crashes engines no more.
+	fatalIndex int
+	mended     bool
+	// kept holds the parts that the platform's store has, and quarantines the parts of all log lines that
+	// state a quarantine.
+	kept        map[ModelPart]bool
+	quarantines map[any]bool
 }
 
 // outcomeCount counts requests by what became of them at their first attempt.
@@ -98,7 +106,8 @@
 	t.Helper()
 	f := &crashFleet{
 		fleetNetwork: newFleetNetwork(t, hosts, 5), rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*modelEngine{},
-		list: map[string]descriptor.Host{}, bootedAt: map[string]time.Time{}, outcomes: map[string]*outcomeCount{},
+		list: map[string]descriptor.Host{}, bootedAt: map[string]time.Time{}, outcomes: map[string]*outcomeCount{}, fatalIndex: 2,
+		kept: map[ModelPart]bool{}, quarantines: map[any]bool{},
 	}
 	f.carryOutCall = f.answerCall
 	for i, h := range f.hosts {
@@ -162,6 +171,17 @@
 		f.after(5*time.Millisecond, func() {
 			f.post(h, ProbeAnswered{Target: e.Target, Alive: !f.engines[e.Target].crashed})
 		})
+	case KeepQuarantine:
+		f.after(5*time.Millisecond, func() {
+			f.kept[e.Part] = true
+			f.post(h, QuarantineKept{Part: e.Part})
+		})
+	case DropQuarantine:
+		delete(f.kept, e.Part)
+	case LogEntry:
+		if e.Event == "part quarantined" {
+			f.quarantines[e.Fields[1]] = true
+		}
 	}
 }
 
@@ -210,14 +230,14 @@
 		return
 	}
 	fatal := slices.ContainsFunc(r.prompt.Shared(), func(p descriptor.Part) bool { return p.ID == fatalPart })
-	if fatal && f.inTouch(r.host) {
+	if fatal && !f.mended && f.inTouch(r.host) {
 		f.reached = append(f.reached, f.clock)
 	}
 	e.running[r] = true
 	f.after(timeToFirstToken, func() {
 		switch {
 		case !e.running[r]:
-		case fatal:
+		case fatal && !f.mended:
 			f.crashes = append(f.crashes, f.clock)
 			f.crash(e)
 		default:
@@ -247,6 +267,9 @@
 	}
 	slices.SortFunc(list, func(a, b *modelRequest) int { return int(a.number - b.number) })
 	for _, r := range list {
+		if f.stopped[r.host] {
+			continue
+		}
 		f.execute(r, r.host.handle(AttemptFailed{
 			Number: r.number, Reason: FailureBroken, Detail: "unexpected EOF", ResponseStarted: r.begun,
 			Body: ReceivedBody{Framing: FramingChunks, InsideEvent: r.begun},
@@ -263,7 +286,7 @@
 // fatalPrompt returns a prompt that shares all parts but fatalPart with sound ones.
 func (f *crashFleet) fatalPrompt() *descriptor.Prompt {
 	p := longPrompt(fmt.Sprint("subject-", f.rng.IntN(20)))
-	p.Parts = slices.Insert(p.Parts, 2, descriptor.Part{ID: fatalPart, Tokens: 500})
+	p.Parts = slices.Insert(p.Parts, f.fatalIndex, descriptor.Part{ID: fatalPart, Tokens: 500})
 	return p
 }
 
@@ -282,6 +305,46 @@
 	}
 }
 
+// restart replaces the process of a host, which then knows what it lists and hears.
+func (f *crashFleet) restart(h *host) {
+	f.stopped[h] = true
+	f.hosts = slices.DeleteFunc(f.hosts, func(o *host) bool { return o == h })
+	next := f.addHost(h.cfg.Host, f.list)
+	next.cfg.Boot = h.cfg.Boot + 1
+	var list []descriptor.Target
+	for _, e := range f.engines {
+		if !e.crashed {
+			list = append(list, e.Target)
+		}
+	}
+	next.handle(TargetsListed{Targets: list, Whole: true})
+	f.bootedAt[h.cfg.Host] = f.clock
+	f.post(next, QuarantineListed{Parts: slices.Collect(maps.Keys(f.kept))})
+}
+
+// hostsWithQuarantine counts the hosts that refuse fatalPart.
+func (f *crashFleet) hostsWithQuarantine() int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.quarantined[ModelPart{model, fatalPart}] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// crashUntilQuarantined sends fatal requests until a host quarantines fatalPart.
+func (f *crashFleet) crashUntilQuarantined() {
+	f.t.Helper()
+	for range 300 {
+		if f.hostsWithQuarantine() > 0 {
+			return
+		}
+		f.load(100*time.Millisecond, 40, 3)
+	}
+	f.t.Fatal("no host quarantines the part")
+}
+
 // requestsAfterBound counts the requests with fatalPart that reached engines contactTime after the
 // crash from which the bound counts.
 func (f *crashFleet) requestsAfterBound() int {
@@ -300,6 +363,7 @@
 // TestPartCrashesEngineAfterEngine guards against requests that share one part and crash all engines,
 // one after the other, as no host relates the crashes to the part.
 func TestPartCrashesEngineAfterEngine(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{2, 7, 195} {
 		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
 			f := newCrashFleet(t, n, 12, uint64(n))
@@ -310,3 +374,8 @@
 		})
 	}
 }
+
+// sortedEngines returns the engines in the order of their starts.
+func (f *crashFleet) sortedEngines() []*modelEngine {
+	return slices.SortedFunc(maps.Values(f.engines), func(a, b *modelEngine) int { return a.StartedAt.Compare(b.StartedAt) })
+}
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -58,6 +58,8 @@
 	aggregation
 	retries
 	rollout
+	crashHistory
+	quarantine
 	stopping bool
 }
 
@@ -67,6 +69,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
 		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), requests: newRequests(), cacheDirectory: newCacheDirectory(), hostRanking: newHostRanking(), peers: newPeers(), aggregation: newAggregation(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
+		crashHistory: newCrashHistory(), quarantine: newQuarantine(),
 	}
 }
 
@@ -137,6 +140,10 @@
 		s.onProbeAnswered(ev)
 	case NoticeReceived:
 		s.onNoticeReceived(ev)
+	case QuarantineListed:
+		s.onQuarantineListed(ev)
+	case QuarantineKept:
+		s.onQuarantineKept(ev)
 	}
 }
 
@@ -156,6 +163,9 @@
 	s.advanceLease()
 	s.advanceUpdates()
 	s.passOnParts()
+	s.expireCrashes()
+	s.keepQuarantine()
+	s.expireQuarantine()
 	s.sendPeriodicMessages()
 }
 
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -52,6 +52,8 @@
 	RefusalDeadline      RefusalKind = "deadline"
 	RefusalRetriesSpent  RefusalKind = "retry-budget"
 	RefusalAttemptsSpent RefusalKind = "attempts"
+	// RefusalQuarantined means that a part of the prompt crashes engines.
+	RefusalQuarantined RefusalKind = "part-quarantined"
 )
 
 // Refuse ends a request with a refusal by this host.
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -28,6 +28,9 @@
 type ResponseStarted struct {
 	Number  int64
 	Weights int
+	// Unsuccessful is true if the status isn't a success, so that the target may not have answered
+	// the prompt.
+	Unsuccessful bool
 }
 
 // Framing is how a response shows where its body ends.
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -343,6 +343,7 @@
 	delete(s.downTargets, id)
 	s.departed[id] = departure{s.now, s.targetsEra, t.StartedAt, t.Weights}
 	delete(s.updates, id)
+	s.confirmCrash(id)
 	s.expireNotices()
 	s.log("target removed", "", "target", id, "why", reason)
 }
@@ -458,6 +459,7 @@
 	t.downCount++
 	t.nextProbeAt = s.now.Add(min(maxProbeBackoff, minProbeBackoff<<min(t.downCount-1, 4)))
 	s.log("target down", "", "target", t.ID, "why", reason, "downs", t.downCount)
+	s.confirmCrash(t.ID)
 	s.broadcast()
 }
 
@@ -478,6 +480,9 @@
 }
 
 func (s *State) onProbeAnswered(ev ProbeAnswered) {
+	if s.onSuspectProbed(ev) {
+		return
+	}
 	t := s.targets[ev.Target]
 	if t == nil || !t.down {
 		return
--- a/internal/relay/decider/peers.go
+++ b/internal/relay/decider/peers.go
@@ -92,6 +92,11 @@
 	// Leaving maps the targets that recently said in an answer that they are leaving to the start
 	// of their process, in Unix milliseconds.
 	Leaving map[string]int64 `cbor:"17,keyasint,omitempty"`
+	// Crashes lists recent crashes of engines, Answered the parts that were answered although they were
+	// at a crash, and Quarantined the parts that crash engines.
+	Crashes     []CrashReport     `cbor:"20,keyasint,omitempty"`
+	Answered    []AnsweredPart    `cbor:"21,keyasint,omitempty"`
+	Quarantined []QuarantinedPart `cbor:"22,keyasint,omitempty"`
 }
 
 // peers holds the state received from other hosts, and when messages to them were last sent.
@@ -240,6 +245,8 @@
 		m.LoadsUnchanged = true
 	}
 	m.Named, m.Leaving = s.announcedVersions(), s.leavingTargets()
+	m.Crashes, m.Answered = s.announcedCrashes()
+	m.Quarantined = s.announcedQuarantine()
 	if s.holdsLease() || s.isAggregator() {
 		m.Weights = s.recentWeights()
 	}
@@ -373,6 +380,8 @@
 	}
 	s.applyAnnouncedVersions(m.Named, m.Host)
 	s.applyLeavingTargets(m.Leaving, m.Host)
+	s.applyAnnouncedCrashes(m)
+	s.applyQuarantine(m)
 	for id, weights := range m.Weights {
 		for model, version := range weights {
 			if t := s.targets[id]; t != nil {
--- /dev/null
+++ b/internal/relay/decider/quarantine.go
@@ -0,0 +1,282 @@
+package decider
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// fatalCrashes is the number of crashes without an answer in between after which requests with a part
+	// are refused.
+	fatalCrashes = 3
+	// minTrialInterval is the time from the last crash to the first request that may try a quarantined
+	// part, and trialBackoff the factor from each trial to the next, up to maxTrialInterval.
+	minTrialInterval = 10 * time.Second
+	trialBackoff     = 4
+	maxTrialInterval = time.Hour
+	// trialStagger is the time after which one host more may try a part, as no request with it may come
+	// to the first ones. It exceeds the time in which hosts learn of a trial.
+	trialStagger = time.Second
+	// trialNewsTime is how long a host that has started or resumed waits for news of others before it
+	// tries a part.
+	trialNewsTime = 2*broadcastInterval + maxMessageDelay
+	// quarantineRetention is how long a part stays in quarantine without a crash or trial.
+	quarantineRetention = 2 * time.Hour
+	// maxQuarantined bounds the parts in quarantine.
+	maxQuarantined = 64
+	// quarantineKeepers is how many hosts write a part to the platform's store, and keepInterval the
+	// shortest interval between their attempts.
+	quarantineKeepers = 2
+	keepInterval      = time.Second
+)
+
+// QuarantinedPart is what a host announces of a part in quarantine.
+type QuarantinedPart struct {
+	ModelPart
+	// FirstAge and LastAge are the times since the first and the last crash that count, or since the last
+	// trial if that was later.
+	FirstAge time.Duration `cbor:"3,keyasint,omitempty"`
+	LastAge  time.Duration `cbor:"4,keyasint,omitempty"`
+	// Trials is the number of requests that were let through.
+	Trials int `cbor:"5,keyasint,omitempty"`
+}
+
+// quarantine holds the parts that crash engines. Requests with them are refused, but for a trial now
+// and then. An answer ends the quarantine of a part.
+type quarantine struct {
+	quarantined map[ModelPart]*quarantinedPart
+	// quarantineCheckedAt is when old entries were last dropped.
+	quarantineCheckedAt time.Time
+}
+
+type quarantinedPart struct {
+	firstAt, lastAt time.Time
+	trials          int
+	// kept is true once the platform's store of keptEra has the part. keepTriedAt is when this host last
+	// wrote it.
+	kept        bool
+	keptEra     int64
+	keepTriedAt time.Time
+}
+
+// QuarantineListed reports the parts in quarantine that the platform's store has.
+type QuarantineListed struct{ Parts []ModelPart }
+
+// QuarantineKept reports that the platform's store has a part, or why it couldn't be written.
+type QuarantineKept struct {
+	Part ModelPart
+	Err  error
+}
+
+// KeepQuarantine writes a part to the platform's store, for hosts that start when no other runs.
+type KeepQuarantine struct{ Part ModelPart }
+
+// DropQuarantine removes a part from the platform's store.
+type DropQuarantine struct{ Part ModelPart }
+
+func (QuarantineListed) isEvent()  {}
+func (QuarantineKept) isEvent()    {}
+func (KeepQuarantine) isEffect()   {}
+func (DropQuarantine) isEffect()   {}
+func newQuarantine() quarantine    { return quarantine{quarantined: map[ModelPart]*quarantinedPart{}} }
+func (p ModelPart) String() string { return p.Model + "/" + p.Part }
+
+// quarantineIfFatal quarantines a part once enough engines have crashed on it.
+func (s *State) quarantineIfFatal(part ModelPart) {
+	list := s.crashes[part]
+	last := list[len(list)-1].at
+	if q := s.quarantined[part]; q != nil {
+		q.lastAt = latest(q.lastAt, last)
+		return
+	}
+	if len(list) < fatalCrashes {
+		return
+	}
+	var crashed []string
+	for _, c := range list {
+		for _, process := range c.processes {
+			crashed = append(crashed, process.target)
+		}
+	}
+	s.log("part quarantined", "", "part", part.String(), "crashed", crashed, "within", last.Sub(list[0].at))
+	s.addQuarantine(part, &quarantinedPart{firstAt: list[0].at, lastAt: last})
+	s.broadcast()
+}
+
+// addQuarantine adds a part. If there are too many, it replaces the one that crashed engines last.
+func (s *State) addQuarantine(part ModelPart, q *quarantinedPart) {
+	for len(s.quarantined) >= maxQuarantined {
+		var oldest ModelPart
+		for p, other := range s.quarantined {
+			if o := s.quarantined[oldest]; o == nil || other.lastAt.Before(o.lastAt) {
+				oldest = p
+			}
+		}
+		s.dropQuarantine(oldest, "too many parts are in quarantine")
+	}
+	s.quarantined[part] = q
+}
+
+// dropQuarantine ends the quarantine of a part, in the platform's store too.
+func (s *State) dropQuarantine(part ModelPart, reason string) {
+	q := s.quarantined[part]
+	delete(s.quarantined, part)
+	s.log("quarantine lifted", "", "part", part.String(), "why", reason, "trials", q.trials, "after", s.now.Sub(q.firstAt))
+	if q.kept && s.keepsQuarantine(part) {
+		s.emit(DropQuarantine{part})
+	}
+}
+
+// liftQuarantine ends the quarantine of a part that was answered after the first crash. It returns
+// whether the part was in quarantine.
+func (s *State) liftQuarantine(part ModelPart, answeredAt time.Time) bool {
+	q := s.quarantined[part]
+	if q == nil || !answeredAt.After(q.firstAt) || len(s.crashes[part]) >= fatalCrashes {
+		return false
+	}
+	s.dropQuarantine(part, "a request with it was answered")
+	return true
+}
+
+// quarantinedPartsOf returns the parts of r that are in quarantine. A stream that the caller has a part
+// of has none, as engines have answered it.
+func (s *State) quarantinedPartsOf(r *request) []ModelPart {
+	if r.prompt == nil || len(s.quarantined) == 0 || r.responseStarted {
+		return nil
+	}
+	return slices.DeleteFunc(sharedParts(r.prompt), func(part ModelPart) bool { return s.quarantined[part] == nil })
+}
+
+// waitForTrial returns how long this host must wait until it may send a request with parts that are in
+// quarantine, or 0 if it may now. Others may do so before.
+func (s *State) waitForTrial(parts []ModelPart) time.Duration {
+	var wait time.Duration
+	for _, part := range parts {
+		q := s.quarantined[part]
+		due := q.lastAt.Add(trialInterval(q.trials)).Sub(s.now)
+		rank := s.rankIn(s.orderFor("trial|"+part.String()), peerTimeout)
+		if due+time.Duration(rank)*trialStagger > 0 {
+			wait = max(wait, due, trialStagger)
+		}
+	}
+	if sinceNews := s.now.Sub(latest(s.startedAt, s.resumedAt)); len(parts) > 0 && sinceNews < trialNewsTime {
+		wait = max(wait, trialNewsTime-sinceNews) // Others may have tried the parts meanwhile.
+	}
+	return wait
+}
+
+// trialInterval returns the time from the last crash or trial to the next trial.
+func trialInterval(trials int) time.Duration {
+	interval := minTrialInterval
+	for range trials {
+		interval = min(trialBackoff*interval, maxTrialInterval)
+	}
+	return interval
+}
+
+// recordTrial records that r is sent although it has parts in quarantine.
+func (s *State) recordTrial(r *request, parts []ModelPart) {
+	for _, part := range parts {
+		q := s.quarantined[part]
+		q.trials++
+		q.lastAt = s.now
+		s.log("trial of a quarantined part", r.id, "part", part.String(), "trials", q.trials)
+	}
+	if len(parts) > 0 {
+		s.broadcast()
+	}
+}
+
+// keepsQuarantine reports whether this host writes a part to the platform's store.
+func (s *State) keepsQuarantine(part ModelPart) bool {
+	return s.roleRank("quarantine|"+part.String()) < quarantineKeepers
+}
+
+// keepQuarantine writes the parts to the platform's store that it lacks.
+func (s *State) keepQuarantine() {
+	for part, q := range s.quarantined {
+		if q.kept && q.keptEra == s.targetsEra || s.now.Sub(q.keepTriedAt) < keepInterval || !s.keepsQuarantine(part) {
+			continue
+		}
+		q.keepTriedAt = s.now
+		s.emit(KeepQuarantine{part})
+	}
+}
+
+// expireQuarantine lifts the quarantine of parts that were not seen for long.
+func (s *State) expireQuarantine() {
+	if s.now.Sub(s.quarantineCheckedAt) < crashCheckInterval {
+		return
+	}
+	s.quarantineCheckedAt = s.now
+	for part, q := range maps.Clone(s.quarantined) {
+		if s.now.Sub(q.lastAt) > quarantineRetention {
+			s.dropQuarantine(part, "no request with it was tried for long")
+		}
+	}
+}
+
+func (s *State) onQuarantineKept(ev QuarantineKept) {
+	if ev.Err != nil {
+		s.log("failed to keep quarantine", "", "part", ev.Part.String(), "error", ev.Err.Error())
+		return
+	}
+	if q := s.quarantined[ev.Part]; q != nil {
+		q.kept, q.keptEra = true, s.targetsEra
+	}
+}
+
+// onQuarantineListed quarantines the parts that were in quarantine before this host started.
+func (s *State) onQuarantineListed(ev QuarantineListed) {
+	for _, part := range ev.Parts {
+		if s.quarantined[part] == nil && s.lastAnsweredPart(part).IsZero() {
+			s.log("part quarantined", "", "part", part.String(), "listed", true)
+			s.addQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now, kept: true, keptEra: s.targetsEra})
+		}
+	}
+}
+
+// announcedQuarantine returns the parts in quarantine for a message.
+func (s *State) announcedQuarantine() []QuarantinedPart {
+	var list []QuarantinedPart
+	for part, q := range s.quarantined {
+		list = append(list, QuarantinedPart{part, s.now.Sub(q.firstAt), s.now.Sub(q.lastAt), q.trials})
+	}
+	return list
+}
+
+// applyQuarantine adopts the parts that a peer has in quarantine, unless one was answered since.
+func (s *State) applyQuarantine(m Message) {
+	for _, a := range m.Quarantined[:min(len(m.Quarantined), maxQuarantined)] {
+		firstAt, lastAt := s.now.Add(-a.FirstAge), s.now.Add(-a.LastAge)
+		if answeredAt := s.lastAnsweredPart(a.ModelPart); answeredAt.After(firstAt) && s.messageAgesReliable(s.now) {
+			s.announceAnswer(a.ModelPart, answeredAt, true)
+			continue
+		}
+		q := s.quarantined[a.ModelPart]
+		if q == nil {
+			s.log("part quarantined", "", "part", a.String(), "peer", m.Host, "trials", a.Trials)
+			s.addQuarantine(a.ModelPart, &quarantinedPart{firstAt: firstAt, lastAt: lastAt, trials: a.Trials})
+			s.passOn()
+			continue
+		}
+		if a.Trials > q.trials {
+			q.trials = a.Trials
+			s.passOn()
+		}
+		if a.Trials == q.trials {
+			q.lastAt = latest(q.lastAt, lastAt)
+		}
+	}
+}
+
+// Quarantined returns the number of parts in quarantine.
+func (s *State) Quarantined() int { return len(s.quarantined) }
+
+// hasCrashed reports whether r has been at so many crashes that it isn't sent again.
+func (r *request) hasCrashed() bool { return r.brokenOff >= maxCrashesOfRequest }
+
+// maxCrashesOfRequest is how many times a request may be broken off by engines before its answer
+// begins.
+const maxCrashesOfRequest = 2
--- /dev/null
+++ b/internal/relay/decider/quarantine_test.go
@@ -0,0 +1,329 @@
+package decider
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+)
+
+// TestSoundPartsAreBlamedWithFatalPart guards against the refusal of sound requests that share all
+// parts but one with those that crash engines, the first one too.
+func TestSoundPartsAreBlamedWithFatalPart(t *testing.T) {
+	for index := range 3 {
+		t.Run(fmt.Sprint("part ", index), func(t *testing.T) {
+			f := newCrashFleet(t, 7, 12, uint64(index)+11)
+			f.fatalIndex = index
+			f.load(10*time.Second, 40, 0)
+			before := *f.outcomes["sound"]
+			f.load(15*time.Second, 40, 3)
+			during := *f.outcomes["sound"]
+			f.load(15*time.Second, 40, 3)
+			after := *f.outcomes["sound"]
+			assert.DeepEqual(t, f.quarantines, map[any]bool{ModelPart{model, fatalPart}.String(): true})
+			assert.Equal(t, f.hostsWithQuarantine(), 7)
+			calm := float64(before.begun) / float64(before.sent)
+			share := float64(after.begun-during.begun) / float64(after.sent-during.sent)
+			assert.Assert(t, share >= calm/2, "%.2f of the sound requests begin at the first attempt, %.2f before", share, calm)
+		})
+	}
+}
+
+// TestPartsAreBlamedForOtherCrashes guards against the refusal of parts that many requests share when
+// engines end for other reasons, one after the other or together.
+func TestPartsAreBlamedForOtherCrashes(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		hosts, together int
+		interval        time.Duration
+	}{
+		{7, 1, 500 * time.Millisecond},
+		{7, 6, 3 * time.Second},
+		{60, 8, 4 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d hosts, %d engines each %s", tc.hosts, tc.together, tc.interval), func(t *testing.T) {
+			f := newCrashFleet(t, tc.hosts, 16, 3)
+			for range int(20 * time.Second / tc.interval) {
+				f.load(tc.interval, 40, 0)
+				left := tc.together
+				for _, e := range f.sortedEngines() {
+					if left > 0 && !e.crashed && len(e.running) > 0 {
+						f.crash(e)
+						left--
+					}
+				}
+			}
+			assert.Equal(t, len(f.quarantines), 0, "quarantined: %v", f.quarantines)
+		})
+	}
+}
+
+// TestQuarantineSpreadsLate guards against hosts that send requests with a part on although others know
+// that it crashes engines.
+func TestQuarantineSpreadsLate(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{7, 195} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			f := newCrashFleet(t, n, 12, uint64(n))
+			f.crashUntilQuarantined()
+			f.advance(contactTime)
+			assert.Equal(t, f.hostsWithQuarantine(), n)
+		})
+	}
+}
+
+// TestQuarantineDoesNotCrossHealedCut guards against hosts that miss the crashes because they were cut
+// off from the others.
+func TestQuarantineDoesNotCrossHealedCut(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 195, 12, 5)
+	f.cutOff = "dc-0"
+	f.advance(5 * time.Second)
+	cutOffHost := f.hosts[0]
+	for len(f.crashes) == 0 || f.hostsWithQuarantine() == 0 {
+		f.load(100*time.Millisecond, 40, 3)
+	}
+	f.advance(contactTime)
+	f.cutOff = ""
+	f.advance(contactTime)
+	assert.Equal(t, f.hostsWithQuarantine(), 195, "of the cut-off hosts, %s: %v", cutOffHost.cfg.Host, cutOffHost.quarantined)
+}
+
+// TestRestartedHostSendsQuarantinedPart guards against a host that starts without knowing which parts
+// crash engines.
+func TestRestartedHostSendsQuarantinedPart(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{7, 195} {
+		f := newCrashFleet(t, n, 12, 6)
+		f.crashUntilQuarantined()
+		f.advance(contactTime)
+		f.kept = map[ModelPart]bool{} // The platform's store doesn't answer.
+		f.restart(f.hosts[3])
+		f.advance(contactTime)
+		assert.Equal(t, f.hostsWithQuarantine(), n)
+	}
+}
+
+// TestAllHostsRestartWithoutQuarantine guards against a fleet that forgets which parts crash engines
+// when all hosts restart together.
+func TestAllHostsRestartWithoutQuarantine(t *testing.T) {
+	f := newCrashFleet(t, 7, 12, 7)
+	f.crashUntilQuarantined()
+	f.advance(contactTime)
+	crashes := len(f.crashes)
+	for range 7 {
+		f.restart(f.hosts[0])
+	}
+	assert.Equal(t, f.hostsWithQuarantine(), 7)
+	f.load(8*time.Second, 40, 3)
+	assert.Equal(t, len(f.crashes), crashes, "engines crash again after the restart")
+}
+
+// TestKeptQuarantineOutlivesCause guards against a part that stays in the platform's store once it is
+// sound, and against one that the store lost when it went back to a copy.
+func TestKeptQuarantineOutlivesCause(t *testing.T) {
+	f := newCrashFleet(t, 7, 12, 8)
+	f.crashUntilQuarantined()
+	f.advance(contactTime)
+	assert.Equal(t, len(f.kept), 1)
+	clear(f.kept)
+	for _, h := range f.hosts {
+		f.post(h, TargetsListed{Era: 1})
+	}
+	f.advance(contactTime)
+	assert.Equal(t, len(f.kept), 1, "a part that the store lost isn't written again")
+	f.mended = true
+	f.load(2*minTrialInterval, 40, 3)
+	assert.Equal(t, f.hostsWithQuarantine(), 0)
+	assert.Equal(t, len(f.kept), 0)
+}
+
+// TestTrialsCrashEngines guards against trials that crash engines on and on, by several hosts at once
+// or at a fixed interval.
+func TestTrialsCrashEngines(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		hosts, trials int
+		length        time.Duration
+	}{
+		{7, 3, 5 * time.Minute},
+		{195, 1, 30 * time.Second},
+	} {
+		t.Run(fmt.Sprint(tc.hosts, " hosts"), func(t *testing.T) {
+			f := newCrashFleet(t, tc.hosts, 12, uint64(tc.hosts)+1)
+			f.crashUntilQuarantined()
+			f.advance(time.Second)
+			first := len(f.reached)
+			f.load(tc.length, 4, 3)
+			assert.Equal(t, len(f.reached)-first, tc.trials)
+		})
+	}
+}
+
+// TestAnsweredTrialLeavesQuarantine guards against a part that is refused after it was answered.
+func TestAnsweredTrialLeavesQuarantine(t *testing.T) {
+	f := newCrashFleet(t, 7, 12, 9)
+	f.crashUntilQuarantined()
+	f.mended = true
+	f.load(minTrialInterval+time.Duration(len(f.hosts))*trialStagger, 4, 3)
+	assert.Equal(t, f.hostsWithQuarantine(), 0)
+	before := *f.outcomes["fatal"]
+	f.load(5*time.Second, 4, 3)
+	assert.Equal(t, f.outcomes["fatal"].refused, before.refused)
+}
+
+// TestResumedHostTriesQuarantinedPart guards against a host that was suspended and doesn't know of
+// another's trial.
+func TestResumedHostTriesQuarantinedPart(t *testing.T) {
+	h := newHost(t, "a", 4, 0)
+	crashOn(h, 3, longPrompt("x"))
+	h.advance(2 * minTrialInterval)
+	_, effect := h.request("/long/", key, longPrompt("x"))
+	_, refused := effect.(Refuse)
+	assert.Assert(t, refused, "a host that has just resumed tries a part: %v", effect)
+	h.advanceTicking(2 * trialNewsTime)
+	_, effect = h.request("/long/", key, longPrompt("x"))
+	_, sent := effect.(Send)
+	assert.Assert(t, sent, "no request tries the part: %v", effect)
+}
+
+// crashOn lets engines crash, each on a prompt whose answer it is about to begin. Their successors are
+// listed at once.
+func crashOn(h *host, crashes int, prompt *descriptor.Prompt) {
+	for range crashes {
+		n, effect := h.request("/long/", key, prompt)
+		sent, ok := effect.(Send)
+		if !ok {
+			h.t.Fatalf("a request isn't sent: %v", effect)
+		}
+		h.handle(AttemptFailed{Number: n, Reason: FailureBroken, Detail: "unexpected EOF", Body: ReceivedBody{Framing: FramingChunks}})
+		h.handle(ProbeAnswered{Target: sent.Target})
+		h.advanceTicking(simultaneousCrashes)
+		next := engineTarget(1, 1)
+		next.ID = fmt.Sprint(sent.Target, "+")
+		next.StartedAt = sent.StartedAt.Add(time.Second)
+		h.handle(TargetsListed{Targets: []descriptor.Target{next}, Removed: []string{sent.Target}})
+	}
+}
+
+// TestQuarantinedRequestWaits guards against callers that wait for the refusal of a request with a
+// quarantined part, or are told that it may have run.
+func TestQuarantinedRequestWaits(t *testing.T) {
+	h := newHost(t, "a", 4, 0)
+	crashOn(h, fatalCrashes, longPrompt("x"))
+	_, effect := h.request("/long/", key, longPrompt("x"))
+	refusal, ok := effect.(Refuse)
+	assert.Assert(t, ok, "%v", effect)
+	assert.Equal(t, refusal.Kind, RefusalQuarantined)
+	assert.Assert(t, refusal.NotRun)
+	assert.Assert(t, refusal.RetryAfter >= minTrialInterval/2, "%s", refusal.RetryAfter)
+}
+
+// TestCrashedRequestIsRepeated guards against requests that crash one engine after the other by
+// themselves: one is sent to two engines, and to none once its part is in quarantine.
+func TestCrashedRequestIsRepeated(t *testing.T) {
+	h := newHost(t, "a", 6, 0)
+	cfg := testConfig(2)
+	cfg.Routes[1].Attempts = 4
+	h.handle(ConfigListed{Config: cfg})
+	n, effect := h.request("/short/", key, shortPrompt("x"))
+	sends := 0
+	for sent, ok := effect.(Send); ok; sent, ok = effect.(Send) {
+		sends++
+		effect = requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureBroken, Detail: "unexpected EOF"}))
+		h.handle(ProbeAnswered{Target: sent.Target})
+		h.advanceTicking(simultaneousCrashes)
+	}
+	assert.Equal(t, sends, maxCrashesOfRequest)
+	assert.Assert(t, !effect.(Refuse).NotRun)
+
+	crashOn(h, 1, shortPrompt("x"))
+	n, effect = h.request("/short/", key, shortPrompt("x"))
+	assert.Equal(t, effect.(Refuse).Kind, RefusalQuarantined)
+	assert.Assert(t, effect.(Refuse).NotRun, "request %d", n)
+}
+
+// TestCompanionsOfFatalRequest guards against the loss of what else runs at an engine that crashes: a
+// stream that may resume continues elsewhere, and no part of an answer that had begun is suspected.
+func TestCompanionsOfFatalRequest(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	begun, effect := h.request("/short/", key, shortPrompt("begun"))
+	engine := effect.(Send).Target
+	h.handle(ResponseStarted{Number: begun})
+	waiting, _ := h.request("/short/", key, shortPrompt("waiting"))
+	fatal, _ := h.request("/long/", key, longPrompt("fatal"))
+	h.handle(TargetsListed{Targets: []descriptor.Target{engineTarget(2, 1)}})
+	for _, n := range []int64{begun, waiting} {
+		effect = requestEffect(h.handle(AttemptFailed{Number: n, Reason: FailureBroken, Detail: "unexpected EOF", ResponseStarted: n == begun}))
+		sent, ok := effect.(Send)
+		assert.Assert(t, ok && sent.Target == "engine-2", "%v", effect)
+	}
+	effect = requestEffect(h.handle(AttemptFailed{Number: fatal, Reason: FailureBroken, Detail: "unexpected EOF"}))
+	assert.Assert(t, !effect.(Refuse).NotRun)
+	h.handle(ProbeAnswered{Target: engine})
+	assert.Equal(t, len(h.crashes[ModelPart{model, "begun"}]), 0)
+	assert.Equal(t, len(h.crashes[ModelPart{model, "waiting"}]), 1)
+	h.advance(time.Millisecond)
+	h.handle(ResponseStarted{Number: waiting})
+	assert.Equal(t, len(h.crashes[ModelPart{model, "waiting"}]), 0, "a part that was answered is still suspected")
+	assert.Equal(t, len(h.crashes[ModelPart{model, "fatal"}]), 1)
+}
+
+// TestTruncatedAnswersCountAsCrashes guards against blame for engines that break off requests and run
+// on, and against answers without success that clear a part.
+func TestTruncatedAnswersCountAsCrashes(t *testing.T) {
+	h := newHost(t, "a", 8, 0)
+	for range 2 * fatalCrashes {
+		n, effect := h.request("/long/", key, longPrompt("x"))
+		h.handle(AttemptFailed{Number: n, Reason: FailureBroken, Detail: "unexpected EOF"})
+		h.handle(ProbeAnswered{Target: effect.(Send).Target, Alive: true})
+		h.advanceTicking(simultaneousCrashes)
+	}
+	assert.Equal(t, len(h.crashes)+len(h.quarantined), 0)
+
+	crashOn(h, 1, longPrompt("x"))
+	n, _ := h.request("/long/", key, longPrompt("x"))
+	h.handle(ResponseStarted{Number: n, Unsuccessful: true})
+	h.handle(AttemptDone{Number: n, Status: 500})
+	assert.Equal(t, len(h.crashes[ModelPart{model, "x"}]), 1, "an error clears a part")
+}
+
+// TestCrashHistoryGrowsWithoutBound guards against memory and messages that grow with the number of
+// parts and crashes.
+func TestCrashHistoryGrowsWithoutBound(t *testing.T) {
+	t.Parallel()
+	const maxDatagram = 65507
+	h := newHost(t, "a", 1, 0)
+	h.handle(HostsListed{Hosts: map[string]descriptor.Host{"a": {Address: address(1), DataCentre: "a"}, "b": {Address: address(2), DataCentre: "a"}}})
+	largest := 0
+	for i := range 400 {
+		report := CrashReport{Target: fmt.Sprint("engine-", i), StartedAt: 1}
+		for j := range 4 * maxReportedParts {
+			report.Parts = append(report.Parts, ModelPart{model, fmt.Sprint("part-", i, "-", j)})
+		}
+		again := CrashReport{Target: report.Target, StartedAt: 2, Age: 2 * simultaneousCrashes, Parts: report.Parts}
+		third := CrashReport{Target: report.Target, StartedAt: 3, Age: 4 * simultaneousCrashes, Parts: report.Parts}
+		h.handle(MessageReceived{Message: Message{Host: "b", Boot: 1, Number: uint64(i + 1), Crashes: []CrashReport{report, again, third}}})
+		for _, part := range report.Parts[:8] {
+			h.now = h.clock
+			h.clearPart(ModelPart{model, part.Part + "-answered"}, h.clock)
+			h.announceCrash(processID{report.Target, 1}, h.clock, report.Parts)
+			h.announceAnswer(part, h.clock, true)
+		}
+		h.advance(minBroadcastInterval)
+		for _, sent := range effectsOf[SendMessage](h.handle(Tick{})) {
+			raw, err := cbor.Marshal(sent.Message)
+			assert.NilError(t, err)
+			largest = max(largest, len(raw))
+		}
+	}
+	assert.Assert(t, largest > 0 && largest < maxDatagram/2, "a message has %d bytes", largest)
+	assert.Assert(t, len(h.crashes) <= maxSuspectParts)
+	assert.Assert(t, len(h.quarantined) <= maxQuarantined)
+	assert.Assert(t, len(h.answered)+len(h.answeredBefore) <= 2*maxAnsweredParts)
+	assert.Assert(t, len(h.clearances) <= maxAnsweredReports)
+}
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -100,10 +100,13 @@
 	if !r.responseStarted {
 		s.log("answer began", r.id, "target", r.target.ID, "after", s.now.Sub(r.arrivedAt), "at-target", s.now.Sub(r.sentAt))
 	}
-	r.responseStarted = true
+	r.responseStarted, r.answerBegun = true, true
 	s.observeStoreDelay(r)
 	if r.prompt != nil {
 		s.lateness.observe(s.now.Sub(r.sentAt)-r.predicted, s.now)
+		if !ev.Unsuccessful {
+			s.recordAnswer(r.prompt)
+		}
 	}
 	r.target.ownLoad.PrefillTokens -= r.load.PrefillTokens
 	r.load.PrefillTokens = 0
@@ -163,6 +166,7 @@
 	}
 	if t != nil {
 		s.recordFailure(t, r, ev)
+		s.suspectCrash(t, r, ev)
 		if r.tried == nil {
 			r.tried = map[string]bool{}
 		}
@@ -189,7 +193,7 @@
 		return RefusalFailed
 	case r.responseStarted && (r.route.Kind != descriptor.KindStream || !r.route.Resumable):
 		return RefusalFailed
-	case r.runs >= r.route.Attempts || r.sends >= maxSends:
+	case r.runs >= r.route.Attempts || r.sends >= maxSends || r.hasCrashed():
 		return RefusalAttemptsSpent
 	case !s.tryWithdrawRetry(r.service):
 		return RefusalRetriesSpent
--- a/internal/relay/executor/executor.go
+++ b/internal/relay/executor/executor.go
@@ -98,6 +98,13 @@
 	return e.cfg.State.Ready()
 }
 
+// Quarantined returns the number of parts in quarantine.
+func (e *Executor) Quarantined() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.State.Quarantined()
+}
+
 // Stores returns the addresses of the stores.
 func (e *Executor) Stores() []netip.AddrPort {
 	e.mu.Lock()
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -20,6 +20,8 @@
 	// WatchAges returns the time since the last answer to each watch of the platform, by kind of
 	// object. It may be nil.
 	WatchAges func() map[string]time.Duration
+	// QuarantinedParts returns the number of parts in quarantine. It may be nil.
+	QuarantinedParts func() int
 }
 
 // Meter holds the relay's metrics. It is safe for concurrent use.
@@ -67,6 +69,12 @@
 	if cfg.WatchAges != nil {
 		m.registry.MustRegister(watchAges{cfg.WatchAges})
 	}
+	if cfg.QuarantinedParts != nil {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "cardamom_quarantined_parts", Help: "Parts of prompts that crash engines, whose requests are refused."},
+			func() float64 { return float64(cfg.QuarantinedParts()) },
+		))
+	}
 	return m
 }
 
@@ -134,6 +142,8 @@
 		m.calls.WithLabelValues("send").Inc()
 	case decider.SendMessage:
 		m.calls.WithLabelValues("tell").Inc()
+	case decider.KeepQuarantine, decider.DropQuarantine:
+		m.calls.WithLabelValues("quarantine").Inc()
 	case decider.RenewLease, decider.ReadLease:
 		m.calls.WithLabelValues("lease").Inc()
 	case decider.GiveOrder:
--- a/internal/relay/runner/calls.go
+++ b/internal/relay/runner/calls.go
@@ -75,6 +75,10 @@
 		}
 	case decider.ListParts:
 		r.listParts(ctx, e.Store)
+	case decider.KeepQuarantine:
+		r.keepQuarantine(ctx, e.Part)
+	case decider.DropQuarantine:
+		r.dropQuarantine(ctx, e.Part)
 	}
 }
 
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -101,7 +101,8 @@
 	r := &Runner{cfg: cfg, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	r.meter = meter.New(meter.Config{
 		DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used,
-		WatchAges: func() map[string]time.Duration { return r.follower.WatchAges() },
+		WatchAges:        func() map[string]time.Duration { return r.follower.WatchAges() },
+		QuarantinedParts: func() int { return r.executor.Quarantined() },
 	})
 	state := decider.New(decider.Config{
 		Host: cfg.Settings.Host, DataCentre: cfg.Settings.DataCentre, Regions: cfg.Settings.Regions, Boot: cfg.Boot, Seed: cfg.Seed, FirstStart: cfg.Settings.FirstStart,
@@ -170,6 +171,9 @@
 	g.Go(func() error { return r.gossiper.Run(running) })
 	g.Go(func() error { return r.runEffects(running) })
 	g.Go(func() error { r.registerHost(running); return nil })
+	if !r.cfg.Settings.FirstStart {
+		g.Go(func() error { r.listQuarantine(running); return nil })
+	}
 	callers := &http.Server{
 		Handler: r.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: server.ConnContext, DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -265,7 +265,7 @@
 	if !x.headerSent {
 		x.server.cfg.Meter.ObserveFirstPart(x.server.cfg.Clock.Now().Sub(x.began).Seconds())
 	}
-	x.post(decider.ResponseStarted{Number: x.number, Weights: resp.Weights})
+	x.post(decider.ResponseStarted{Number: x.number, Weights: resp.Weights, Unsuccessful: !resp.Success()})
 }
 
 // writeHeader copies the target's status and headers.
