Let prompts crash engines in the soak, and check both rules for that

Change: after the series of pauses, long prompts with one part more crash the engines that begin an answer on it, while no host, one or all are restarted. The checker counts the requests with the part that reach engines after the bound, and the answers to sound ones.

--- a/internal/bench/soaker/caller.go
+++ b/internal/bench/soaker/caller.go
@@ -62,8 +62,10 @@
 	// The context is independent of the run's, so that the end of each attempt is recorded.
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	req := imitator.NewRequest(c.host.callerAddr, id, path, key, body, requestTimeout, c.prompt(kind)).WithContext(ctx)
-	c.checker.startAttempt(id, &attempt{kind: kind, method: req.Method, uri: path + id, body: body, key: key, team: team, host: c.host.name})
+	prompt := c.prompt(kind)
+	fatal := kind == "long" && c.addFatalPart(prompt)
+	req := imitator.NewRequest(c.host.callerAddr, id, path, key, body, requestTimeout, prompt).WithContext(ctx)
+	c.checker.startAttempt(id, &attempt{kind: kind, method: req.Method, uri: path + id, body: body, key: key, team: team, host: c.host.name, fatal: fatal})
 	c.checker.endAttempt(id, c.do(req))
 }
 
--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -51,6 +51,8 @@
 	// impliedNotRun is true if the attempt mustn't be repeated and its status says
 	// that it never runs.
 	impliedNotRun bool
+	// fatal is true if the prompt has a part that crashes engines.
+	fatal bool
 }
 
 // repeatable reports whether the attempt may run more than once.
@@ -92,6 +94,8 @@
 	skipped    int
 	violations []string
 	counts     requestCounts
+	// fatal records the requests with a part that crashes engines; nil before the first series.
+	fatal *fatalRecord
 }
 
 func newChecker() *checker {
@@ -172,6 +176,7 @@
 	}
 	c.checkColdLimit(target, r.At)
 	c.checkWeights(r, a.host)
+	c.recordFatalRun(r, a.host)
 }
 
 // checkWeights checks that a run sent by a host in touch doesn't begin on weights that were
@@ -459,8 +464,12 @@
 func (c *checker) result() Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Result{
+	r := Result{
 		Requests: c.counts.requests, Answered: c.counts.answered, Refused: c.counts.refused, Failed: c.counts.failed,
 		Orders: len(c.orders), Stalls: len(c.stalls), SkippedChecks: c.skipped, Violations: c.violations,
 	}
+	if f := c.fatal; f != nil {
+		r.Crashes, r.FatalRuns, r.SoundSent, r.SoundAnswered = len(f.crashes), len(f.runs), f.soundSent, f.soundAnswered
+	}
+	return r
 }
--- a/internal/bench/soaker/checker_test.go
+++ b/internal/bench/soaker/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"strings"
@@ -37,6 +38,24 @@
 	return imitator.Order{Worker: "w", Holder: holder, Fence: fence, At: at}
 }
 
+// newCheckerWithFatalRuns returns a checker that has seen crashes on a part, ten seconds ago, and
+// requests with it that reached engines since.
+func newCheckerWithFatalRuns(now time.Time, crashes, runs int) *checker {
+	const part = "fa7a1"
+	chk := newChecker()
+	chk.startFatalPart(part)
+	for range crashes {
+		chk.fatal.crashes = append(chk.fatal.crashes, now.Add(-10*time.Second))
+	}
+	for n := range runs {
+		id := fmt.Sprint("fatal-", n)
+		chk.startAttempt(id, &attempt{kind: "long", method: "POST", uri: "/long/" + id, host: "h", fatal: true})
+		chk.RequestStarted(imitator.Run{ID: id, Worker: "w", Method: "POST", URI: "/long/" + id, At: now, Parts: []string{"a:1", part + ":1", "ff:1"}})
+	}
+	chk.checkFatalPart()
+	return chk
+}
+
 var errCut = errors.New("cut")
 
 // TestFaultsAreRecorded guards against excuses that end too early or never.
@@ -76,6 +95,26 @@
 			chk.endAttempt("r", completeResponse("short"))
 			return chk
 		}},
+		"few requests with a fatal part": {"", func() *checker {
+			return newCheckerWithFatalRuns(now, crashBound, maxFatalRuns)
+		}},
+		"many requests with a fatal part": {"fatal parts", func() *checker {
+			return newCheckerWithFatalRuns(now, crashBound, maxFatalRuns+1)
+		}},
+		"many requests with a fatal part before the bound": {"", func() *checker {
+			return newCheckerWithFatalRuns(now, crashBound-1, maxFatalRuns+1)
+		}},
+		"sound requests refused beside a fatal part": {"sound parts", func() *checker {
+			chk := newCheckerWithFatalRuns(now, crashBound, 0)
+			for n := range minSoundRequests {
+				id := fmt.Sprint("sound-", n)
+				chk.startAttempt(id, &attempt{kind: "long", host: "h"})
+				chk.attempts[id].sent = now.Add(-time.Second)
+				chk.endAttempt(id, response{status: http.StatusServiceUnavailable})
+			}
+			chk.checkFatalPart()
+			return chk
+		}},
 		"repeatable request runs twice": {"", func() *checker {
 			chk := newCheckerWithAttempt("look")
 			chk.RequestStarted(newRun("look"))
--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,8 @@
 	worker           *imitator.Worker
 	link             *link
 	cluster          *cluster
+	// down is true from a crash to the next start.
+	down atomic.Bool
 
 	mu sync.Mutex
 	// id is the name and, after a restart, the number of restarts.
@@ -114,6 +117,8 @@
 	lastKey          int
 	revision         int64
 	publishedVersion int
+	// fatalPart is a part that crashes engines, or empty.
+	fatalPart string
 }
 
 // newCluster starts the stand-ins, the links to them, and the hosts.
@@ -235,7 +240,7 @@
 		c.plains = append(c.plains, t)
 	}
 	t.id = t.name
-	cfg.ID = t.id
+	cfg.ID, cfg.Crash = t.id, t.crash
 	t.worker = imitator.NewWorker(cfg)
 	var err error
 	if t.link, err = c.serveBehindLink(t.name, t.worker); err != nil {
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -75,6 +75,12 @@
 	Failed   int            `json:"failed"`
 	Faults   map[string]int `json:"faults"`
 	Orders   int            `json:"orders"`
+	// Crashes counts the engines that crashed on a part, FatalRuns the requests with it that reached
+	// engines from hosts in touch. SoundAnswered of SoundSent requests without it were answered after that.
+	Crashes       int `json:"crashes"`
+	FatalRuns     int `json:"fatal-runs"`
+	SoundSent     int `json:"sound-sent"`
+	SoundAnswered int `json:"sound-answered"`
 	// Stalls counts the times at which the soak's own process wasn't scheduled for a
 	// while, and SkippedChecks the checks against the clock that were skipped because
 	// of them.
@@ -109,7 +115,8 @@
 	return &Soaker{cfg: cfg, checker: newChecker(), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), faults: map[string]int{}}, nil
 }
 
-// Run injects faults, clears them, pauses lease holders, and then checks planned maintenance. Violations are in the
+// Run injects faults, clears them, pauses lease holders, lets prompts crash engines, and then checks
+// planned maintenance. Violations are in the
 // Result; an error means that the soak itself could not be run, or was interrupted.
 func (s *Soaker) Run(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -134,6 +141,7 @@
 	cl.clearFaults()
 	sleep(ctx, recoveryTime)
 	s.pauseSeries(ctx)
+	s.crashSeries(ctx)
 	s.checkMaintenance(ctx)
 	stopCallers()
 	if err := g.Wait(); err != nil {
--- a/internal/relay/runner/crash_test.go
+++ b/internal/relay/runner/crash_test.go
@@ -49,8 +49,9 @@
 	var once sync.Once
 	w := imitator.NewWorker(imitator.WorkerConfig{
 		ID: id, Model: imitator.Model, Weights: 1, Events: 2, Pause: 10 * time.Millisecond, Observer: e.runs,
-		FatalPart: fatalPart, Crash: func() { once.Do(func() { e.crash(id, srv) }) },
+		Crash: func() { once.Do(func() { e.crash(id, srv) }) },
 	})
+	w.SetFatalPart(fatalPart)
 	srv = httptest.NewServer(w)
 	e.t.Cleanup(srv.Close)
 	d := descriptor.Target{
