Replay engines that crash on a part of the prompts

Change: the fault fatal-part adds long prompts with a part that crashes each engine that begins an answer on it; the result counts crashes and requests after the bound.

--- a/internal/relay/replayer/engine.go
+++ b/internal/relay/replayer/engine.go
@@ -28,6 +28,8 @@
 	shortSpread           = 0.69
 	maxShortOutput        = 219
 	bitsPerMegabit        = 1e6
+	// fatalPart crashes engines.
+	fatalPart = "fatal"
 )
 
 // request is the state of one simulated request.
@@ -48,10 +50,13 @@
 	firstPartSent  bool
 	importsReadyAt time.Time
 	engine         *engine
+	// fatal is true if the prompt has fatalPart.
+	fatal bool
 }
 
 // engine simulates one engine.
 type engine struct {
+	descriptor.Target
 	replayer *Replayer
 	id       string
 	version  int
@@ -61,8 +66,10 @@
 	loading        bool
 	acceptedOrders int64
 	unresponsive   bool
-	running        []*request
-	stepScheduled  bool
+	// crashed is true once the process has ended. Another one takes its place later.
+	crashed       bool
+	running       []*request
+	stepScheduled bool
 	// cachedUntil maps the parts in the cache to the time of their eviction.
 	cachedUntil map[string]time.Time
 }
@@ -88,10 +95,8 @@
 
 // sendRequest sends a new request to a random host.
 func (r *Replayer) sendRequest(path string) {
-	r.lastNumber++
 	r.result.Requests++
-	h := r.hosts[r.rng.IntN(len(r.hosts))]
-	req := &request{number: r.lastNumber, host: h, path: path, arrived: r.now, goal: longGoal, outputLeft: longOutputTokens}
+	req := r.newRequest(path)
 	subject := r.rng.IntN(r.cfg.Subjects)
 	req.prompt = &descriptor.Prompt{Model: modelName, Tokens: 9190, MaxOutput: longOutputTokens, Parts: []descriptor.Part{
 		{ID: fmt.Sprint("start-", subject%4), Tokens: 2520}, {ID: fmt.Sprint("subject-", subject), Tokens: 5000}, {ID: "own", Tokens: 1670},
@@ -103,6 +108,30 @@
 		}}
 	}
 	r.open[req.number] = req
+	r.deliver(req)
+}
+
+func (r *Replayer) newRequest(path string) *request {
+	r.lastNumber++
+	h := r.hosts[r.rng.IntN(len(r.hosts))]
+	return &request{number: r.lastNumber, host: h, path: path, arrived: r.now, goal: longGoal, outputLeft: longOutputTokens}
+}
+
+// sendFatalRequest sends a long prompt with fatalPart, which isn't counted with the others, to a random
+// host.
+func (r *Replayer) sendFatalRequest() {
+	req := r.newRequest("/long/")
+	req.fatal = true
+	subject := r.rng.IntN(r.cfg.Subjects)
+	req.prompt = &descriptor.Prompt{Model: modelName, Tokens: 9290, MaxOutput: longOutputTokens, Parts: []descriptor.Part{
+		{ID: fmt.Sprint("start-", subject%4), Tokens: 2520}, {ID: fatalPart, Tokens: 100}, {ID: fmt.Sprint("subject-", subject), Tokens: 5000}, {ID: "own", Tokens: 1670},
+	}}
+	r.open[req.number] = req
+	r.deliver(req)
+}
+
+// deliver hands a request to its host.
+func (r *Replayer) deliver(req *request) {
 	r.post(req.host, decider.RequestArrived{
 		Number: req.number, ID: fmt.Sprint(req.number), Host: "h", Path: req.path, Timeout: 5 * time.Second, Prompt: req.prompt,
 	})
@@ -115,13 +144,14 @@
 }
 
 func (r *Replayer) recordRefusal(e decider.Refuse) {
-	if r.open[e.Number] != nil {
-		delete(r.open, e.Number)
-		if e.NotRun {
-			r.result.Refused++
-		} else {
-			r.result.Failed++
-		}
+	req := r.open[e.Number]
+	delete(r.open, e.Number)
+	switch {
+	case req == nil || req.fatal:
+	case e.NotRun:
+		r.result.Refused++
+	default:
+		r.result.Failed++
 	}
 }
 
@@ -130,6 +160,12 @@
 	req := r.open[s.Number]
 	e := r.engines[s.Target]
 	req.send, req.engine = s, e
+	if e.crashed {
+		r.scheduleAfter(2*networkDelay, func() {
+			r.post(h, decider.AttemptFailed{Number: req.number, Reason: decider.FailureUnreachable, NotRun: true})
+		})
+		return
+	}
 	if e.unresponsive {
 		r.scheduleAfter(connectTimeout, func() {
 			r.post(h, decider.AttemptFailed{Number: req.number, Reason: decider.FailureUnreachable, NotRun: true})
@@ -143,6 +179,13 @@
 // execute or has other weights.
 func (e *engine) admit(req *request) {
 	r := e.replayer
+	if e.crashed {
+		r.breakOff(req)
+		return
+	}
+	if req.fatal && !r.boundAt.IsZero() && r.now.After(r.boundAt) {
+		r.result.FatalLate++
+	}
 	if e.orderedVersion != 0 || req.send.Weights != e.version {
 		reason := decider.FailureRefused
 		if e.orderedVersion == 0 {
@@ -228,7 +271,7 @@
 
 // scheduleStep schedules the next step of the engine if any request is running.
 func (e *engine) scheduleStep() {
-	if e.stepScheduled || e.unresponsive || len(e.running) == 0 {
+	if e.stepScheduled || e.isSilent() || len(e.running) == 0 {
 		return
 	}
 	e.stepScheduled = true
@@ -267,7 +310,7 @@
 
 func (e *engine) finishStep(tokens int, prefilling *request) {
 	e.stepScheduled = false
-	if e.unresponsive {
+	if e.isSilent() {
 		return
 	}
 	for _, req := range slices.Clone(e.running) {
@@ -284,12 +327,19 @@
 			e.startDecoding(prefilling)
 		}
 	}
+	if e.crashed {
+		return
+	}
 	e.loadWeights()
 	e.scheduleStep()
 }
 
 func (e *engine) startDecoding(req *request) {
 	r := e.replayer
+	if req.fatal {
+		e.crash()
+		return
+	}
 	req.decoding = true
 	if !req.firstPartSent {
 		req.firstPartSent = true
@@ -307,14 +357,41 @@
 	}
 }
 
+// isSilent reports whether the engine answers nothing.
+func (e *engine) isSilent() bool { return e.unresponsive || e.crashed }
+
+// crash ends the engine's process. Another one starts under another ID later.
+func (e *engine) crash() {
+	r := e.replayer
+	e.crashed = true
+	e.abortRunning()
+	if r.result.Crashes++; r.result.Crashes == crashBound {
+		r.boundAt = r.now.Add(contactTime)
+	}
+	r.scheduleAfter(crashDowntime, func() {
+		r.lastEngine++
+		d := e.Target
+		d.ID, d.StartedAt = fmt.Sprintf("engine-%02d", r.lastEngine), time.UnixMilli(int64(r.lastEngine))
+		d.Weights = map[string]int{modelName: e.version}
+		r.engines[d.ID] = &engine{Target: d, replayer: r, id: d.ID, version: e.version, cachedUntil: map[string]time.Time{}}
+		for _, h := range r.hosts {
+			r.post(h, decider.TargetsListed{Targets: []descriptor.Target{d}, Removed: []string{e.id}})
+		}
+	})
+}
+
+// breakOff ends an attempt without a complete answer.
+func (r *Replayer) breakOff(req *request) {
+	req.decoding = false
+	r.scheduleAfter(networkDelay, func() {
+		r.post(req.host, decider.AttemptFailed{Number: req.number, Reason: decider.FailureBroken, ResponseStarted: req.firstPartSent})
+	})
+}
+
 // abortRunning aborts all running requests.
 func (e *engine) abortRunning() {
-	r := e.replayer
 	for _, req := range e.running {
-		req.decoding = false
-		r.scheduleAfter(networkDelay, func() {
-			r.post(req.host, decider.AttemptFailed{Number: req.number, Reason: decider.FailureBroken, ResponseStarted: req.firstPartSent})
-		})
+		e.replayer.breakOff(req)
 	}
 	e.running = nil
 }
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -58,6 +58,9 @@
 	FaultNewWeights FaultKind = "weights"
 	// FaultBurst multiplies the arrival rates by Factor.
 	FaultBurst FaultKind = "burst"
+	// FaultFatalPart adds Factor long prompts a second with a part that crashes each engine that begins
+	// an answer on it.
+	FaultFatalPart FaultKind = "fatal-part"
 )
 
 // Fault is a disturbance that starts at At, after the warm-up, and lasts for For.
@@ -85,6 +88,11 @@
 	Imported        int `json:"imported"`
 	// Discarded counts imports that didn't finish in time.
 	Discarded int `json:"discarded"`
+	// Crashes counts the engines that crashed on a part, FatalRequests the requests with it, and FatalLate
+	// those of them that reached an engine later than contactTime after crash crashBound.
+	Crashes       int `json:"crashes"`
+	FatalRequests int `json:"fatal-requests"`
+	FatalLate     int `json:"fatal-late"`
 	// Orders counts accepted orders.
 	Orders int `json:"orders"`
 	// OrderTime is the total time from the acceptance of orders to their completion.
@@ -106,6 +114,11 @@
 	// oldWeightsGrace is the time after which requests on older weights count for less under
 	// the service's objective.
 	oldWeightsGrace = 1500 * time.Millisecond
+	// contactTime and crashBound are the platform's bounds for parts that crash engines, and crashDowntime
+	// how long an engine is away after a crash.
+	contactTime     = 3 * time.Second
+	crashBound      = 5
+	crashDowntime   = 2 * time.Second
 	longGoal        = 300 * time.Millisecond
 	shortGoal       = 200 * time.Millisecond
 )
@@ -151,6 +164,11 @@
 	versionNamedAt time.Time
 	version        int
 	arrivalFactor  float64
+	// fatalUntil is the time until which requests with fatalPart come, boundAt the time from which few may
+	// reach engines.
+	fatalUntil, boundAt time.Time
+	// lastEngine numbers the processes of engines.
+	lastEngine int
 	// revision is that of the platform's store.
 	revision   int64
 	lease      decider.Lease
@@ -183,8 +201,9 @@
 			DataCentre: "a", Slots: 48, StartedAt: time.UnixMilli(1), Weights: map[string]int{modelName: 1},
 		}
 		list = append(list, d)
-		r.engines[d.ID] = &engine{replayer: r, id: d.ID, version: 1, cachedUntil: map[string]time.Time{}}
+		r.engines[d.ID] = &engine{Target: d, replayer: r, id: d.ID, version: 1, cachedUntil: map[string]time.Time{}}
 	}
+	r.lastEngine = cfg.Engines
 	hosts := map[string]descriptor.Host{}
 	for n := range cfg.Hosts {
 		addr := netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7000", n+1))
@@ -296,6 +315,16 @@
 	r.scheduleAfter(pause, func() { r.scheduleArrivals(path, rate) })
 }
 
+// scheduleFatalArrivals sends a request with fatalPart and schedules the next one.
+func (r *Replayer) scheduleFatalArrivals(rate float64) {
+	if rate <= 0 || r.now.After(r.fatalUntil) {
+		return
+	}
+	r.result.FatalRequests++
+	r.sendFatalRequest()
+	r.scheduleAfter(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() { r.scheduleFatalArrivals(rate) })
+}
+
 func (r *Replayer) injectFault(fault Fault) {
 	switch fault.Kind {
 	case FaultUnresponsive:
@@ -318,6 +347,9 @@
 		for _, h := range r.hosts {
 			r.post(h, decider.DesiredWeightsChanged{Model: modelName, Version: fault.Count, Revision: r.revision})
 		}
+	case FaultFatalPart:
+		r.fatalUntil = r.now.Add(fault.For)
+		r.scheduleFatalArrivals(fault.Factor)
 	case FaultBurst:
 		r.arrivalFactor = fault.Factor
 		r.scheduleAfter(fault.For, func() { r.arrivalFactor = 1 })
@@ -352,7 +384,7 @@
 		r.scheduleAfter(2*networkDelay, func() { r.sendOrder(h, target, e.Order) })
 	case decider.Probe:
 		target := r.engines[e.Target]
-		r.scheduleAfter(2*networkDelay, func() { r.post(h, decider.ProbeAnswered{Target: target.id, Alive: !target.unresponsive}) })
+		r.scheduleAfter(2*networkDelay, func() { r.post(h, decider.ProbeAnswered{Target: target.id, Alive: !target.isSilent()}) })
 	case decider.Send:
 		r.forward(h, e)
 	case decider.Refuse:
@@ -375,7 +407,7 @@
 
 func (r *Replayer) postReport(h *host, e *engine) {
 	ev := decider.ReportAnswered{Target: e.id, Report: descriptor.Report{Weights: map[string]int{modelName: e.version}, Busy: e.orderedVersion != 0, Orders: e.acceptedOrders}}
-	if e.unresponsive {
+	if e.isSilent() {
 		ev.Err = errUnresponsive
 	}
 	r.post(h, ev)
@@ -384,7 +416,7 @@
 func (r *Replayer) sendOrder(h *host, e *engine, o descriptor.Order) {
 	outcome := decider.OrderRefused
 	switch {
-	case e.unresponsive:
+	case e.isSilent():
 		outcome = decider.OrderUnknown
 	case e.orderedVersion == 0 && e.acceptedOrders == o.AcceptedBefore:
 		outcome = decider.OrderAccepted
