Watch the parts in quarantine that the platform's store has

Cause: hosts read the kept quarantine when they started only. Hosts that are cut off from others and reach the platform had to find the part at fault by crashes of their own.

Change: the objects are a sixth kind that the watching hosts watch and pass on. A part that is listed is quarantined everywhere; one that others have removed is lifted.

At the start of a fleet a host makes one call more.

--- a/internal/relay/decider/quarantine.go
+++ b/internal/relay/decider/quarantine.go
@@ -53,15 +53,19 @@
 type quarantinedPart struct {
 	firstAt, lastAt time.Time
 	trials          int
-	// kept is true once the platform's store of keptEra has the part. keepTriedAt is when this host last
-	// wrote it.
-	kept        bool
-	keptEra     int64
-	keepTriedAt time.Time
+	// kept is true once the platform's store has the part, which was last listed at listedRevision of
+	// listedEra; 0 if never. keepTriedAt is when this host last wrote it.
+	kept                      bool
+	listedEra, listedRevision int64
+	keepTriedAt               time.Time
 }
 
-// QuarantineListed reports the parts in quarantine that the platform's store has.
-type QuarantineListed struct{ Parts []ModelPart }
+// QuarantineListed reports all parts in quarantine that the platform's store has, as of a revision of
+// an era.
+type QuarantineListed struct {
+	Era, Revision int64
+	Parts         []ModelPart
+}
 
 // QuarantineKept reports that the platform's store has a part, or why it couldn't be written.
 type QuarantineKept struct {
@@ -196,7 +200,7 @@
 // keepQuarantine writes the parts to the platform's store that it lacks.
 func (s *State) keepQuarantine() {
 	for part, q := range s.quarantined {
-		if q.kept && q.keptEra == s.targetsEra || s.now.Sub(q.keepTriedAt) < keepInterval || !s.keepsQuarantine(part) {
+		if q.kept || s.now.Sub(q.keepTriedAt) < keepInterval || !s.keepsQuarantine(part) {
 			continue
 		}
 		q.keepTriedAt = s.now
@@ -223,16 +227,33 @@
 		return
 	}
 	if q := s.quarantined[ev.Part]; q != nil {
-		q.kept, q.keptEra = true, s.targetsEra
+		q.kept = true
 	}
 }
 
-// onQuarantineListed quarantines the parts that were in quarantine before this host started.
+// onQuarantineListed quarantines the parts that other hosts have written to the platform's store, as
+// before this host started or while it doesn't hear them. It lifts the quarantine of those that others
+// have removed from there.
 func (s *State) onQuarantineListed(ev QuarantineListed) {
+	listed := make(map[ModelPart]bool, len(ev.Parts))
 	for _, part := range ev.Parts {
+		listed[part] = true
 		if s.quarantined[part] == nil && s.lastAnsweredPart(part).IsZero() {
 			s.log("part quarantined", "", "part", part.String(), "listed", true)
-			s.addQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now, kept: true, keptEra: s.targetsEra})
+			s.addQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now})
+			s.passOn()
+		}
+		if q := s.quarantined[part]; q != nil {
+			q.kept, q.listedEra, q.listedRevision = true, ev.Era, ev.Revision
+		}
+	}
+	for part, q := range maps.Clone(s.quarantined) {
+		if listed[part] || q.listedRevision == 0 {
+			continue
+		}
+		q.kept = false
+		if q.listedEra == ev.Era && ev.Revision > q.listedRevision {
+			s.clearPart(part, s.now)
 		}
 	}
 }
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -111,7 +111,7 @@
 		cfg.History = maxObjectWait
 	}
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, hostsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1)}
-	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts} {
+	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts, caller.KindQuarantine} {
 		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
 	}
 	return f
@@ -641,6 +641,10 @@
 		if full || len(objects) > 0 {
 			w.postHosts()
 		}
+	case caller.KindQuarantine:
+		if full || len(objects) > 0 {
+			w.postQuarantine()
+		}
 	}
 }
 
@@ -714,6 +718,19 @@
 	w.cfg.Post(ev)
 }
 
+func (w *watch) postQuarantine() {
+	ev := decider.QuarantineListed{Era: w.era, Revision: w.revision}
+	for name, o := range w.objects {
+		model, part, err := decoder.Quarantined(o.Spec)
+		if err != nil {
+			w.cfg.Logger.Warn("invalid quarantined part ignored", "name", name, "error", err.Error())
+			continue
+		}
+		ev.Parts = append(ev.Parts, decider.ModelPart{Model: model, Part: part})
+	}
+	w.cfg.Post(ev)
+}
+
 // Register adds this host to the platform's list of hosts, and adds it again whenever the store
 // has lost its entry, until ctx ends. If registered is true, it first tries to replace an entry
 // that is probably left from an earlier start.
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -116,11 +116,11 @@
 	oldWeightsGrace = 1500 * time.Millisecond
 	// contactTime and crashBound are the platform's bounds for parts that crash engines, and crashDowntime
 	// how long an engine is away after a crash.
-	contactTime     = 3 * time.Second
-	crashBound      = 5
-	crashDowntime   = 2 * time.Second
-	longGoal        = 300 * time.Millisecond
-	shortGoal       = 200 * time.Millisecond
+	contactTime   = 3 * time.Second
+	crashBound    = 5
+	crashDowntime = 2 * time.Second
+	longGoal      = 300 * time.Millisecond
+	shortGoal     = 200 * time.Millisecond
 )
 
 // event is a scheduled function. Events at the same time run in the order of seq.
--- a/internal/relay/runner/quarantine.go
+++ b/internal/relay/runner/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
 	"github.com/zeebo/xxh3"
 
@@ -12,9 +11,6 @@
 	"cardamomscale.example/cardamomscale/platform/decoder"
 )
 
-// listQuarantinePause is the pause before another attempt to list the parts in quarantine.
-const listQuarantinePause = 500 * time.Millisecond
-
 // quarantineName returns the name of a part's object in the platform's store.
 func quarantineName(part decider.ModelPart) string {
 	return strconv.FormatUint(xxh3.HashString(part.String()), 16)
@@ -37,35 +33,3 @@
 		r.cfg.Logger.Warn("failed to remove a part from the kept quarantine", "part", part.String(), "error", err.Error())
 	}
 }
-
-// listQuarantine posts the parts that were in quarantine before this host started. It retries until it
-// succeeds or ctx ends.
-func (r *Runner) listQuarantine(ctx context.Context) {
-	for {
-		all, err := r.caller.List(ctx, caller.KindQuarantine)
-		r.follower.ObserveCall(err)
-		if err == nil {
-			r.post(decider.QuarantineListed{Parts: r.decodeQuarantine(all)})
-			return
-		}
-		r.cfg.Logger.Warn("failed to list the quarantine", "error", err.Error())
-		select {
-		case <-time.After(listQuarantinePause):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (r *Runner) decodeQuarantine(all caller.Objects) []decider.ModelPart {
-	var parts []decider.ModelPart
-	for _, o := range all.Objects {
-		model, id, err := decoder.Quarantined(o.Spec)
-		if err != nil {
-			r.cfg.Logger.Warn("invalid quarantined part ignored", "name", o.Name, "error", err.Error())
-			continue
-		}
-		parts = append(parts, decider.ModelPart{Model: model, Part: id})
-	}
-	return parts
-}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -171,9 +171,6 @@
 	g.Go(func() error { return r.gossiper.Run(running) })
 	g.Go(func() error { return r.runEffects(running) })
 	g.Go(func() error { r.registerHost(running); return nil })
-	if !r.cfg.Settings.FirstStart {
-		g.Go(func() error { r.listQuarantine(running); return nil })
-	}
 	callers := &http.Server{
 		Handler: r.server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: server.ConnContext, DisableGeneralOptionsHandler: true, ErrorLog: r.cfg.Logger.StandardLogger(nil),
