Tell crashes of replaced processes, and keep trials from busy engines

Cause, found by reading the quarantine: an engine that is back under its ID before it was found missing had not crashed; an aggregator dropped parts of a crash beyond 32, among which may be the one at fault; a host that had ever answered a part ignored that the platform's store lists it; a trial went to the fastest engine, whatever would be broken off there.

Change: a new process of a target is proof that the one before has ended. Reports have up to 128 parts and messages 8 reports. An answer outweighs the list for as long as three crashes take at least. A trial goes to the engine with the fewest requests.

Measured: TestReplacedProcessHasCrashed and TestTrialAtBusyEngine fail without the change.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -157,6 +157,9 @@
 		return
 	}
 	best, predicted := s.selectTarget(r)
+	if len(quarantined) > 0 && best != nil {
+		best, predicted = s.leastLoadedTarget(r)
+	}
 	if best == nil {
 		s.refuse(r, RefusalNoTarget, s.retryAfter(r))
 		return
--- a/internal/relay/decider/crashes.go
+++ b/internal/relay/decider/crashes.go
@@ -29,8 +29,8 @@
 	maxAnsweredParts = 1024
 	// maxCrashReports and maxReportedParts bound the reports in a message and the parts of each, and
 	// maxAnsweredReports the answers in a message.
-	maxCrashReports    = 16
-	maxReportedParts   = 32
+	maxCrashReports    = 8
+	maxReportedParts   = 128
 	maxAnsweredReports = 64
 )
 
@@ -156,7 +156,11 @@
 		return
 	}
 	if !b.crashed {
-		s.log("engine crashed", "", "target", id, "parts", b.parts, "confirmed-after", s.now.Sub(b.at))
+		var parts []string
+		for _, part := range b.parts {
+			parts = append(parts, part.Part)
+		}
+		s.log("engine crashed", "", "target", id, "parts", parts, "confirmed-after", s.now.Sub(b.at))
 	}
 	b.crashed = true
 	s.recordCrash(b.process, b.at, b.parts, true)
@@ -247,6 +251,9 @@
 	}
 	s.answered[part] = at
 	list, suspected := s.crashes[part]
+	if !suspected && s.quarantined[part] == nil {
+		return
+	}
 	crashes := len(list)
 	if list = slices.DeleteFunc(list, func(c partCrash) bool { return !c.at.After(at) }); len(list) == 0 {
 		delete(s.crashes, part)
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -286,6 +286,7 @@
 			weights[model] = max(weights[model], version)
 		}
 	} else {
+		s.confirmCrash(t.ID)
 		s.setDown(t, false)
 		t.downCount, t.failureRate = 0, 0
 		t.pausedUntil = time.Time{}
--- a/internal/relay/decider/placing.go
+++ b/internal/relay/decider/placing.go
@@ -81,6 +81,24 @@
 	return best, shortest
 }
 
+// leastLoadedTarget returns the target at which the fewest requests are in progress, and the expected
+// time to the first part of the response.
+func (s *State) leastLoadedTarget(r *request) (*target, time.Duration) {
+	var best *target
+	var least targetLoad
+	for _, t := range s.byService[r.service] {
+		load := t.ownLoad
+		load.add(t.peerLoad, 1)
+		if s.usable(t, r) && (best == nil || load.Requests < least.Requests) {
+			best, least = t, load
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best, s.expectedDelay(r, best, least, map[importPlanKey]importPlan{})
+}
+
 // distantTargets collects the targets outside this host's partition. Their loads arrive too
 // late to choose by: the one that looks idle would be chosen by all other hosts too. One of
 // them is picked at random, and is assumed to have the mean load of all.
--- a/internal/relay/decider/quarantine.go
+++ b/internal/relay/decider/quarantine.go
@@ -25,6 +25,9 @@
 	quarantineRetention = 2 * time.Hour
 	// maxQuarantined bounds the parts in quarantine.
 	maxQuarantined = 64
+	// listedAnswerAge is the age up to which an answer outweighs that the platform's store lists a part:
+	// its crashes took longer.
+	listedAnswerAge = (fatalCrashes - 1) * simultaneousCrashes
 	// quarantineKeepers is how many hosts write a part to the platform's store, and keepInterval the
 	// shortest interval between their attempts.
 	quarantineKeepers = 2
@@ -238,7 +241,7 @@
 	listed := make(map[ModelPart]bool, len(ev.Parts))
 	for _, part := range ev.Parts {
 		listed[part] = true
-		if s.quarantined[part] == nil && s.lastAnsweredPart(part).IsZero() {
+		if s.quarantined[part] == nil && s.now.Sub(s.lastAnsweredPart(part)) > listedAnswerAge {
 			s.log("part quarantined", "", "part", part.String(), "listed", true)
 			s.addQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now})
 			s.passOn()
--- a/internal/relay/decider/quarantine_test.go
+++ b/internal/relay/decider/quarantine_test.go
@@ -205,6 +205,39 @@
 	assert.Assert(t, sent, "no request tries the part: %v", effect)
 }
 
+// TestTrialAtBusyEngine guards against trials that break off more answers than need be, if they crash
+// their engine.
+func TestTrialAtBusyEngine(t *testing.T) {
+	h := newHost(t, "a", 3, 0)
+	crashOn(h, fatalCrashes, longPrompt("x"))
+	h.advanceTicking(2 * minTrialInterval)
+	// At the engine with one request, a prompt is still to be prefilled, so that it isn't the fastest one.
+	loads, quiet := map[string]targetLoad{}, ""
+	for _, target := range h.byService["engines"] {
+		quiet = target.ID
+		loads[target.ID] = targetLoad{Requests: 10}
+	}
+	loads[quiet] = targetLoad{Requests: 1, PrefillTokens: 5000}
+	h.handle(MessageReceived{Message: Message{Host: "b", Boot: 1, Number: 1, Loads: loads}})
+	_, effect := h.request("/long/", key, longPrompt("x"))
+	sent, ok := effect.(Send)
+	assert.Assert(t, ok, "%v", effect)
+	assert.Equal(t, sent.Target, quiet)
+}
+
+// TestReplacedProcessHasCrashed guards against crashes that are not seen because the engine is back
+// under its ID before it was found missing.
+func TestReplacedProcessHasCrashed(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	n, effect := h.request("/long/", key, longPrompt("x"))
+	h.handle(AttemptFailed{Number: n, Reason: FailureBroken, Detail: "unexpected EOF"})
+	next := engineTarget(1, 1)
+	next.StartedAt = effect.(Send).StartedAt.Add(time.Second)
+	h.handle(TargetsListed{Targets: []descriptor.Target{next}})
+	h.handle(ProbeAnswered{Target: effect.(Send).Target, Alive: true})
+	assert.Equal(t, len(h.crashes[ModelPart{model, "x"}]), 1)
+}
+
 // crashOn lets engines crash, each on a prompt whose answer it is about to begin. Their successors are
 // listed at once.
 func crashOn(h *host, crashes int, prompt *descriptor.Prompt) {
