Leave the watch of the quarantine to the watching hosts

Cause: all hosts list and, in outages, call for each kind of objects, so that a sixth kind cost a call of each host at its start and more in outages, for what hosts also tell each other each second.

Change: only hosts that watch the platform for others watch these objects, and they don't pass on the changes as updates.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -48,6 +48,9 @@
 	// minRetryPause and maxRetryPause bound the back-off after a failed call.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
+	// unwatchedPause is the time between checks whether this host has to watch objects that are not
+	// passed on.
+	unwatchedPause = 500 * time.Millisecond
 	// initialPollPause is the time between checks for stores until the first
 	// configuration names some.
 	initialPollPause = 20 * time.Millisecond
@@ -112,7 +115,7 @@
 	}
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, hostsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts, caller.KindQuarantine} {
-		f.watches = append(f.watches, &watch{Follower: f, kind: kind, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
+		f.watches = append(f.watches, &watch{Follower: f, kind: kind, isPassedOn: kind != caller.KindQuarantine, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
 	}
 	return f
 }
@@ -177,9 +180,12 @@
 // other hosts.
 type watch struct {
 	*Follower
-	kind    string
-	objects map[string]caller.Object
-	updates chan receivedUpdate
+	kind string
+	// isPassedOn is true if the watching hosts pass changes on to others, which otherwise hear of them in
+	// messages between reducers.
+	isPassedOn bool
+	objects    map[string]caller.Object
+	updates    chan receivedUpdate
 	// suspected has a value if the current call may be silent.
 	suspected chan struct{}
 	// answered has a value if the platform is known to answer since a call was lost.
@@ -230,6 +236,11 @@
 		if w.eraIsOver() {
 			w.forgetRevision()
 		}
+		if !w.isPassedOn && !w.cfg.WatchesPlatform() {
+			w.stopWatching()
+			pause(ctx, unwatchedPause)
+			continue
+		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
 			continue
@@ -276,6 +287,13 @@
 	w.era, w.revision, w.changedAt = era, revision, changedAt
 }
 
+// stopWatching leaves the objects to other hosts. A later watch lists them again.
+func (w *watch) stopWatching() {
+	w.forgetRevision()
+	w.setFailing(false, false)
+	w.setAnswered(time.Time{})
+}
+
 func (w *watch) setFailing(failing, refused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -177,17 +177,17 @@
 }
 
 // heartbeat returns a heartbeat with the watch's revision, or false before the first
-// list, while calls fail, and after a call was given up.
+// list, while calls fail, after a call was given up, and if changes aren't passed on.
 func (w *watch) heartbeat() (WatchUpdate, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return WatchUpdate{Kind: w.kind, Era: w.era, After: w.changedAt, UpTo: w.revision, Heartbeat: true}, w.revision != 0 && !w.failing && !w.overdue
+	return WatchUpdate{Kind: w.kind, Era: w.era, After: w.changedAt, UpTo: w.revision, Heartbeat: true}, w.isPassedOn && w.revision != 0 && !w.failing && !w.overdue
 }
 
 // forwardChanges sends the platform's answer to a watch to other hosts. The last change before it was
 // that of the given revision.
 func (w *watch) forwardChanges(changedAt int64, changes caller.Objects, fresh freshness) {
-	if !w.cfg.WatchesPlatform() {
+	if !w.isPassedOn || !w.cfg.WatchesPlatform() {
 		return
 	}
 	size := 0
