Let a part in quarantine explain the crashes that it is at

Cause: when requests with a fatal part come faster than crashes are seen, the other parts of these requests reach three crashes too, and sound requests with them were refused until a trial.

Change: of several parts that reach three crashes at once, those at the most crashes are blamed. A crash at which a part in quarantine was isn't counted for others, whichever report comes first.

TestSoundPartsAreBlamedInFlood and TestSoundPartsAreBlamedByReport fail with the commit before.

--- a/internal/relay/decider/crashes.go
+++ b/internal/relay/decider/crashes.go
@@ -25,6 +25,8 @@
 	// of one crash.
 	maxSuspectParts = 1024
 	maxSimultaneous = 8
+	// maxExplained bounds the crashes that parts in quarantine explain.
+	maxExplained = 256
 	// maxAnsweredParts bounds the parts whose last answer is known, in each of two generations.
 	maxAnsweredParts = 1024
 	// maxCrashReports and maxReportedParts bound the reports in a message and the parts of each, and
@@ -69,6 +71,9 @@
 	// answered and answeredBefore hold when parts were last answered. Once answered is full it replaces
 	// answeredBefore.
 	answered, answeredBefore map[ModelPart]time.Time
+	// explained holds the processes that crashed on a part in quarantine, and since when that is known.
+	// Other parts of the requests there aren't suspected for it.
+	explained map[processID]time.Time
 	// reports holds the crashes to announce, and clearances the answers.
 	reports    map[processID]*announcedCrash
 	clearances map[ModelPart]announcedAnswer
@@ -110,7 +115,7 @@
 
 func newCrashHistory() crashHistory {
 	return crashHistory{
-		broken: map[string]*brokenEngine{}, crashes: map[ModelPart][]partCrash{}, answered: map[ModelPart]time.Time{}, answeredBefore: map[ModelPart]time.Time{},
+		broken: map[string]*brokenEngine{}, crashes: map[ModelPart][]partCrash{}, explained: map[processID]time.Time{}, answered: map[ModelPart]time.Time{}, answeredBefore: map[ModelPart]time.Time{},
 		reports: map[processID]*announcedCrash{}, clearances: map[ModelPart]announcedAnswer{},
 	}
 }
@@ -192,15 +197,25 @@
 			s.announceAnswer(part, answeredAt, true)
 			continue
 		}
+		if q := s.quarantined[part]; q != nil {
+			q.lastAt = latest(q.lastAt, at)
+			s.explainCrash(process)
+			continue
+		}
 		s.addPartCrash(part, process, at)
 	}
+	s.quarantineFatalParts(parts)
 	if announce {
 		s.announceCrash(process, at, parts)
 	}
 }
 
-// addPartCrash counts a crash of a process for a part, unless it is known.
+// addPartCrash counts a crash of a process for a part, unless it is known or a part in quarantine
+// explains it.
 func (s *State) addPartCrash(part ModelPart, process processID, at time.Time) {
+	if _, explained := s.explained[process]; explained {
+		return
+	}
 	list, known := s.crashes[part]
 	if !known && len(s.crashes) >= maxSuspectParts {
 		s.dropOldestSuspect()
@@ -220,7 +235,27 @@
 	list = append(list, partCrash{[]processID{process}, at})
 	slices.SortFunc(list, func(a, b partCrash) int { return a.at.Compare(b.at) })
 	s.crashes[part] = list[max(0, len(list)-fatalCrashes):]
-	s.quarantineIfFatal(part)
+}
+
+// explainCrash drops the crash of a process from all suspects, as a part in quarantine explains it.
+func (s *State) explainCrash(process processID) {
+	if _, explained := s.explained[process]; explained {
+		return
+	}
+	if len(s.explained) >= maxExplained {
+		clear(s.explained)
+	}
+	s.explained[process] = s.now
+	for part, list := range s.crashes {
+		for i := range list {
+			list[i].processes = slices.DeleteFunc(list[i].processes, func(p processID) bool { return p == process })
+		}
+		if list = slices.DeleteFunc(list, func(c partCrash) bool { return len(c.processes) == 0 }); len(list) == 0 {
+			delete(s.crashes, part)
+		} else {
+			s.crashes[part] = list
+		}
+	}
 }
 
 func (s *State) dropOldestSuspect() {
@@ -348,6 +383,7 @@
 	maps.DeleteFunc(s.crashes, func(_ ModelPart, list []partCrash) bool {
 		return s.now.Sub(list[len(list)-1].at) > crashRetention
 	})
+	maps.DeleteFunc(s.explained, func(_ processID, at time.Time) bool { return s.now.Sub(at) > crashRetention })
 	maps.DeleteFunc(s.reports, func(_ processID, r *announcedCrash) bool { return s.now.Sub(r.until) > crashAnnounceTime })
 	maps.DeleteFunc(s.clearances, func(_ ModelPart, a announcedAnswer) bool { return s.now.Sub(a.until) > crashAnnounceTime })
 }
--- a/internal/relay/decider/quarantine.go
+++ b/internal/relay/decider/quarantine.go
@@ -89,26 +89,52 @@
 func newQuarantine() quarantine    { return quarantine{quarantined: map[ModelPart]*quarantinedPart{}} }
 func (p ModelPart) String() string { return p.Model + "/" + p.Part }
 
-// quarantineIfFatal quarantines a part once enough engines have crashed on it.
-func (s *State) quarantineIfFatal(part ModelPart) {
-	list := s.crashes[part]
-	last := list[len(list)-1].at
-	if q := s.quarantined[part]; q != nil {
-		q.lastAt = latest(q.lastAt, last)
-		return
+// quarantineFatalParts quarantines those of some parts on which enough engines have crashed. If that
+// holds for several, only those at the most crashes are to blame: a part that sound requests have too
+// is at no more of them than the one at fault.
+func (s *State) quarantineFatalParts(parts []ModelPart) {
+	var fatal []ModelPart
+	most := 0
+	for _, part := range parts {
+		list := s.crashes[part]
+		if len(list) < fatalCrashes {
+			continue
+		}
+		n := len(crashedProcesses(list))
+		if n > most {
+			fatal, most = nil, n
+		}
+		if n == most {
+			fatal = append(fatal, part)
+		}
 	}
-	if len(list) < fatalCrashes {
-		return
+	lists := make([][]partCrash, len(fatal))
+	for i, part := range fatal {
+		lists[i] = s.crashes[part]
 	}
-	var crashed []string
-	for _, c := range list {
-		for _, process := range c.processes {
+	for i, part := range fatal {
+		first, last := lists[i][0].at, lists[i][len(lists[i])-1].at
+		processes := crashedProcesses(lists[i])
+		var crashed []string
+		for _, process := range processes {
 			crashed = append(crashed, process.target)
 		}
+		s.log("part quarantined", "", "part", part.String(), "crashed", crashed, "within", last.Sub(first))
+		s.addQuarantine(part, &quarantinedPart{firstAt: first, lastAt: last})
+		for _, process := range processes {
+			s.explainCrash(process)
+		}
+		s.broadcast()
 	}
-	s.log("part quarantined", "", "part", part.String(), "crashed", crashed, "within", last.Sub(list[0].at))
-	s.addQuarantine(part, &quarantinedPart{firstAt: list[0].at, lastAt: last})
-	s.broadcast()
+}
+
+// crashedProcesses returns the processes of all crashes.
+func crashedProcesses(list []partCrash) []processID {
+	var processes []processID
+	for _, c := range list {
+		processes = append(processes, c.processes...)
+	}
+	return processes
 }
 
 // addQuarantine adds a part. If there are too many, it replaces the one that crashed engines last.
@@ -125,6 +151,15 @@
 	s.quarantined[part] = q
 }
 
+// adoptQuarantine adds a part that others have found to crash engines.
+func (s *State) adoptQuarantine(part ModelPart, q *quarantinedPart) {
+	for _, process := range crashedProcesses(s.crashes[part]) {
+		s.explainCrash(process)
+	}
+	s.addQuarantine(part, q)
+	s.passOn()
+}
+
 // dropQuarantine ends the quarantine of a part, in the platform's store too.
 func (s *State) dropQuarantine(part ModelPart, reason string) {
 	q := s.quarantined[part]
@@ -139,7 +174,7 @@
 // whether the part was in quarantine.
 func (s *State) liftQuarantine(part ModelPart, answeredAt time.Time) bool {
 	q := s.quarantined[part]
-	if q == nil || !answeredAt.After(q.firstAt) || len(s.crashes[part]) >= fatalCrashes {
+	if q == nil || !answeredAt.After(q.firstAt) {
 		return false
 	}
 	s.dropQuarantine(part, "a request with it was answered")
@@ -243,8 +278,7 @@
 		listed[part] = true
 		if s.quarantined[part] == nil && s.now.Sub(s.lastAnsweredPart(part)) > listedAnswerAge {
 			s.log("part quarantined", "", "part", part.String(), "listed", true)
-			s.addQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now})
-			s.passOn()
+			s.adoptQuarantine(part, &quarantinedPart{firstAt: s.now, lastAt: s.now})
 		}
 		if q := s.quarantined[part]; q != nil {
 			q.kept, q.listedEra, q.listedRevision = true, ev.Era, ev.Revision
@@ -281,8 +315,7 @@
 		q := s.quarantined[a.ModelPart]
 		if q == nil {
 			s.log("part quarantined", "", "part", a.String(), "peer", m.Host, "trials", a.Trials)
-			s.addQuarantine(a.ModelPart, &quarantinedPart{firstAt: firstAt, lastAt: lastAt, trials: a.Trials})
-			s.passOn()
+			s.adoptQuarantine(a.ModelPart, &quarantinedPart{firstAt: firstAt, lastAt: lastAt, trials: a.Trials})
 			continue
 		}
 		if a.Trials > q.trials {
--- a/internal/relay/decider/quarantine_test.go
+++ b/internal/relay/decider/quarantine_test.go
@@ -374,3 +374,42 @@
 	assert.Assert(t, len(h.answered)+len(h.answeredBefore) <= 2*maxAnsweredParts)
 	assert.Assert(t, len(h.clearances) <= maxAnsweredReports)
 }
+
+// TestSoundPartsAreBlamedInFlood guards against the quarantine of sound parts that are in several
+// requests with the part at fault, when these come faster than crashes are seen.
+func TestSoundPartsAreBlamedInFlood(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		f := newCrashFleet(t, 7, 24, seed+100)
+		f.load(8*time.Second, 40, 30)
+		assert.DeepEqual(t, f.quarantines, map[any]bool{ModelPart{model, fatalPart}.String(): true})
+		assert.Assert(t, f.requestsAfterBound() <= maxFatalRequests)
+	}
+}
+
+// TestSoundPartsAreBlamedByReport guards against blame for what else runs at an engine that crashes on a
+// part in quarantine, if its host's report comes before or after that of the part.
+func TestSoundPartsAreBlamedByReport(t *testing.T) {
+	h := newHost(t, "a", 1, 0)
+	fatal, sound := ModelPart{model, fatalPart}, ModelPart{model, "sound"}
+	number := uint64(0)
+	report := func(process int64, part ModelPart) {
+		number++
+		h.advanceTicking(2 * simultaneousCrashes)
+		h.handle(MessageReceived{Message: Message{Host: "b", Boot: 1, Number: number, Crashes: []CrashReport{{Target: "engine-1", StartedAt: process, Parts: []ModelPart{part}}}}})
+	}
+	for process := range int64(fatalCrashes) {
+		report(process, fatal)
+	}
+	for process := range int64(2 * fatalCrashes) {
+		first, second := fatal, sound
+		if process%2 == 0 {
+			first, second = sound, fatal
+		}
+		report(100+process, first)
+		report(100+process, second)
+	}
+	assert.Equal(t, len(h.quarantined), 1)
+	assert.Assert(t, h.quarantined[fatal] != nil)
+	assert.Equal(t, len(h.crashes[sound]), 0)
+}
