Treat an empty answer to a prompt that ends with its connection as broken

What callers would see: a complete, empty 200 when an engine crashes after the header of an unframed answer that isn't a stream, and the part that crashed it would be cleared.

Cause: an answer with neither a length nor chunks is complete when its connection closes; streams without an event were excepted, other answers to prompts weren't.

Change: such an answer fails its attempt. Half of the engines in the tests of crashes send unframed answers now.

--- a/internal/relay/runner/crash_test.go
+++ b/internal/relay/runner/crash_test.go
@@ -43,7 +43,7 @@
 func (e *crashingEngines) start() {
 	e.mu.Lock()
 	e.started++
-	id := fmt.Sprint("engine-", e.started)
+	id, unframed := fmt.Sprint("engine-", e.started), e.started%2 == 0
 	e.mu.Unlock()
 	var srv *httptest.Server
 	var once sync.Once
@@ -52,6 +52,7 @@
 		Crash: func() { once.Do(func() { e.crash(id, srv) }) },
 	})
 	w.SetFatalPart(fatalPart)
+	w.SetUnframed(unframed)
 	srv = httptest.NewServer(w)
 	e.t.Cleanup(srv.Close)
 	d := descriptor.Target{
@@ -137,3 +138,21 @@
 		assert.Assert(t, reached() <= maxFatalRequests, "%d requests reached engines after the bound, %d crashes in all", reached(), crashes)
 	}
 }
+
+// TestCrashLooksLikeEmptyAnswer guards against an engine that crashes after the header of an answer with
+// neither a length nor chunks, which reaches the caller as a complete, empty answer and clears the part.
+func TestCrashLooksLikeEmptyAnswer(t *testing.T) {
+	store, runs := imitator.NewStore(), &runLog{}
+	store.Put(caller.KindConfig, caller.ConfigName, imitator.ConfigSpec(1, map[string]string{"key": "team"}, nil, 0))
+	w := imitator.NewWorker(imitator.WorkerConfig{ID: "plain", Observer: runs, Crash: func() {}})
+	w.SetUnframed(true)
+	srv := httptest.NewServer(w)
+	t.Cleanup(srv.Close)
+	store.Put(caller.KindTargets, "plain", imitator.TargetSpec(descriptor.Target{
+		ID: "plain", Service: imitator.ServicePlain, DataCentre: "a", Slots: 8, StartedAt: time.UnixMilli(1), Address: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+	}))
+	r := startRelayOn(t, store, timer.BootClock{})
+	r.waitFor("a prompt is answered", func() bool { return r.sendParts("before", imitator.PathLook, "a", "own") == http.StatusOK })
+	w.SetFatalPart(fatalPart)
+	assert.Equal(t, r.sendParts("crash", imitator.PathLook, "a", fatalPart, "own"), http.StatusBadGateway)
+}
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -214,6 +215,9 @@
 // maxBufferedBody bounds a response that is buffered before it is forwarded.
 const maxBufferedBody = 4 << 20
 
+// errEmptyAnswer reports an answer to a prompt that ended with its connection before its first byte.
+var errEmptyAnswer = errors.New("the answer ended before its first byte")
+
 // bufferedResponse is a complete response that is held back while another target is tried.
 type bufferedResponse struct {
 	resp *forwarder.Response
@@ -232,6 +236,9 @@
 	body := x.server.cfg.Buffers.NewBuffer(maxBufferedBody)
 	n, err := body.ReadAll(resp.Body)
 	x.received.Bytes = int64(n)
+	if err == nil && n == 0 && x.req.Prompt != nil && resp.Framing == decider.FramingConnection {
+		err = errEmptyAnswer // An engine that crashes closes the connection like this.
+	}
 	if err != nil {
 		resp.Abort()
 		body.Release()
