Bound the announced crashes and put the quarantine's events with the others

Cause: an aggregator kept a report of each crashed process, of which thousands may end at once.

Change: 64 crashes are announced at a time. Events and effects of the quarantine are in the files of the others; a comment said the opposite of which part is replaced.

Measured: the tests of the package pass; TestCrashHistoryGrowsWithoutBound checks the new bound.

--- a/internal/relay/decider/crashes.go
+++ b/internal/relay/decider/crashes.go
@@ -29,11 +29,14 @@
 	maxExplained = 256
 	// maxAnsweredParts bounds the parts whose last answer is known, in each of two generations.
 	maxAnsweredParts = 1024
-	// maxCrashReports and maxReportedParts bound the reports in a message and the parts of each, and
-	// maxAnsweredReports the answers in a message.
-	maxCrashReports    = 8
-	maxReportedParts   = 128
-	maxAnsweredReports = 64
+	// maxCrashesOfRequest is how many times engines may break off a request before its answer begins.
+	maxCrashesOfRequest = 2
+	// maxAnnouncedCrashes bounds the crashes that are announced at a time, maxCrashReports those in one
+	// message and maxReportedParts the parts of each, and maxAnsweredReports the answers.
+	maxAnnouncedCrashes = 64
+	maxCrashReports     = 8
+	maxReportedParts    = 128
+	maxAnsweredReports  = 64
 )
 
 // ModelPart identifies a part of prompts to a model.
@@ -42,6 +45,9 @@
 	Part  string `cbor:"2,keyasint"`
 }
 
+// String returns the model and the part as MODEL/PART.
+func (p ModelPart) String() string { return p.Model + "/" + p.Part }
+
 // CrashReport is what a host announces of a process of an engine that crashed.
 type CrashReport struct {
 	Target string `cbor:"1,keyasint"`
@@ -189,6 +195,9 @@
 	return false
 }
 
+// hasCrashed reports whether r has been at so many crashes that it isn't sent again.
+func (r *request) hasCrashed() bool { return r.brokenOff >= maxCrashesOfRequest }
+
 // recordCrash records the crash of a process for the parts that it was about to answer. If announce is
 // true, this host announces it to others.
 func (s *State) recordCrash(process processID, at time.Time, parts []ModelPart, announce bool) {
@@ -309,6 +318,9 @@
 func (s *State) announceCrash(process processID, at time.Time, parts []ModelPart) {
 	r := s.reports[process]
 	if r == nil {
+		if len(s.reports) >= maxAnnouncedCrashes {
+			return // So many crashes at a time have another cause than a part.
+		}
 		r = &announcedCrash{at: at}
 		s.reports[process] = r
 	}
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -136,6 +136,13 @@
 // ListParts reads the complete content of a store.
 type ListParts struct{ Store netip.AddrPort }
 
+// KeepQuarantine writes a part to the platform's store, for hosts that start when no other runs or
+// that don't hear this one.
+type KeepQuarantine struct{ Part ModelPart }
+
+// DropQuarantine removes a part from the platform's store.
+type DropQuarantine struct{ Part ModelPart }
+
 func (Send) isEffect()                 {}
 func (Refuse) isEffect()               {}
 func (DeliverErrorResponse) isEffect() {}
@@ -149,3 +156,5 @@
 func (Probe) isEffect()                {}
 func (FreeParts) isEffect()            {}
 func (ListParts) isEffect()            {}
+func (KeepQuarantine) isEffect()       {}
+func (DropQuarantine) isEffect()       {}
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -227,6 +227,19 @@
 	Notice    descriptor.Notice
 }
 
+// QuarantineListed reports all parts in quarantine that the platform's store has, as of a revision of
+// an era.
+type QuarantineListed struct {
+	Era, Revision int64
+	Parts         []ModelPart
+}
+
+// QuarantineKept reports that the platform's store has a part, or why it couldn't be written.
+type QuarantineKept struct {
+	Part ModelPart
+	Err  error
+}
+
 // StopRequested requests a graceful shutdown.
 type StopRequested struct{}
 
@@ -254,5 +267,7 @@
 func (OrderAnswered) isEvent()         {}
 func (ProbeAnswered) isEvent()         {}
 func (NoticeReceived) isEvent()        {}
+func (QuarantineListed) isEvent()      {}
+func (QuarantineKept) isEvent()        {}
 func (StopRequested) isEvent()         {}
 func (Tick) isEvent()                  {}
--- a/internal/relay/decider/quarantine.go
+++ b/internal/relay/decider/quarantine.go
@@ -63,31 +63,7 @@
 	keepTriedAt               time.Time
 }
 
-// QuarantineListed reports all parts in quarantine that the platform's store has, as of a revision of
-// an era.
-type QuarantineListed struct {
-	Era, Revision int64
-	Parts         []ModelPart
-}
-
-// QuarantineKept reports that the platform's store has a part, or why it couldn't be written.
-type QuarantineKept struct {
-	Part ModelPart
-	Err  error
-}
-
-// KeepQuarantine writes a part to the platform's store, for hosts that start when no other runs.
-type KeepQuarantine struct{ Part ModelPart }
-
-// DropQuarantine removes a part from the platform's store.
-type DropQuarantine struct{ Part ModelPart }
-
-func (QuarantineListed) isEvent()  {}
-func (QuarantineKept) isEvent()    {}
-func (KeepQuarantine) isEffect()   {}
-func (DropQuarantine) isEffect()   {}
-func newQuarantine() quarantine    { return quarantine{quarantined: map[ModelPart]*quarantinedPart{}} }
-func (p ModelPart) String() string { return p.Model + "/" + p.Part }
+func newQuarantine() quarantine { return quarantine{quarantined: map[ModelPart]*quarantinedPart{}} }
 
 // quarantineFatalParts quarantines those of some parts on which enough engines have crashed. If that
 // holds for several, only those at the most crashes are to blame: a part that sound requests have too
@@ -137,7 +113,7 @@
 	return processes
 }
 
-// addQuarantine adds a part. If there are too many, it replaces the one that crashed engines last.
+// addQuarantine adds a part. If there are too many, it replaces the one whose last crash is the oldest.
 func (s *State) addQuarantine(part ModelPart, q *quarantinedPart) {
 	for len(s.quarantined) >= maxQuarantined {
 		var oldest ModelPart
@@ -330,10 +306,3 @@
 
 // Quarantined returns the number of parts in quarantine.
 func (s *State) Quarantined() int { return len(s.quarantined) }
-
-// hasCrashed reports whether r has been at so many crashes that it isn't sent again.
-func (r *request) hasCrashed() bool { return r.brokenOff >= maxCrashesOfRequest }
-
-// maxCrashesOfRequest is how many times a request may be broken off by engines before its answer
-// begins.
-const maxCrashesOfRequest = 2
--- a/internal/relay/decider/quarantine_test.go
+++ b/internal/relay/decider/quarantine_test.go
@@ -373,6 +373,8 @@
 	assert.Assert(t, len(h.quarantined) <= maxQuarantined)
 	assert.Assert(t, len(h.answered)+len(h.answeredBefore) <= 2*maxAnsweredParts)
 	assert.Assert(t, len(h.clearances) <= maxAnsweredReports)
+	assert.Assert(t, len(h.reports) <= maxAnnouncedCrashes)
+	assert.Assert(t, len(h.explained) <= maxExplained)
 }
 
 // TestSoundPartsAreBlamedInFlood guards against the quarantine of sound parts that are in several
