Let a restarted aggregator call no host silent that it had no time to hear

Cause: an aggregator's summary lists all hosts as silent that its process hasn't heard, and replaces the summary of the other one at the aggregators of other data centres. In a rolling restart of 195 hosts, whole data centres counted as gone elsewhere for moments, so that roles moved.

Change: the silence of a host counts from the start of the aggregator's process at the earliest.

Measured: TestRollingRestartOfLargeFleet (195 hosts, one restarted each 150 ms) fails without the change at the 60th restart, and passes with it.

--- a/internal/relay/decider/aggregating.go
+++ b/internal/relay/decider/aggregating.go
@@ -248,14 +248,21 @@
 	}
 	for _, host := range s.byDataCentre[s.cfg.DataCentre] {
 		sum := own.Loads[s.partitionOf[host]]
+		if host == s.cfg.Host {
+			addLoads(sum, s.ownLoads())
+			continue
+		}
+		// What other aggregators say doesn't count, or they would keep a host alive together. All hosts had
+		// no time to be heard before this process started.
+		heardAt := s.startedAt
 		p := s.peerByHost[host]
+		if p != nil {
+			heardAt = latest(heardAt, p.heardAt)
+		}
 		switch {
-		case host == s.cfg.Host:
-			addLoads(sum, s.ownLoads())
-		case p == nil || s.now.Sub(p.heardAt) >= silentAfter:
-			// What other aggregators say doesn't count, or they would keep a host alive together.
+		case s.now.Sub(heardAt) >= silentAfter:
 			own.Silent = append(own.Silent, host)
-		default:
+		case p != nil:
 			addLoads(sum, p.loads)
 		}
 	}
