Share the queue of events in virtual time

Cause: the fleet model of the crash tests had a copy of the replay's queue.

Change: package scheduler holds it for both. No code of the daemon changes.

--- a/internal/relay/decider/crash_fleet_test.go
+++ b/internal/relay/decider/crash_fleet_test.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/bench/scheduler"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 )
 
@@ -37,7 +37,7 @@
 	rng     *rand.Rand
 	engines map[string]*modelEngine
 	list    map[string]descriptor.Host
-	queue   modelQueue
+	queue   scheduler.Queue
 	// started numbers the processes of engines.
 	started int
 	// crashes holds the times of crashes on fatalPart, and reached those at which requests with it reached
@@ -82,30 +82,6 @@
 	sends  int
 }
 
-// modelEvent is a function to run at a time.
-type modelEvent struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type modelQueue []modelEvent
-
-func (q modelQueue) Len() int { return len(q) }
-func (q modelQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *modelQueue) Push(x any)   { *q = append(*q, x.(modelEvent)) }
-func (q *modelQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newCrashFleet(t *testing.T, hosts, engines int, seed uint64) *crashFleet {
 	t.Helper()
 	f := &crashFleet{
@@ -139,16 +115,15 @@
 }
 
 func (f *crashFleet) after(d time.Duration, run func()) {
-	f.started++ // Also orders events at the same time.
-	heap.Push(&f.queue, modelEvent{f.clock.Add(d), f.started, run})
+	f.queue.Add(f.clock.Add(d), run)
 }
 
 // advance lets time pass.
 func (f *crashFleet) advance(d time.Duration) {
 	end := f.clock.Add(d)
 	for f.clock.Before(end) {
-		for len(f.queue) > 0 && !f.queue[0].at.After(f.clock) {
-			heap.Pop(&f.queue).(modelEvent).run()
+		for ev, ok := f.queue.Next(f.clock); ok; ev, ok = f.queue.Next(f.clock) {
+			ev.Run()
 		}
 		f.clock = f.clock.Add(arrivalTick)
 		for _, h := range f.hosts {
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -4,7 +4,6 @@
 package replayer
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomscale.example/cardamomscale/internal/bench/scheduler"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -123,40 +123,14 @@
 	shortGoal     = 200 * time.Millisecond
 )
 
-// event is a scheduled function. Events at the same time run in the order of seq.
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-// eventQueue implements heap.Interface, with the earliest event first.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // Replayer is the state of one simulation.
 type Replayer struct {
-	cfg     Config
-	rng     *rand.Rand
-	now     time.Time
-	start   time.Time
-	queue   eventQueue
-	lastSeq int
-	hosts   []*host
+	cfg   Config
+	rng   *rand.Rand
+	now   time.Time
+	start time.Time
+	queue scheduler.Queue
+	hosts []*host
 	// byAddress maps the addresses for messages to their hosts.
 	byAddress      map[netip.AddrPort]*host
 	engines        map[string]*engine
@@ -260,8 +234,7 @@
 
 // schedule runs a function at a point in virtual time.
 func (r *Replayer) schedule(when time.Time, run func()) {
-	r.lastSeq++
-	heap.Push(&r.queue, event{when, r.lastSeq, run})
+	r.queue.Add(when, run)
 }
 
 func (r *Replayer) scheduleAfter(d time.Duration, run func()) { r.schedule(r.now.Add(d), run) }
@@ -278,15 +251,14 @@
 	for _, fault := range r.cfg.Faults {
 		r.scheduleAfter(warmUp+fault.At, func() { r.injectFault(fault) })
 	}
-	for len(r.queue) > 0 {
-		ev := heap.Pop(&r.queue).(event)
-		if ev.at.After(end.Add(warmUp)) {
-			break
+	for {
+		ev, ok := r.queue.Next(end.Add(warmUp))
+		if !ok {
+			return r.result
 		}
-		r.now = ev.at
-		ev.run()
+		r.now = ev.At
+		ev.Run()
 	}
-	return r.result
 }
 
 // storeAddresses returns the addresses of the stores in a fixed order, so that a seed always gives
