Let the test of a small range of ports take one that is free

It has 13 fixed ports, and a run of the script that had been ended seconds before had left its test binary running, which reached the same test.

Change: the test takes the first range of 13 ports that are all free.

The check and the number of ports are as before.

--- a/internal/bench/soaker/soaker_test.go
+++ b/internal/bench/soaker/soaker_test.go
@@ -80,7 +80,7 @@
 // same range, of which few are left, listens on each one that it gets.
 func TestPortsOfStoppedHostsStayFree(t *testing.T) {
 	const hosts, portsPerHost = 4, 3
-	ports := reserver.Config{First: 10_800, Last: 10_800 + hosts*portsPerHost}
+	ports := freeRange(t, hosts*portsPerHost+1)
 	s, err := New(Config{
 		Seed: 427, FaultDuration: faultDuration, Hosts: hosts, Engines: 4, PlainTargets: 3, Callers: 8,
 		Binary: buildDaemon(t), Dir: t.TempDir(), Logger: hclog.NewNullLogger(), ports: ports,
@@ -99,6 +99,34 @@
 	assert.Equal(t, len(result.Violations), 0, "%s", strings.Join(result.Violations, "\n"))
 }
 
+// freeRange returns a range of ports that are all free. Another run of the tests on this machine may
+// have others.
+func freeRange(t *testing.T, n uint16) reserver.Config {
+	t.Helper()
+	const first, last = 10_000, reserver.DefaultFirst - 1
+	for from := uint16(first); from+n-1 <= last; from += n {
+		ports := reserver.Config{First: from, Last: from + n - 1}
+		if canReserveAll(t, ports) {
+			return ports
+		}
+	}
+	t.Fatal("no range of free ports")
+	return reserver.Config{}
+}
+
+func canReserveAll(t *testing.T, ports reserver.Config) bool {
+	t.Helper()
+	r, err := reserver.New(ports)
+	assert.NilError(t, err)
+	defer r.Close()
+	for range ports.Last - ports.First + 1 {
+		if _, err := r.Reserve(); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // takePorts listens on each port of a range that it can reserve, until ctx ends. It begins once
 // the hosts have reserved theirs.
 func takePorts(ctx context.Context, ports reserver.Config) {
