review: an entry that breaks off hides changes of workers

Cause: the splitter finds the ends of entries by their brackets and strings, so an entry that breaks off spoils each list and watch that holds it.

Change: a script that adds such an entry, after which two workers drain.

--- a/review/standin/blip.go
+++ b/review/standin/blip.go
@@ -22,6 +22,32 @@
 // runBlip takes the platform's store down for a moment, just after a worker has changed. Once the store
 // has been stable for contactMs, two workers drain and exit.
 func runBlip(rec *record, trouble bool) (bool, error) {
+	return runLeaving(rec, func(d *deployment, first *worker) {
+		go d.leave(first) // Its leaving is acknowledged before the outage, as the relays learn of it.
+		time.Sleep(blipDelay)
+		if trouble {
+			d.store.setSilent(true)
+		}
+		time.Sleep(blipTime)
+		d.store.setSilent(false)
+	})
+}
+
+// runOddBytes lets another writer add an entry to the list of workers that breaks off. Later, two workers
+// drain and exit.
+func runOddBytes(rec *record, trouble bool) (bool, error) {
+	return runLeaving(rec, func(d *deployment, _ *worker) {
+		if trouble {
+			const spec = `{"service":"order-desk","addr":"127.0.`
+			d.store.Put("servers", "i-02d9e6b4", spec)
+			rec.write("store", "acknowledged", "object", "servers/i-02d9e6b4", "spec", spec)
+		}
+	})
+}
+
+// runLeaving disturbs a deployment under load, and lets two workers drain and exit 3.4 s later. It checks
+// the rule DRAIN for these.
+func runLeaving(rec *record, disturb func(d *deployment, first *worker)) (bool, error) {
 	d, err := newDeployment(rec)
 	if err != nil {
 		return false, err
@@ -42,13 +68,7 @@
 		c.group.Go(func() { c.sendSteadily(ctx, r, blipRate) })
 	}
 	time.Sleep(6 * time.Second)
-	go d.leave(workers[0]) // Its leaving is acknowledged before the outage, as the relays learn of it.
-	time.Sleep(blipDelay)
-	if trouble {
-		d.store.setSilent(true)
-	}
-	time.Sleep(blipTime)
-	d.store.setSilent(false)
+	disturb(d, workers[0])
 	time.Sleep(contactTime + 400*time.Millisecond)
 	go d.leave(workers[2])
 	acknowledgedAt := d.leave(workers[1])
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var scenarios = map[string]func(rec *record, trouble bool) (held bool, err error){
 	"blip":      runBlip,
 	"isolate":   runIsolate,
+	"odd-bytes": runOddBytes,
 	"odd-entry": runOddEntry,
 	"uploads":   runUploads,
 }
