Bound the waits of watches by how old the state may get

What callers saw: after the platform's store had been silent for 0.42 s, hosts sent requests to targets for seconds after these had said that they leave (DRAIN); unsafe requests were lost as the targets exited. Evacuations were missed in the same way (EVAC).

Cause: a watch waited three quarters of the platform's history, 15 s, and its call a second more. One that was sent or answered in the outage got no answer, and nothing showed that unless another call failed. The pause after a change makes the watches of all hosts start together.

Change: a watch waits no longer than the state may be old: contactMs, for targets also drainMs, less the time to notice and to renew. It is given up 0.3 s after its wait; if the next one is answered in time, the other watches of the host are renewed too. The log names the reason, and cardamom_watches_given_up_total counts.

--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -297,6 +297,10 @@
 	Cores float64
 	// FirstStart is true if the whole deployment starts for the first time.
 	FirstStart bool
+	// ContactTime is the time after a disruption from which the state of the platform must be current again.
+	ContactTime time.Duration
+	// DrainTime is the time within which a target that leaves must get no more requests.
+	DrainTime time.Duration
 	// GracePeriod is the time from a request to stop to the kill of the process.
 	GracePeriod time.Duration
 	// RetryRatio and RetrySlack define the retry budget of all hosts together in any
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -3,6 +3,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -22,23 +23,26 @@
 )
 
 const (
-	// A watch of the configuration waits a random time between minConfigWait and
-	// maxConfigWait. Each answer confirms the current version, which must happen every
-	// few seconds for keys to stay valid. Hosts also forward their confirmations, so the
-	// jitter spreads those of all hosts, even after a change that ends all watches at once.
-	minConfigWait = 1300 * time.Millisecond
-	maxConfigWait = 3500 * time.Millisecond
+	// minWaitShare is the share of the longest wait of a watch that each watch waits at least. The jitter
+	// spreads the calls of all hosts, even after a change that ends all watches at once, so that the newest
+	// confirmation of the configuration, which hosts forward, is never as old as a full wait.
+	minWaitShare = 1.0 / 3
+	// defaultContactTime and defaultDrainTime are the times of a Config that doesn't set them.
+	defaultContactTime = 3 * time.Second
+	defaultDrainTime   = 2 * time.Second
 	// confirmWait is the wait of the watch after a change of the configuration, as an
 	// answer with changes only confirms the state at the start of its own watch, and after a
 	// failed call, as a longer one would hide when the platform came back.
 	confirmWait = 100 * time.Millisecond
 	// waitTolerance is how much earlier than requested the platform may end a wait.
 	waitTolerance = 50 * time.Millisecond
-	// maxObjectWait is the longest wait of all other watches. The platform allows 30 s. historyShare is
-	// the share of the time for which the platform keeps changes that a watch may wait: it fails
-	// if that time ends before it.
-	maxObjectWait = 25 * time.Second
-	historyShare  = 0.75
+	// renewalReserve is the part of the time within which a silent watch must have been replaced that is
+	// kept for the call that replaces it and for passing its answer on.
+	renewalReserve = 200 * time.Millisecond
+	// defaultHistory is how long the platform keeps changes unless a Config says otherwise. historyShare
+	// is the share of that time that a watch may wait: it fails if that time ends before it.
+	defaultHistory = 25 * time.Second
+	historyShare   = 0.75
 	// batchPause lets changes accumulate before the next watch, as each answer costs every
 	// watching host a call. Targets that are taken out must stop getting requests within
 	// 2 s, which bounds it.
@@ -92,6 +96,9 @@
 	FirstStart bool
 	// History is how long the platform keeps changes.
 	History time.Duration
+	// ContactTime is the time after an outage of the platform from which the state must be current
+	// again, and DrainTime that within which a target that leaves must get no more requests.
+	ContactTime, DrainTime time.Duration
 }
 
 // Follower runs one watch for each kind of platform objects and one poller for each store.
@@ -105,15 +112,18 @@
 	// unregistered receives a value when the store has lost the entry of this host.
 	unregistered chan struct{}
 	skipped      skippedEntries
+	givenUp      givenUpCalls
 	// lost is true from a call without an answer, or one that lost changes, to the next answer.
 	lost atomic.Bool
+	// lateness is how much later than the end of its wait the platform last answered a watch without
+	// changes, in nanoseconds.
+	lateness atomic.Int64
 }
 
 // New returns a Follower. It makes no calls before Run.
 func New(cfg Config) *Follower {
-	if cfg.History <= 0 {
-		cfg.History = maxObjectWait
-	}
+	cfg.History = cmp.Or(cfg.History, defaultHistory)
+	cfg.ContactTime, cfg.DrainTime = cmp.Or(cfg.ContactTime, defaultContactTime), cmp.Or(cfg.DrainTime, defaultDrainTime)
 	f := &Follower{cfg: cfg, newest: newestEra{risen: make(chan struct{})}, hostsKnown: make(chan struct{}), unregistered: make(chan struct{}, 1)}
 	for _, kind := range []string{caller.KindConfig, caller.KindTargets, caller.KindEvacuations, caller.KindWeights, caller.KindHosts, caller.KindQuarantine} {
 		f.watches = append(f.watches, &watch{Follower: f, kind: kind, isPassedOn: kind != caller.KindQuarantine, era: unknownEra, objects: map[string]caller.Object{}, updates: make(chan receivedUpdate, updateQueueSize), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1)})
@@ -197,6 +207,8 @@
 	lastUpdate time.Time
 	// behind is true if an update showed that this host lacks changes.
 	behind bool
+	// expired is true if the last call was given up as its wait was over.
+	expired bool
 	// lastFailure is when a call last failed, recoveredAt when the last outage ended. failures
 	// counts the calls that have failed since the last successful one.
 	lastFailure, recoveredAt time.Time
@@ -535,14 +547,14 @@
 	defer cancel()
 	answer := w.awaitAnswer(watchCtx, after, wait)
 	changes := answer.changes
-	if answer.overdue {
-		w.cfg.Logger.Info("watch given up, it may be silent", "kind", w.kind, "after", after)
-		w.setOverdue(true)
+	if answer.givenUp != "" {
+		w.giveUp(answer.givenUp, after, w.cfg.Clock.Now().Sub(sentAt), wait)
 		return nil
 	}
 	if answer.err != nil {
 		return answer.err
 	}
+	w.observeLateness(w.cfg.Clock.Now().Sub(sentAt)-wait, len(changes.Objects))
 	if err := w.checkEra(changes.Era); err != nil {
 		return err
 	}
@@ -627,12 +639,25 @@
 		return confirmWait
 	case !w.cfg.WatchesPlatform():
 		return updateTimeout
-	case w.kind != caller.KindConfig:
-		return min(maxObjectWait, time.Duration(historyShare*float64(w.cfg.History)))
-	case w.changed:
+	case w.kind == caller.KindConfig && w.changed:
 		return confirmWait
 	}
-	return minConfigWait + rand.N(maxConfigWait-minConfigWait)
+	longest := w.maxWait()
+	shortest := time.Duration(minWaitShare * float64(longest))
+	return shortest + rand.N(longest-shortest+1)
+}
+
+// maxWait returns the longest wait of a watch. A call whose answer was lost looks like one without
+// changes until its wait is over, so the wait bounds how old the state may get unnoticed.
+func (w *watch) maxWait() time.Duration {
+	within := w.cfg.ContactTime
+	switch w.kind {
+	case caller.KindTargets:
+		within = min(within, w.cfg.DrainTime)
+	case caller.KindHosts, caller.KindQuarantine:
+		within *= 2 // Messages of other hosts tell of these objects too.
+	}
+	return min(max(within-overduePause-renewalReserve, confirmWait), time.Duration(historyShare*float64(w.cfg.History)))
 }
 
 func (w *watch) updateObjects(objects []caller.Object) {
--- a/internal/relay/follower/updates.go
+++ b/internal/relay/follower/updates.go
@@ -20,9 +20,9 @@
 	platformRetryInterval = 3 * time.Second
 	// maxUpdateDelay is the assumed upper bound of the network delay of an update.
 	maxUpdateDelay = 200 * time.Millisecond
-	// overduePause is how long a call may go on without an answer once an update of another host
-	// has shown changes that the answer should have, or it may be silent. Healthy calls of several
-	// hosts end within some milliseconds of each other.
+	// overduePause is how long a call may go on without an answer once its wait is over, or an update of
+	// another host has shown changes that the answer should have, or it may be silent. Healthy calls of
+	// several hosts end within some milliseconds of each other.
 	overduePause = 300 * time.Millisecond
 	// updateQueueSize bounds the updates that are queued during a list or a pause.
 	updateQueueSize = 16
@@ -104,8 +104,8 @@
 type watchAnswer struct {
 	changes caller.Objects
 	err     error
-	// overdue is true if the call was given up as other hosts had changes that it didn't return.
-	overdue bool
+	// givenUp says why the call was given up; it is empty if the call ended by itself.
+	givenUp giveUpReason
 	// peerRevision is the highest revision after which updates during the call continue, or 0.
 	peerRevision int64
 }
@@ -122,9 +122,25 @@
 		changes, err := w.cfg.Caller.Watch(ctx, w.kind, after, wait)
 		answers <- watchAnswer{changes: changes, err: err}
 	}()
+	var expired <-chan time.Time
+	if wait > confirmWait {
+		expiry := time.NewTimer(wait + overduePause + time.Duration(w.lateness.Load()))
+		defer expiry.Stop()
+		expired = expiry.C
+	}
 	var due <-chan time.Time
 	var peerRevision int64
+	var reason giveUpReason
 	overtaken := false
+	expect := func(why giveUpReason) { due, reason = time.After(overduePause), why }
+	end := func(why giveUpReason) watchAnswer {
+		cancel()
+		answer := <-answers
+		if answer.peerRevision = peerRevision; answer.err != nil {
+			answer.givenUp = why
+		}
+		return answer
+	}
 	for {
 		select {
 		case answer := <-answers:
@@ -140,21 +156,22 @@
 			case !overtaken && peerRevision <= w.revision:
 				due = nil // Nothing is missing, or a later update has closed the gap.
 			case due == nil && wait > confirmWait:
-				due = time.After(overduePause)
+				expect(giveUpOvertaken)
 			}
 		case <-w.suspected:
 			if due == nil && wait > confirmWait {
-				overtaken, due = true, time.After(overduePause)
+				overtaken = true
+				expect(giveUpSuspected)
 			}
 		case <-w.answered:
 			if due == nil {
-				overtaken, due = true, time.After(overduePause)
+				overtaken = true
+				expect(giveUpRegained)
 			}
+		case <-expired:
+			return end(giveUpExpired)
 		case <-due:
-			cancel()
-			answer := <-answers
-			answer.overdue, answer.peerRevision = answer.err != nil, peerRevision
-			return answer
+			return end(reason)
 		}
 	}
 }
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -20,6 +20,8 @@
 	// WatchAges returns the time since the last answer to each watch of the platform, by kind of
 	// object. It may be nil.
 	WatchAges func() map[string]time.Duration
+	// GivenUpCalls returns how many calls of watches were given up as silent, by kind of object. It may be nil.
+	GivenUpCalls func() map[string]int64
 	// SkippedEntries returns how many entries of the platform couldn't be decoded, by kind of object. It may be
 	// nil.
 	SkippedEntries func() map[string]int64
@@ -74,8 +76,11 @@
 	if cfg.WatchAges != nil {
 		m.registry.MustRegister(watchAges{cfg.WatchAges})
 	}
+	if cfg.GivenUpCalls != nil {
+		m.registry.MustRegister(countsByKind{givenUpCallsDesc, cfg.GivenUpCalls})
+	}
 	if cfg.SkippedEntries != nil {
-		m.registry.MustRegister(skippedEntries{cfg.SkippedEntries})
+		m.registry.MustRegister(countsByKind{skippedEntriesDesc, cfg.SkippedEntries})
 	}
 	if cfg.Quarantined != nil {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(
@@ -112,20 +117,24 @@
 	}
 }
 
-// skippedEntries collects the numbers of skipped entries when metrics are read.
-type skippedEntries struct {
+// countsByKind collects counters by kind of object when metrics are read.
+type countsByKind struct {
+	desc   *prometheus.Desc
 	counts func() map[string]int64
 }
 
-var skippedEntriesDesc = prometheus.NewDesc("cardamom_skipped_entries_total", "Entries of the platform that couldn't be decoded, by kind of object.", []string{"kind"}, nil)
+var (
+	skippedEntriesDesc = prometheus.NewDesc("cardamom_skipped_entries_total", "Entries of the platform that couldn't be decoded, by kind of object.", []string{"kind"}, nil)
+	givenUpCallsDesc   = prometheus.NewDesc("cardamom_watches_given_up_total", "Calls of watches that were given up as silent, by kind of object.", []string{"kind"}, nil)
+)
 
 // Describe implements prometheus.Collector.
-func (s skippedEntries) Describe(descs chan<- *prometheus.Desc) { descs <- skippedEntriesDesc }
+func (c countsByKind) Describe(descs chan<- *prometheus.Desc) { descs <- c.desc }
 
 // Collect implements prometheus.Collector.
-func (s skippedEntries) Collect(metrics chan<- prometheus.Metric) {
-	for kind, n := range s.counts() {
-		metrics <- prometheus.MustNewConstMetric(skippedEntriesDesc, prometheus.CounterValue, float64(n), kind)
+func (c countsByKind) Collect(metrics chan<- prometheus.Metric) {
+	for kind, n := range c.counts() {
+		metrics <- prometheus.MustNewConstMetric(c.desc, prometheus.CounterValue, float64(n), kind)
 	}
 }
 
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -106,6 +106,7 @@
 	r.meter = meter.New(meter.Config{
 		DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used,
 		WatchAges:      func() map[string]time.Duration { return r.follower.WatchAges() },
+		GivenUpCalls:   func() map[string]int64 { return r.follower.GivenUpCalls() },
 		SkippedEntries: func() map[string]int64 { return r.follower.SkippedEntries() },
 		Quarantined:    func() (parts, requests int) { return r.executor.Quarantined() },
 		LimitedTargets: func() int { return r.executor.LimitedTargets() },
@@ -128,6 +129,7 @@
 	r.follower = follower.New(follower.Config{
 		Host: cfg.Settings.Host, Caller: r.caller, Clock: cfg.Clock, Logger: cfg.Logger, Post: r.post, Stores: r.executor.Stores, FollowsStore: r.executor.FollowsStore,
 		WatchesPlatform: r.executor.WatchesPlatform, SendUpdates: r.sendUpdates, FirstStart: cfg.Settings.FirstStart, History: cfg.Settings.History,
+		ContactTime: cfg.Settings.ContactTime, DrainTime: cfg.Settings.DrainTime,
 	})
 	r.gossiper, err = gossiper.New(gossiper.Config{
 		Address: r.gossipAddress(), Logger: cfg.Logger, Post: r.postFromPeer, ReceiveUpdates: r.follower.Receive,
@@ -220,7 +222,7 @@
 	})
 	err := g.Wait()
 	r.forwarder.CloseIdle()
-	r.caller.Close()
+	r.caller.CloseIdle()
 	return err
 }
 
