Name the isolated teams in the salt of all others

Cause: the salt said whether the requesting team is isolated, not who had made the parts under it, which hosts can't know for parts of other hosts or from before a restart. A request that was repeated after the change kept its team's former state.

Change: all teams that aren't isolated share a scope named by the set of isolated teams, taken when a request is sent. So a scope never has parts of a team that is isolated under it. Scopes that a change has ended are freed once no host can use them; until hosts agree, and while the configuration is unconfirmed, nothing is imported. The replay has the fault isolation.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -117,7 +117,7 @@
 		return denyIfFresh(fresh, RefusalNoRoute)
 	}
 	if s.config.KeysRequired && !r.route.Public {
-		if s.now.Sub(s.configConfirmedAt) > s.cfg.RevokeAfter-revokeMargin {
+		if s.configIsUnconfirmed() {
 			return RefusalUnconfirmed
 		}
 		if r.team = s.config.Keys[ev.Key]; r.team == nil {
--- a/internal/relay/decider/caching.go
+++ b/internal/relay/decider/caching.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -240,29 +239,32 @@
 	s.relay(PartsRelayed{Store: ev.Store, Lost: true})
 }
 
-// salt returns the cache salt, which separates models, versions and isolated teams.
-func (r *request) salt(version int) string {
-	salt := fmt.Sprintf("%s:%d", r.prompt.Model, version)
-	if r.team != nil && r.team.Isolated {
-		salt += ":" + r.team.Name
+// salt returns the cache salt, which separates models, versions and scopes.
+func (s *State) salt(r *request, version int) string {
+	salt := r.prompt.Model + ":" + strconv.Itoa(version)
+	if scope := s.scope(r); scope != "" {
+		salt += ":" + scope
 	}
 	return salt
 }
 
-// parseSalt returns the model and version of a salt, or version 0 if it has another format.
-func parseSalt(salt string) (string, int) {
+// parseSalt returns the model, version and scope of a salt, or version 0 if it has another format.
+func parseSalt(salt string) (model string, version int, scope string) {
 	model, rest, _ := strings.Cut(salt, ":")
-	number, _, _ := strings.Cut(rest, ":")
+	number, scope, _ := strings.Cut(rest, ":")
 	version, err := strconv.Atoi(number)
 	if err != nil {
-		return "", 0 // Written by other software: its parts are left alone.
+		return "", 0, "" // Written by other software: its parts are left alone.
 	}
-	return model, version
+	return model, version, scope
 }
 
-// fastestSource returns the fastest store that holds a whole part, or nil. It skips stores
+// fastestSource returns the fastest store that holds a whole part, or nil, also while none may be imported. It skips stores
 // whose link is slow or saturated until their delay has decayed; their parts are prefilled.
 func (s *State) fastestSource(key partKey, tokens int) *store {
+	if !s.mayImport() {
+		return nil
+	}
 	var best *store
 	for _, st := range s.stores {
 		if s.isFresh(st) && st.parts[key] >= tokens && tokens > 0 && (best == nil || st.TransferLatency < best.TransferLatency) && !s.isSlow(st) {
@@ -317,7 +319,7 @@
 // hold.
 func (s *State) planImport(r *request, t *target) importPlan {
 	var plan importPlan
-	salt := r.salt(t.Weights[r.prompt.Model])
+	salt := s.salt(r, t.Weights[r.prompt.Model])
 	for _, part := range r.prompt.Shared() {
 		st := s.fastestSource(partKey{salt, part.ID}, part.Tokens)
 		if st == nil {
@@ -357,7 +359,7 @@
 func (s *State) planCacheTransfers(r *request, t *target, send *Send) {
 	version := t.Weights[r.prompt.Model]
 	send.Weights = version
-	send.Salt = r.salt(version)
+	send.Salt = s.salt(r, version)
 	plan := s.planImport(r, t)
 	r.load.PrefillTokens = max(0, r.prompt.Tokens-plan.tokens)
 	r.load.MemoryTokens = r.prompt.Tokens + r.prompt.MaxOutput
@@ -446,7 +448,7 @@
 			continue
 		}
 		for _, st := range s.stores {
-			s.freeOutdatedPartsOf(st, model, oldest)
+			s.freePartsOf(st, func(partModel string, version int, _ string) bool { return partModel == model && version < oldest })
 		}
 	}
 }
@@ -497,14 +499,14 @@
 	return parts
 }
 
-// freeOutdatedPartsOf drops the parts of st that were made by versions of model below oldest.
-func (s *State) freeOutdatedPartsOf(st *store, model string, oldest int) {
+// freePartsOf drops the parts of st whose model, version and scope are outdated, and frees them at the store if
+// this host holds the lease.
+func (s *State) freePartsOf(st *store, outdated func(model string, version int, scope string) bool) {
 	if !st.alive {
 		return
 	}
 	for salt := range st.partsBySalt {
-		saltModel, version := parseSalt(salt)
-		if saltModel != model || version >= oldest {
+		if model, version, scope := parseSalt(salt); version == 0 || !outdated(model, version, scope) {
 			continue
 		}
 		parts := st.partsWithSalt(salt, freeBatchSize)
--- a/internal/relay/decider/caching_test.go
+++ b/internal/relay/decider/caching_test.go
@@ -141,7 +141,7 @@
 		h.setStoreParts(storeAddress(1))
 		changes := descriptor.PartChanges{Boot: 7, Next: 1000}
 		for n := range count {
-			changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: model + ":1", Part: fmt.Sprint(n), Tokens: 500})
+			changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: testSalt, Part: fmt.Sprint(n), Tokens: 500})
 		}
 		h.handle(PartsChanged{Store: storeAddress(2), Changes: changes, Whole: true, AsOf: h.clock})
 		saved := h.serve("/long/", longPrompt("s"), 0).Sinks[1] == storeAddress(2)
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -54,6 +54,7 @@
 	limiting
 	requests
 	cacheDirectory
+	scoping
 	hostRanking
 	peers
 	aggregation
@@ -68,7 +69,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
-		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), limiting: newLimiting(), requests: newRequests(), cacheDirectory: newCacheDirectory(), hostRanking: newHostRanking(), peers: newPeers(), aggregation: newAggregation(),
+		fleet: newFleet(), naming: newNaming(), noticing: newNoticing(), limiting: newLimiting(), requests: newRequests(), cacheDirectory: newCacheDirectory(), scoping: newScoping(), hostRanking: newHostRanking(), peers: newPeers(), aggregation: newAggregation(),
 		retries: retries{retryBudgets: map[string]*retryBudget{}}, rollout: newRollout(),
 		crashHistory: newCrashHistory(), quarantine: newQuarantine(),
 	}
@@ -161,6 +162,7 @@
 		s.targetsCheckedAt = s.now
 		s.expireMissing()
 		s.freeOutdatedParts()
+		s.freeEndedScopes()
 	}
 	s.probeDownTargets()
 	s.advanceLease()
--- a/internal/relay/decider/fleet.go
+++ b/internal/relay/decider/fleet.go
@@ -167,8 +167,10 @@
 		return
 	}
 	if s.config == nil || ev.Config.Version > s.config.Version {
+		before := s.config
 		s.config = ev.Config
 		s.updateStores()
+		s.updateScopes(before)
 		for _, t := range s.targets {
 			t.service = s.config.Services[t.Service]
 		}
@@ -202,6 +204,11 @@
 	}
 }
 
+// configIsUnconfirmed reports whether the configuration may have been replaced longer ago than hosts may use it.
+func (s *State) configIsUnconfirmed() bool {
+	return s.now.Sub(s.configConfirmedAt) > s.cfg.RevokeAfter-revokeMargin
+}
+
 func (s *State) confirmConfig(asOf time.Time) {
 	s.configConfirmedAt = latest(s.configConfirmedAt, asOf)
 }
--- a/internal/relay/decider/helpers_test.go
+++ b/internal/relay/decider/helpers_test.go
@@ -46,11 +46,15 @@
 	return netip.MustParseAddrPort(fmt.Sprintf("172.20.0.%d:8746", n))
 }
 
+// testSalt is the salt of parts of version 1 under testConfig, except those of isolated teams.
+var testSalt = model + ":1:" + commonScope([]string{"team-2"})
+
 // testConfig returns a configuration with engines, a plain service, a fast and a large store.
 func testConfig(version int64) *descriptor.Config {
 	return &descriptor.Config{
 		Version: version, KeysRequired: true,
-		Keys: map[string]*descriptor.Team{key: {Name: "team-1", Priority: -1}, "key-2": {Name: "team-2", Priority: -1, Isolated: true}},
+		Keys:          map[string]*descriptor.Team{key: {Name: "team-1", Priority: -1}, "key-2": {Name: "team-2", Priority: -1}},
+		IsolatedTeams: []string{"team-2"},
 		Routes: []descriptor.Route{
 			{Name: "long", Host: "h", Prefix: "/long/", Kind: descriptor.KindStream, Timeout: 5 * time.Second, Goal: 300 * time.Millisecond, Priority: 1, Attempts: 1, Shares: []descriptor.Share{{Service: "engines", Weight: 1}}},
 			{Name: "short", Host: "h", Prefix: "/short/", Kind: descriptor.KindStream, Timeout: 15 * time.Second, Goal: 200 * time.Millisecond, Attempts: 2, Resumable: true, Shares: []descriptor.Share{{Service: "engines", Weight: 1}}},
@@ -181,7 +185,7 @@
 func (h *host) setStoreParts(store netip.AddrPort, parts ...descriptor.Part) {
 	changes := descriptor.PartChanges{Boot: 1, Next: 1}
 	for _, p := range parts {
-		changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: model + ":1", Part: p.ID, Tokens: p.Tokens})
+		changes.Changes = append(changes.Changes, descriptor.PartChange{Held: true, Salt: testSalt, Part: p.ID, Tokens: p.Tokens})
 	}
 	h.handle(PartsChanged{Store: store, Changes: changes, Whole: true, AsOf: h.clock})
 	h.storeByAddress(store).bootSeenAt = h.clock.Add(-saveDelayAfterBoot)
--- a/internal/relay/decider/relaying_test.go
+++ b/internal/relay/decider/relaying_test.go
@@ -35,7 +35,7 @@
 	}
 	knowing := func(part string) (n int) {
 		for _, h := range f.hosts {
-			if !f.stopped[h] && h.isFresh(h.storeByAddress(storeAddress(1))) && h.storeByAddress(storeAddress(1)).parts[partKey{model + ":1", part}] > 0 {
+			if !f.stopped[h] && h.isFresh(h.storeByAddress(storeAddress(1))) && h.storeByAddress(storeAddress(1)).parts[partKey{testSalt, part}] > 0 {
 				n++
 			}
 		}
@@ -45,10 +45,10 @@
 	assert.Assert(t, len(followers) <= followersInLargeFleet*stores, "%v", followers)
 	f.run(500 * time.Millisecond)
 	f.relays, f.lists = 0, 0
-	poll(3, descriptor.PartChange{Held: true, Salt: model + ":1", Part: "s", Tokens: 5000})
+	poll(3, descriptor.PartChange{Held: true, Salt: testSalt, Part: "s", Tokens: 5000})
 	f.run(400 * time.Millisecond)
 	assert.Equal(t, knowing("s"), len(f.hosts))
-	poll(4, descriptor.PartChange{Held: true, Salt: model + ":1", Part: "t", Tokens: 5000})
+	poll(4, descriptor.PartChange{Held: true, Salt: testSalt, Part: "t", Tokens: 5000})
 	f.run(400 * time.Millisecond)
 	assert.Equal(t, knowing("t"), len(f.hosts))
 	assert.Equal(t, f.lists, 0, "hosts list a store whose changes they have")
@@ -60,7 +60,7 @@
 		f.stopped[h] = followers[h.cfg.Host] > 0
 	}
 	f.run(peerTimeout + relayTimeout)
-	others := poll(5, descriptor.PartChange{Held: true, Salt: model + ":1", Part: "u", Tokens: 5000})
+	others := poll(5, descriptor.PartChange{Held: true, Salt: testSalt, Part: "u", Tokens: 5000})
 	assert.Assert(t, len(others) > 0 && len(others) <= maxDirectFollowers*stores, "%v", others)
 	f.run(400 * time.Millisecond)
 	assert.Equal(t, knowing("u"), len(f.hosts)-len(followers))
@@ -70,7 +70,7 @@
 	before := f.hosts[50]
 	f.hosts = slices.Delete(f.hosts, 50, 51)
 	f.addHost(before.cfg.Host, before.hosts)
-	poll(6, descriptor.PartChange{Held: true, Salt: model + ":1", Part: "v", Tokens: 5000})
+	poll(6, descriptor.PartChange{Held: true, Salt: testSalt, Part: "v", Tokens: 5000})
 	f.run(time.Second)
 	assert.Equal(t, f.lists, stores)
 }
@@ -101,7 +101,7 @@
 			continue
 		}
 		followers++
-		change := descriptor.PartChange{Held: true, Salt: model + ":1", Part: "s", Tokens: 5000}
+		change := descriptor.PartChange{Held: true, Salt: testSalt, Part: "s", Tokens: 5000}
 		for _, relay := range effectsOf[RelayParts](h.handle(PartsChanged{Store: store, Changes: descriptor.PartChanges{Boot: 1, Next: 2, Changes: []descriptor.PartChange{change}}})) {
 			for _, to := range relay.To {
 				relayed[to]++
@@ -115,7 +115,7 @@
 	assert.Equal(t, len(relayed), n-maxDirectFollowers)
 	for addr, h := range hosts {
 		assert.Assert(t, relayed[addr] <= 1)
-		assert.Assert(t, h.storeByAddress(store).parts[partKey{model + ":1", "s"}] == 5000, "%s has no record of the part", h.cfg.Host)
+		assert.Assert(t, h.storeByAddress(store).parts[partKey{testSalt, "s"}] == 5000, "%s has no record of the part", h.cfg.Host)
 		if relayed[addr] == 1 {
 			assert.Assert(t, !h.FollowsStore(store))
 			for n := range 10 {
--- a/internal/relay/decider/scale_bench_test.go
+++ b/internal/relay/decider/scale_bench_test.go
@@ -46,7 +46,7 @@
 	for n := range stores {
 		changes := descriptor.PartChanges{Boot: 1}
 		for p := range partsPerStore {
-			changes.Changes = append(changes.Changes, descriptor.PartChange{Salt: model + ":1", Part: fmt.Sprintf("%08x", n*partsPerStore+p), Tokens: 5000, Held: true})
+			changes.Changes = append(changes.Changes, descriptor.PartChange{Salt: testSalt, Part: fmt.Sprintf("%08x", n*partsPerStore+p), Tokens: 5000, Held: true})
 		}
 		h.handle(PartsChanged{Store: storeAddress(n + 1), Whole: true, Changes: changes, AsOf: h.clock})
 	}
@@ -102,7 +102,7 @@
 	h := newLargeFleet(b, 195, 124, 24)
 	h.hearPeers(1)
 	for b.Loop() {
-		h.handle(PartsChanged{Store: storeAddress(1), AsOf: h.clock, Changes: descriptor.PartChanges{Boot: 1, Changes: []descriptor.PartChange{{Salt: model + ":1", Part: "aa", Tokens: 5000, Held: true}}}})
+		h.handle(PartsChanged{Store: storeAddress(1), AsOf: h.clock, Changes: descriptor.PartChanges{Boot: 1, Changes: []descriptor.PartChange{{Salt: testSalt, Part: "aa", Tokens: 5000, Held: true}}}})
 	}
 }
 
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -100,8 +100,6 @@
 	Name string
 	// Priority overrides the route's priority unless it is negative.
 	Priority int
-	// Isolated teams share no cached parts with others.
-	Isolated bool
 }
 
 // Limits holds the limits for requests.
@@ -115,8 +113,11 @@
 	Routes   []Route
 	Services map[string]*Service
 	// Keys maps bearer keys to their teams.
-	Keys   map[string]*Team
-	Limits Limits
+	Keys map[string]*Team
+	// IsolatedTeams are the names of the teams, also of those without keys, that share no cached parts with
+	// others, sorted.
+	IsolatedTeams []string
+	Limits        Limits
 	// KeysRequired is true if requests require a key.
 	KeysRequired bool
 }
--- a/internal/relay/replayer/replayer.go
+++ b/internal/relay/replayer/replayer.go
@@ -68,6 +68,8 @@
 	FaultCrash FaultKind = "crash"
 	// FaultLimit lets Count engines name a limit of Factor requests a second.
 	FaultLimit FaultKind = "limit"
+	// FaultIsolation isolates a team that sends nothing, which changes the salt of all others.
+	FaultIsolation FaultKind = "isolation"
 )
 
 // Fault is a disturbance that starts at At, after the warm-up, and lasts for For.
@@ -375,6 +377,12 @@
 				e.record.EndLimit(r.now)
 			})
 		}
+	case FaultIsolation:
+		cfg := r.config()
+		cfg.Version, cfg.IsolatedTeams = 2, []string{"idle-team"}
+		for _, h := range r.hosts {
+			r.post(h, decider.ConfigListed{Config: cfg})
+		}
 	case FaultBurst:
 		r.arrivalFactor = fault.Factor
 		r.scheduleAfter(fault.For, func() { r.arrivalFactor = 1 })
