Keep the connection of a request whose head was read as idle ones end

What callers saw: around a SIGTERM, requests whose bodies came after their heads, in chunks or with a length, got no answer; the log of the host has no line that names them.

Cause: connections without a request are ended by a read deadline 2.9 s after the stop. net/http clears its own deadlines after the head and reports the state a moment later. A pass of the drainer in between set a deadline that the reading of the body met.

Change: a connection that becomes active after it was ended gets its deadline cleared. The state is reported before the body is read.

Result: TestRequestIsDroppedAfterItsHead forces the order: late length and late chunk failed before, pass now.

--- a/internal/core/drainer/drainer.go
+++ b/internal/core/drainer/drainer.go
@@ -15,13 +15,20 @@
 // Drainer holds the connections of an HTTP server. http.Server.Shutdown closes connections whose next request
 // it may have read, so that callers can't know whether it ran. A Drainer is safe for concurrent use.
 type Drainer struct {
-	mu sync.Mutex
-	// active is true for a connection from the end of a request's headers to that of the response.
-	active map[net.Conn]bool
+	mu    sync.Mutex
+	conns map[net.Conn]connState
+}
+
+// connState is the state of a connection.
+type connState struct {
+	// active is true from the end of a request's headers to that of the response.
+	active bool
+	// ended is true if the connection was ended as it had no request.
+	ended bool
 }
 
 // New returns a Drainer without connections.
-func New() *Drainer { return &Drainer{active: map[net.Conn]bool{}} }
+func New() *Drainer { return &Drainer{conns: map[net.Conn]connState{}} }
 
 // ObserveState is the ConnState hook of the server.
 func (d *Drainer) ObserveState(conn net.Conn, state http.ConnState) {
@@ -29,9 +36,15 @@
 	defer d.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
-		delete(d.active, conn)
+		delete(d.conns, conn)
+	case http.StateActive:
+		if d.conns[conn].ended {
+			// The headers had been read when the connection was ended. Its body may be yet to come.
+			_ = conn.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
+		}
+		d.conns[conn] = connState{active: true}
 	default:
-		d.active[conn] = state == http.StateActive
+		d.conns[conn] = connState{}
 	}
 }
 
@@ -57,13 +70,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if time.Now().Before(from) {
-		return len(d.active)
+		return len(d.conns)
 	}
-	for conn, active := range d.active {
-		if !active {
+	for conn, state := range d.conns {
+		if !state.active {
 			// Unlike a close, this drops no request that is being read: the server sets another deadline then.
 			_ = conn.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
+			d.conns[conn] = connState{ended: true}
 		}
 	}
-	return len(d.active)
+	return len(d.conns)
 }
--- a/internal/core/drainer/drainer_test.go
+++ b/internal/core/drainer/drainer_test.go
@@ -33,12 +33,18 @@
 		w.Header().Set("Connection", "close")
 		_, _ = io.WriteString(w, "answer")
 	})
+	s.start(t)
+	return s
+}
+
+// start starts the server, whose hook and handler are set.
+func (s *drainedServer) start(t *testing.T) {
+	t.Helper()
 	var err error
 	s.l, err = net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = s.Serve(s.l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return s
 }
 
 func (s *drainedServer) connect(t *testing.T) net.Conn {
@@ -100,3 +106,48 @@
 	err = <-slow.drain(t, 300*time.Millisecond)
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 }
+
+// TestRequestIsDroppedAfterItsHead guards against a request whose head has been read as the connections without
+// a request are ended: its connection doesn't count as active yet, but it must be answered, whether its body follows
+// or there is none.
+func TestRequestIsDroppedAfterItsHead(t *testing.T) {
+	for name, rest := range map[string][]string{
+		"no body":     {"GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"length":      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"},
+		"late length": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "body"},
+		"late chunk":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &drainedServer{Drainer: New()}
+			s.ConnState = func(conn net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					s.endIdle(time.Now()) // The pass that comes between the head and the state.
+				}
+				s.ObserveState(conn, state)
+			}
+			s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, err := io.ReadAll(r.Body)
+				assert.Check(t, err)
+				select {
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler) // As for a caller that has left.
+				case <-time.After(50 * time.Millisecond):
+				}
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, "answer")
+			})
+			s.start(t)
+			conn := s.connect(t)
+			for _, part := range rest {
+				_, err := io.WriteString(conn, part)
+				assert.NilError(t, err)
+				time.Sleep(20 * time.Millisecond)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "answer")
+		})
+	}
+}
