Log and count requests that a host doesn't read or cuts

Cause: the log of a host that stopped had no line for a request whose body it didn't read, nor for those that it cut at the end of the grace period, so that a lost request couldn't be traced.

Change: lines request not read and cut at the end of the grace period, with a counter each. A host that closes its connections waits up to 0.2 s for its requests to end, so that their lines are written.

Result: TestUnreadRequestLeavesNoTrace and TestCutRequestLeavesNoTrace pass; the lines that they look for didn't exist before.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -463,6 +463,14 @@
 	if r == nil {
 		return
 	}
-	s.log("caller left", r.id, "begun", r.responseStarted, "offers", r.sends, "after", s.now.Sub(r.arrivedAt))
+	event := "caller left"
+	if ev.Cut {
+		event = "cut at the end of the grace period"
+	}
+	s.log(event, r.id, "begun", r.responseStarted, "offers", r.sends, "after", s.now.Sub(r.arrivedAt), "stopping", s.stopping)
 	s.forget(r)
 }
+
+func (s *State) onRequestUnread(ev RequestUnread) {
+	s.log("request not read", ev.ID, "received", ev.Received, "detail", ev.Detail, "stopping", s.stopping)
+}
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -96,6 +96,8 @@
 		s.onAttemptFailed(ev)
 	case CallerDisconnected:
 		s.onCallerDisconnected(ev)
+	case RequestUnread:
+		s.onRequestUnread(ev)
 	case PartsChanged:
 		s.onPartsChanged(ev)
 	case StoreLost:
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -100,8 +100,22 @@
 	Body    ReceivedBody
 }
 
-// CallerDisconnected reports that the caller closed the connection.
-type CallerDisconnected struct{ Number int64 }
+// CallerDisconnected reports that the connection of a caller ended before its answer was complete.
+type CallerDisconnected struct {
+	Number int64
+	// Cut is true if this host closed the connection as it stops.
+	Cut bool
+}
+
+// RequestUnread reports that a request couldn't be read to its end, so that it never arrives.
+type RequestUnread struct {
+	Number int64
+	// ID is the caller's ID for the request.
+	ID string
+	// Received is the number of bytes of the body that were read.
+	Received int64
+	Detail   string
+}
 
 // ConfigListed reports a version of the configuration.
 type ConfigListed struct{ Config *descriptor.Config }
@@ -275,4 +289,5 @@
 func (QuarantineListed) isEvent()      {}
 func (QuarantineKept) isEvent()        {}
 func (StopRequested) isEvent()         {}
+func (RequestUnread) isEvent()         {}
 func (Tick) isEvent()                  {}
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -35,6 +35,8 @@
 type Meter struct {
 	registry  *prometheus.Registry
 	requests  prometheus.Counter
+	unread    prometheus.Counter
+	cut       prometheus.Counter
 	answers   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	failures  *prometheus.CounterVec
@@ -51,6 +53,8 @@
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounter(prometheus.CounterOpts{Name: "cardamom_requests_total", Help: "Requests read."}),
+		unread:   prometheus.NewCounter(prometheus.CounterOpts{Name: "cardamom_requests_unread_total", Help: "Requests whose bodies couldn't be read to their end."}),
+		cut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "cardamom_requests_cut_total", Help: "Requests cut at the end of the grace period."}),
 		answers:  newCounterVec("cardamom_answers_total", "Whole answers of targets, by status.", "status"),
 		refusals: newCounterVec("cardamom_refusals_total", "Requests ended by the relay, by kind.", "kind"),
 		failures: newCounterVec("cardamom_attempt_failures_total", "Attempts without a whole answer, by reason.", "reason"),
@@ -60,7 +64,7 @@
 			Name: "cardamom_first_part_seconds", Help: "Time from the request to the first part of its answer.", Buckets: firstPartBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.answers, m.refusals, m.failures, m.bodies, m.calls, m.firstPart)
+	m.registry.MustRegister(m.requests, m.unread, m.cut, m.answers, m.refusals, m.failures, m.bodies, m.calls, m.firstPart)
 	if cfg.DroppedLines != nil {
 		m.registry.MustRegister(prometheus.NewCounterFunc(
 			prometheus.CounterOpts{Name: "cardamom_log_lines_dropped_total", Help: "Lines of the log that were dropped."},
@@ -150,12 +154,18 @@
 // ObserveFirstPart records the time from a request to the first part of its response.
 func (m *Meter) ObserveFirstPart(seconds float64) { m.firstPart.Observe(seconds) }
 
-// CountEvent counts requests, complete responses and failed attempts. It ignores all
+// CountEvent counts requests and their ends, complete responses and failed attempts. It ignores all
 // other events.
 func (m *Meter) CountEvent(ev decider.Event) {
 	switch ev := ev.(type) {
 	case decider.RequestArrived:
 		m.requests.Inc()
+	case decider.RequestUnread:
+		m.unread.Inc()
+	case decider.CallerDisconnected:
+		if ev.Cut {
+			m.cut.Inc()
+		}
 	case decider.AttemptDone:
 		m.answers.WithLabelValues(statusClass(ev.Status)).Inc()
 		m.countBody(ev.Body, "complete")
--- a/internal/relay/runner/leaving_test.go
+++ b/internal/relay/runner/leaving_test.go
@@ -117,3 +117,35 @@
 	assert.NilError(t, <-r.done)
 	assert.Assert(t, time.Since(stoppedAt) < 7*time.Second, "left after %s", time.Since(stoppedAt))
 }
+
+// TestUnreadRequestLeavesNoTrace guards against requests that a host began to read and that its log doesn't name.
+func TestUnreadRequestLeavesNoTrace(t *testing.T) {
+	r := startRelay(t, &imitator.Target{ID: "p"})
+	for id, head := range map[string]string{
+		"broken":   "Content-Length: 10\r\n\r\nbody",
+		"chunked":  "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"too-long": fmt.Sprintf("Content-Length: %d\r\n\r\n", 1<<30),
+	} {
+		c := r.connect()
+		_, err := fmt.Fprintf(c, "POST /pay/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nAuthorization: Bearer key\r\n%s", id, head)
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond) // Lets the host read the head.
+		assert.NilError(t, c.Close())
+		r.waitFor(id, func() bool { return r.log.mentions(id) })
+	}
+	r.stop()
+	assert.NilError(t, <-r.done)
+}
+
+// TestCutRequestLeavesNoTrace guards against requests that are cut as a host ends and that its log doesn't name as such.
+func TestCutRequestLeavesNoTrace(t *testing.T) {
+	r := startRelay(t, &imitator.Target{ID: "s", Events: 100, Pause: 200 * time.Millisecond})
+	c := r.connect()
+	_, err := io.WriteString(c, "POST /short/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: long\r\nAuthorization: Bearer key\r\nDeadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.r.ReadByte()
+	assert.NilError(t, err)
+	r.stop()
+	assert.NilError(t, <-r.done)
+	assert.Assert(t, r.log.contains(`"cut at the end of the grace period"`))
+}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -214,9 +214,11 @@
 				<-callersServed
 			}
 		})
-		for _, srv := range servers {
-			_ = srv.Close() // The grace period of requests still open is over.
-		}
+		r.server.Cut(func() {
+			for _, srv := range servers {
+				_ = srv.Close() // The grace period of requests still open is over.
+			}
+		})
 		end()
 		return nil
 	})
--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -178,6 +178,12 @@
 	return bytes.Contains(b.buf.Bytes(), []byte(fmt.Sprintf("%q:%q", "request-id", id)))
 }
 
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Contains(b.buf.Bytes(), []byte(text))
+}
+
 func sseEvents(n int) string {
 	var b strings.Builder
 	for i := 1; i <= n; i++ {
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -41,6 +41,12 @@
 	Buffers *bounder.Budget
 }
 
+const (
+	// maxCutTime is how long cut requests are waited for, cutCheckInterval the interval between checks.
+	maxCutTime       = 200 * time.Millisecond
+	cutCheckInterval = 5 * time.Millisecond
+)
+
 // defaultMaxBodyBytes bounds request bodies until a configuration sets a limit.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -49,6 +55,10 @@
 	cfg        Config
 	lastNumber atomic.Int64
 	draining   atomic.Bool
+	// cutting is true once the connections of requests in progress are closed.
+	cutting atomic.Bool
+	// inProgress is the number of requests whose headers have been read and that haven't ended.
+	inProgress atomic.Int64
 }
 
 // New returns a Server that keeps connections alive until StartDraining is called.
@@ -57,9 +67,21 @@
 // StartDraining makes each response from now on close its connection.
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
+// Cut calls closeAll, which closes all connections, and waits until the requests in progress have ended, but not
+// for long.
+func (s *Server) Cut(closeAll func()) {
+	s.cutting.Store(true)
+	closeAll()
+	for waited := time.Duration(0); s.inProgress.Load() > 0 && waited < maxCutTime; waited += cutCheckInterval {
+		time.Sleep(cutCheckInterval)
+	}
+}
+
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler to abort the
 // connection of a caller that must not take a partial response for a complete one.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	defer func() {
 		if aborted := recover(); aborted != nil {
 			resetUnframed(r)
@@ -70,15 +92,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := translator.ParseRequest(r)
-	body, status := s.readBody(r)
-	if status != 0 {
-		writeRefusal(w, req.ID, status, 0)
-		return
-	}
 	x := &exchange{
-		server: s, w: w, req: &req, body: body, number: s.lastNumber.Add(1), began: s.cfg.Clock.Now(),
+		server: s, w: w, req: &req, number: s.lastNumber.Add(1), began: s.cfg.Clock.Now(),
 		position: position{id: req.LastEvent},
 	}
+	var status int
+	if x.body, status = x.readBody(r); status != 0 {
+		writeRefusal(w, req.ID, status, 0)
+		return
+	}
 	x.run(r.Context())
 }
 
@@ -102,34 +124,46 @@
 }
 
 // readBody returns the body, or the status with which the request is refused.
-func (s *Server) readBody(r *http.Request) ([]byte, int) {
+func (x *exchange) readBody(r *http.Request) ([]byte, int) {
 	if r.ContentLength == 0 {
 		return nil, 0
 	}
 	limit := int64(defaultMaxBodyBytes)
-	if limits := s.cfg.Decider.Limits(); limits != nil && limits.MaxBodyBytes > 0 {
+	if limits := x.server.cfg.Decider.Limits(); limits != nil && limits.MaxBodyBytes > 0 {
 		limit = int64(limits.MaxBodyBytes)
 	}
 	if r.ContentLength > limit {
+		x.postUnread(nil, errBodyTooLong)
 		return nil, http.StatusRequestEntityTooLarge
 	}
+	var body []byte
+	var err error
 	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			panic(http.ErrAbortHandler) // The caller has disconnected.
-		}
-		return body, 0
+		body = make([]byte, r.ContentLength)
+		var n int
+		n, err = io.ReadFull(r.Body, body)
+		body = body[:n]
+	} else {
+		body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
+		x.postUnread(body, err)
 		panic(http.ErrAbortHandler) // The caller has disconnected.
 	case int64(len(body)) > limit:
+		x.postUnread(body, errBodyTooLong)
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	return body, 0
 }
 
+// errBodyTooLong reports a body above the configured limit.
+var errBodyTooLong = errors.New("the body is too long")
+
+func (x *exchange) postUnread(received []byte, err error) {
+	x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(len(received)), Detail: err.Error()})
+}
+
 // exchange is the state of one request.
 type exchange struct {
 	server *Server
@@ -169,8 +203,7 @@
 			return
 		case decider.Wait:
 			if effect = x.server.cfg.Decider.Await(callerCtx, x.number); effect == nil {
-				x.post(decider.CallerDisconnected{Number: x.number})
-				panic(http.ErrAbortHandler)
+				x.disconnected()
 			}
 		case decider.Send:
 			failed := x.attempt(callerCtx, e)
@@ -178,8 +211,7 @@
 				return
 			}
 			if callerCtx.Err() != nil {
-				x.post(decider.CallerDisconnected{Number: x.number})
-				panic(http.ErrAbortHandler)
+				x.disconnected()
 			}
 			effect = x.post(*failed)
 		default:
@@ -189,6 +221,12 @@
 	}
 }
 
+// disconnected ends a request whose connection has ended.
+func (x *exchange) disconnected() {
+	x.post(decider.CallerDisconnected{Number: x.number, Cut: x.server.cutting.Load()})
+	panic(http.ErrAbortHandler)
+}
+
 // attempt sends the request to a target and forwards the response. It returns nil
 // once the complete response was written.
 func (x *exchange) attempt(callerCtx context.Context, send decider.Send) *decider.AttemptFailed {
--- a/internal/relay/server/stream.go
+++ b/internal/relay/server/stream.go
@@ -68,8 +68,7 @@
 			}
 			if werr := x.writeEvents(resp, flush, buf.Bytes()[:held+complete]); werr != nil {
 				resp.Abort()
-				x.post(decider.CallerDisconnected{Number: x.number})
-				panic(http.ErrAbortHandler)
+				x.disconnected()
 			}
 			buf.Discard(held + complete)
 		}
