Answer each request before a host that stops ends

What callers saw: around a SIGTERM, requests whose upload ended late, whose target was silent, or whose upload went on ended with their connection 7.5 s after it, among them requests that may not be repeated and had been passed on.

Cause: a host takes no requests on connections from 2.9 s after its stop, but what had begun before was served whenever it was whole. Nothing compared it with the end of the grace period, at which all that was left was cut.

Change: requests that have been read later than 2.9 s after the stop are refused as not run. In the last sixth of the grace period, uploads that go on and attempts whose answer hasn't begun are ended with an answer; only streams that have begun are cut.

--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -108,6 +108,9 @@
 
 // admit sets the route, team and service of r, or returns the reason to refuse it.
 func (s *State) admit(r *request, ev RequestArrived) RefusalKind {
+	if s.requestsClosed {
+		return RefusalLeaving
+	}
 	if s.config == nil {
 		return RefusalUnconfigured
 	}
@@ -473,4 +476,7 @@
 
 func (s *State) onRequestUnread(ev RequestUnread) {
 	s.log("request not read", ev.ID, "received", ev.Received, "detail", ev.Detail, "stopping", s.stopping)
+	if ev.Interrupted {
+		s.refuse(&request{number: ev.Number, id: ev.ID, arrivedAt: s.now}, RefusalLeaving, transientRetryAfter)
+	}
 }
--- a/internal/relay/decider/decider.go
+++ b/internal/relay/decider/decider.go
@@ -63,6 +63,8 @@
 	crashHistory
 	quarantine
 	stopping bool
+	// requestsClosed and requestsEnded are true from the events of that name.
+	requestsClosed, requestsEnded bool
 }
 
 // New returns a State without a configuration, which refuses all requests.
@@ -113,6 +115,10 @@
 	case StopRequested:
 		s.stopping = true
 		s.broadcast()
+	case RequestsClosed:
+		s.requestsClosed = true
+	case RequestsEnded:
+		s.requestsEnded = true
 	default:
 		s.reduceClusterEvent(ev)
 	}
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -64,6 +64,8 @@
 	RefusalRequestQuarantined RefusalKind = "request-quarantined"
 	// RefusalLimited means that all targets have as many requests as the limits allow that they named.
 	RefusalLimited RefusalKind = "limit"
+	// RefusalLeaving means that this host stops and can't answer the request before it ends.
+	RefusalLeaving RefusalKind = "leaving"
 )
 
 // Refuse ends a request with a refusal by this host.
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -115,6 +115,8 @@
 	// Received is the number of bytes of the body that were read.
 	Received int64
 	Detail   string
+	// Interrupted is true if this host has ended the upload, so that the caller can be answered.
+	Interrupted bool
 }
 
 // ConfigListed reports a version of the configuration.
@@ -262,6 +264,12 @@
 // StopRequested requests a graceful shutdown.
 type StopRequested struct{}
 
+// RequestsClosed ends the time in which a host that stops takes requests.
+type RequestsClosed struct{}
+
+// RequestsEnded ends the time in which a host that stops waits for the beginning of answers.
+type RequestsEnded struct{}
+
 // Tick is sent at regular intervals to run timers.
 type Tick struct{}
 
@@ -289,5 +297,7 @@
 func (QuarantineListed) isEvent()      {}
 func (QuarantineKept) isEvent()        {}
 func (StopRequested) isEvent()         {}
+func (RequestsClosed) isEvent()        {}
+func (RequestsEnded) isEvent()         {}
 func (RequestUnread) isEvent()         {}
 func (Tick) isEvent()                  {}
--- a/internal/relay/decider/retrying.go
+++ b/internal/relay/decider/retrying.go
@@ -190,6 +190,8 @@
 // retryRefusal returns the reason why r must not be retried, or "".
 func (s *State) retryRefusal(r *request, ev AttemptFailed) RefusalKind {
 	switch {
+	case s.requestsEnded && !r.responseStarted:
+		return RefusalLeaving
 	case ev.Reason == FailureDeadline || !s.now.Before(r.deadline):
 		return RefusalDeadline
 	case r.runs > 0 && !r.route.Repeatable():
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -55,8 +55,13 @@
 	// load balancer sees two failed readiness checks first.
 	drainDelay = 2500 * time.Millisecond
 	// latestRequest is the time from the stop of a host until which it takes requests on open connections. The
-	// platform expects later ones to be answered, however long they take.
+	// platform expects later ones to be answered, however long they take, so that they are refused.
 	latestRequest = 2900 * time.Millisecond
+	// answerReserve is the part of the grace period before which answers that haven't begun are given up. The server
+	// closes a connection half a second after it has answered an upload that isn't over.
+	answerReserve = 1200 * time.Millisecond
+	// minAnswerShare is the share of the grace period in which a target's silence is no reason to give up.
+	minAnswerShare = 5.0 / 6
 	// shutdownReserve is the part of the grace period kept for closing what is left.
 	shutdownReserve = 500 * time.Millisecond
 	// maxConcurrentCalls bounds the concurrent calls on behalf of the reducer.
@@ -235,14 +240,26 @@
 	return nil
 }
 
+// unansweredTime returns how long after its stop a host waits for the beginning of answers.
+func unansweredTime(gracePeriod time.Duration) time.Duration {
+	return max(time.Duration(minAnswerShare*float64(gracePeriod)), gracePeriod-answerReserve)
+}
+
 // drain announces the stop to the load balancer and the peers, closes the listener after the
 // connections that were established, and waits for requests to finish until the grace period is
-// almost over.
+// almost over. Shortly before that it answers those whose answers haven't begun.
 func (r *Runner) drain(callers *drainer.Drainer, closeListener func()) {
 	r.cfg.Logger.Info("leaving")
 	startedAt := time.Now()
 	r.post(decider.StopRequested{})
 	r.server.StartDraining()
+	closing := time.AfterFunc(latestRequest, func() { r.post(decider.RequestsClosed{}) })
+	defer closing.Stop()
+	ending := time.AfterFunc(unansweredTime(r.cfg.Settings.GracePeriod), func() {
+		r.post(decider.RequestsEnded{})
+		r.server.EndUnanswered()
+	})
+	defer ending.Stop()
 	time.Sleep(drainDelay)
 	closeListener()
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(r.cfg.Settings.GracePeriod-shutdownReserve))
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 	cfg        Config
 	lastNumber atomic.Int64
 	draining   atomic.Bool
+	// unanswered is done once no answer that hasn't begun is waited for; endUnanswered ends it.
+	unanswered    context.Context
+	endUnanswered context.CancelFunc
 	// cutting is true once the connections of requests in progress are closed.
 	cutting atomic.Bool
 	// inProgress is the number of requests whose headers have been read and that haven't ended.
@@ -62,11 +66,19 @@
 }
 
 // New returns a Server that keeps connections alive until StartDraining is called.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	s.unanswered, s.endUnanswered = context.WithCancel(context.Background())
+	return s
+}
 
 // StartDraining makes each response from now on close its connection.
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
+// EndUnanswered interrupts all uploads, and all attempts whose answer hasn't begun, so that their callers get an
+// answer. The reducer must know that requests have ended.
+func (s *Server) EndUnanswered() { s.endUnanswered() }
+
 // Cut calls closeAll, which closes all connections, and waits until the requests in progress have ended, but not
 // for long.
 func (s *Server) Cut(closeAll func()) {
@@ -96,12 +108,9 @@
 		server: s, w: w, req: &req, number: s.lastNumber.Add(1), began: s.cfg.Clock.Now(),
 		position: position{id: req.LastEvent},
 	}
-	var status int
-	if x.body, status = x.readBody(r); status != 0 {
-		writeRefusal(w, req.ID, status, 0)
-		return
+	if x.readBody(r) {
+		x.run(r.Context())
 	}
-	x.run(r.Context())
 }
 
 // connKey is the key of a caller's connection in the contexts of its requests.
@@ -123,45 +132,70 @@
 	}
 }
 
-// readBody returns the body, or the status with which the request is refused.
-func (x *exchange) readBody(r *http.Request) ([]byte, int) {
+// readBody reads the body. It returns false if it has refused the request.
+func (x *exchange) readBody(r *http.Request) bool {
 	if r.ContentLength == 0 {
-		return nil, 0
+		return true
 	}
 	limit := int64(defaultMaxBodyBytes)
 	if limits := x.server.cfg.Decider.Limits(); limits != nil && limits.MaxBodyBytes > 0 {
 		limit = int64(limits.MaxBodyBytes)
 	}
 	if r.ContentLength > limit {
-		x.postUnread(nil, errBodyTooLong)
-		return nil, http.StatusRequestEntityTooLarge
+		x.refuseTooLong()
+		return false
 	}
-	var body []byte
+	resume := x.interruptible()
 	var err error
 	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
+		x.body = make([]byte, r.ContentLength)
 		var n int
-		n, err = io.ReadFull(r.Body, body)
-		body = body[:n]
+		n, err = io.ReadFull(r.Body, x.body)
+		x.body = x.body[:n]
 	} else {
-		body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
+		x.body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	}
+	interrupted := !resume()
 	switch {
 	case err != nil:
-		x.postUnread(body, err)
-		panic(http.ErrAbortHandler) // The caller has disconnected.
-	case int64(len(body)) > limit:
-		x.postUnread(body, errBodyTooLong)
-		return nil, http.StatusRequestEntityTooLarge
+		x.refuseUnread(err, interrupted && errors.Is(err, os.ErrDeadlineExceeded))
+		return false
+	case int64(len(x.body)) > limit:
+		x.refuseTooLong()
+		return false
 	}
-	return body, 0
+	return true
+}
+
+// interruptible lets EndUnanswered interrupt the reading of the body. The function that it returns ends that, and
+// returns false if it was interrupted.
+func (x *exchange) interruptible() func() bool {
+	conn := http.NewResponseController(x.w)
+	return context.AfterFunc(x.server.unanswered, func() {
+		_ = conn.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
+	})
 }
 
 // errBodyTooLong reports a body above the configured limit.
 var errBodyTooLong = errors.New("the body is too long")
 
-func (x *exchange) postUnread(received []byte, err error) {
-	x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(len(received)), Detail: err.Error()})
+func (x *exchange) refuseTooLong() {
+	x.postUnread(errBodyTooLong, false)
+	writeRefusal(x.w, x.req.ID, http.StatusRequestEntityTooLarge, 0)
+}
+
+// refuseUnread ends a request whose body wasn't read to its end because of err: with a refusal if this host has
+// interrupted it, and by aborting the connection otherwise, as the caller has disconnected.
+func (x *exchange) refuseUnread(err error, interrupted bool) {
+	refusal, ok := x.postUnread(err, interrupted).(decider.Refuse)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	x.refuse(refusal)
+}
+
+func (x *exchange) postUnread(err error, interrupted bool) decider.Effect {
+	return x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(len(x.body)), Detail: err.Error(), Interrupted: interrupted})
 }
 
 // exchange is the state of one request.
@@ -175,6 +209,8 @@
 	// headerSent is true once the response header was written, with the given status.
 	headerSent bool
 	status     int
+	// begun stops EndUnanswered from ending the attempt in progress, as its answer has begun.
+	begun func() bool
 	// fallback is a target's error response, which is used if no other target succeeds.
 	fallback *bufferedResponse
 	// position is how far the caller has received a stream.
@@ -232,6 +268,10 @@
 func (x *exchange) attempt(callerCtx context.Context, send decider.Send) *decider.AttemptFailed {
 	ctx, cancel := context.WithTimeout(callerCtx, send.Deadline.Sub(x.server.cfg.Clock.Now()))
 	defer cancel()
+	if !x.headerSent {
+		x.begun = context.AfterFunc(x.server.unanswered, cancel)
+		defer x.begun()
+	}
 	x.received = decider.ReceivedBody{}
 	resp, failure := x.server.cfg.Forwarder.RoundTrip(ctx, send, x.req, x.body, x.position.id)
 	if failure != nil {
@@ -336,6 +376,7 @@
 		h["Date"] = nil
 	}
 	x.w.WriteHeader(resp.Status)
+	x.begun()
 	x.headerSent, x.status = true, resp.Status
 }
 
