Stop hosts in overlapping turns under uploads in the soak

Cause: the soak's stops in calm came one after the other, its callers sent and read at once and its targets answered within a second, so that it couldn't see what hosts do with requests that are late or slow.

Change: a series of stops, with uploads in pieces, kept connections and slow targets, checked by the platform's rule with its excuses. Each excuse and each violation has a history in checker_test.go. A test reads answers whose head is cut at each byte: none is taken for an answer.

--- a/internal/bench/soaker/checker.go
+++ b/internal/bench/soaker/checker.go
@@ -47,8 +47,11 @@
 	status                             int
 	// cut is true if the request failed before its response was complete.
 	cut bool
-	// runs counts the executions at targets.
-	runs int
+	// uploaded is when the last byte of an upload was sent; zero for requests that are sent at once.
+	uploaded time.Time
+	// runs counts the executions at targets, the last of which goes on until workUntil.
+	runs      int
+	workUntil time.Time
 	// impliedNotRun is true if the attempt mustn't be repeated and its status says
 	// that it never runs.
 	impliedNotRun bool
@@ -98,6 +101,8 @@
 	// fatal records the requests with a part that crashes engines, and those that crash plain targets; empty
 	// before the series.
 	fatal []*fatalRecord
+	// stops are the graceful stops that are yet to be checked.
+	stops []hostStop
 	// limits records what the processes of targets named and got, by ID.
 	limits map[string]*auditor.Record
 }
@@ -166,6 +171,7 @@
 		return
 	}
 	a.runs++
+	a.workUntil = r.At.Add(r.Lasts)
 	switch {
 	case a.method != r.Method || a.uri != r.URI || a.body != r.Body:
 		c.addViolationLocked("requests are unchanged", fmt.Sprintf("%s ran as %s %s with %d bytes", r.ID, r.Method, r.URI, len(r.Body)))
--- a/internal/bench/soaker/checker_test.go
+++ b/internal/bench/soaker/checker_test.go
@@ -25,6 +25,22 @@
 	return chk
 }
 
+// newCheckerWithStop returns a checker with the stop of a host and a stream that it has cut just now. Its last byte was
+// sent at uploaded; it ran so often, each time for lasts from then on.
+func newCheckerWithStop(stop, uploaded time.Time, runs int, lasts time.Duration) *checker {
+	chk := newCheckerWithAttempt("short")
+	chk.attempts["r"].uploaded = uploaded
+	for range runs {
+		r := newRun("short")
+		r.At, r.Lasts = uploaded, lasts
+		chk.RequestStarted(r)
+	}
+	chk.recordStop("h", stop)
+	chk.endAttempt("r", response{err: errCut})
+	chk.checkStops()
+	return chk
+}
+
 // newRun returns an execution of that attempt at a target.
 func newRun(kind string) imitator.Run {
 	return imitator.Run{ID: "r", Worker: "w", Team: "t", Method: "POST", URI: "/" + kind + "/r", Body: "b", At: time.Now()}
@@ -291,6 +307,27 @@
 			chk.checkNoCutRequests("h", now.Add(-time.Second))
 			return chk
 		}},
+		"upload passed on and cut by a graceful stop": {"graceful stop", func() *checker {
+			return newCheckerWithStop(now.Add(-gracePeriod), now.Add(-time.Second), 1, time.Minute)
+		}},
+		"upload read and cut by a graceful stop": {"graceful stop", func() *checker {
+			return newCheckerWithStop(now.Add(-gracePeriod), now.Add(-2*lossSlack), 0, 0)
+		}},
+		"upload that crosses the end of its connection": {"", func() *checker {
+			return newCheckerWithStop(now.Add(-gracePeriod), now.Add(-lossSlack/2), 0, 0)
+		}},
+		"stream cut in the last sixth of the grace period": {"", func() *checker {
+			return newCheckerWithStop(now.Add(-excusedTime-time.Second), now.Add(-4*time.Second-excusedTime+latestExcused), 1, time.Minute)
+		}},
+		"stream cut after its target has ended": {"graceful stop", func() *checker {
+			return newCheckerWithStop(now.Add(-excusedTime-time.Second), now.Add(-4*time.Second-excusedTime+latestExcused), 1, time.Second)
+		}},
+		"stream sent late and cut in the last sixth of the grace period": {"graceful stop", func() *checker {
+			return newCheckerWithStop(now.Add(-excusedTime-time.Second), now.Add(-4*time.Second), 1, time.Minute)
+		}},
+		"stream cut at its route's timeout": {"", func() *checker {
+			return newCheckerWithStop(now.Add(-time.Second), now.Add(-routeTimeouts["short"]), 1, time.Minute)
+		}},
 		"request to a drained target": {"leaving", func() *checker {
 			chk := newCheckerWithAttempt("pay")
 			chk.RequestStarted(newRun("pay"))
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -116,7 +116,7 @@
 }
 
 // Run injects faults, clears them, pauses lease holders, lets prompts crash engines and targets name limits,
-// and then checks planned maintenance. Violations are in the Result; an error means that the soak itself could not be run, or was interrupted.
+// stops hosts under uploads, and then checks planned maintenance. Violations are in the Result; an error means that the soak itself could not be run, or was interrupted.
 func (s *Soaker) Run(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -143,6 +143,8 @@
 	s.crashSeries(ctx)
 	s.limitSeries(ctx)
 	sleep(ctx, recoveryTime)
+	s.stopSeries(ctx)
+	sleep(ctx, contactTime)
 	s.checkMaintenance(ctx)
 	stopCallers()
 	if err := g.Wait(); err != nil {
--- a/internal/relay/forwarder/forwarder_test.go
+++ b/internal/relay/forwarder/forwarder_test.go
@@ -330,3 +330,21 @@
 	assert.Equal(t, len(p.idle[removed]), 0)
 	assert.Equal(t, len(p.idle[other]), 1)
 }
+
+// TestTruncatedHeadIsTakenForAnswer guards against an answer whose target stops in the middle of its head and closes,
+// wherever that is: the caller would get a success with an empty or short body.
+func TestTruncatedHeadIsTakenForAnswer(t *testing.T) {
+	for _, end := range []string{"\r\n", "Content-Length: 800\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"} {
+		head := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nReply-Seal: s\r\n" + end
+		for length := range len(head) {
+			s := newScriptedTarget(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, head[:length])
+			})
+			resp, failure := roundTrip(newForwarder(t), s.addr, "a", true, nil)
+			assert.Assert(t, resp == nil && failure != nil && !failure.NotRun, "%q", head[:length])
+		}
+	}
+}
