Take entries that lack fields for no targets

What callers saw: requests, unsafe ones among them, were sent to a server that was no target, and its 404 passed on (DENIED).

Cause: an entry of another writer without version, coldLeftMs and seq counted as a target, as only the fields in use were checked. An entry that couldn't be decoded any more left its target in use.

A changed entry that can't be decoded ends the use of its target. The specs of our own tests lacked the fields and have them now.

--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -721,6 +721,7 @@
 		t, err := decoder.Target(o.Name, o.Spec)
 		if err != nil {
 			w.skipEntry(o.Name, err)
+			ev.Removed = append(ev.Removed, o.Name) // It no longer names a target to use.
 			continue
 		}
 		ev.Targets = append(ev.Targets, t)
--- a/internal/relay/follower/follower_test.go
+++ b/internal/relay/follower/follower_test.go
@@ -117,7 +117,7 @@
 	return events
 }
 
-const targetSpec = `{"service":"s","addr":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","born":1}`
+const targetSpec = `{"service":"s","addr":"10.0.0.1:80","zone":"a","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":1,"born":1}`
 
 // TestRegistrationRetriesWithoutPause guards against a host that calls the platform's store without
 // pause while the store says of its entry both that it exists and that it doesn't.
@@ -582,3 +582,14 @@
 	waitForEvent(t, events, func(decider.QuarantineListed) bool { return true })
 	assert.Assert(t, calls.Load() > 0)
 }
+
+// TestEntryThatLosesFieldNamesNoTarget guards against a target that stays in use, as it was, after another writer has
+// replaced its entry by one that lacks a field.
+func TestEntryThatLosesFieldNamesNoTarget(t *testing.T) {
+	store := imitator.NewStore()
+	store.Put(caller.KindTargets, "a", targetSpec)
+	events := startFollower(t, store)
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return ev.Whole && len(ev.Targets) == 1 })
+	store.Put(caller.KindTargets, "a", strings.Replace(targetSpec, `"seq":1,`, "", 1))
+	waitForEvent(t, events, func(ev decider.TargetsListed) bool { return slices.Equal(ev.Removed, []string{"a"}) })
+}
--- a/internal/relay/runner/resume_test.go
+++ b/internal/relay/runner/resume_test.go
@@ -78,7 +78,7 @@
 					}
 				}))
 				t.Cleanup(srv.Close)
-				store.Put(caller.KindTargets, id, fmt.Sprintf(`{"service":"streams","addr":%q,"zone":"a","slots":8,"state":"ready","born":1}`, srv.Listener.Addr()))
+				store.Put(caller.KindTargets, id, fmt.Sprintf(`{"service":"streams","addr":%q,"zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1}`, srv.Listener.Addr()))
 			}
 			r := startRelayOn(t, store, timer.BootClock{})
 			status, body, err := r.send("/short/1", "x", "key", "prompt")
--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -86,7 +86,7 @@
 		if target.Events > 0 {
 			service = "streams"
 		}
-		store.Put(caller.KindTargets, target.ID, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"a","slots":8,"state":"ready","born":1}`, service, srv.Listener.Addr()))
+		store.Put(caller.KindTargets, target.ID, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1}`, service, srv.Listener.Addr()))
 		t.Cleanup(srv.Close)
 	}
 	store.Put(caller.KindTargets, "foreign", `{"service":7}`)
@@ -342,7 +342,7 @@
 func TestStoreThatWentBackIsNoticedFromPeers(t *testing.T) {
 	store := imitator.NewStore()
 	store.Put(caller.KindConfig, caller.ConfigName, fmt.Sprintf(testConfig, 1))
-	store.Put(caller.KindTargets, "idle", `{"service":"plain","addr":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":1}`)
+	store.Put(caller.KindTargets, "idle", `{"service":"plain","addr":"127.0.0.1:9","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1}`)
 	renewLease := func() { store.Put(caller.KindLeases, leaseName, `{"holder":"host-2","boot":1}`) }
 	renewLease() // Another host holds the lease, so this one makes no calls for it.
 	earlier := store.Copy()
