--- a/internal/core/splitter/splitter.go
+++ b/internal/core/splitter/splitter.go
@@ -76,11 +76,11 @@
 		return malformed(op, c.at)
 	}
 	if c.take(end) {
-		return nil
+		return c.end(op)
 	}
 	for entry() {
 		if c.take(end) {
-			return nil
+			return c.end(op)
 		}
 		if !c.take(',') {
 			break
@@ -89,6 +89,14 @@
 	return malformed(op, c.at)
 }
 
+// end returns an error unless only spaces follow. Text that closes brackets too early goes on after the last one.
+func (c *cursor) end(op string) error {
+	if c.skipSpaces(); c.at < len(c.raw) {
+		return malformed(op, c.at)
+	}
+	return nil
+}
+
 // take reads one character, after spaces, if it is the given one.
 func (c *cursor) take(b byte) bool {
 	c.skipSpaces()
--- a/internal/relay/runner/odd_entry_test.go
+++ b/internal/relay/runner/odd_entry_test.go
@@ -26,6 +26,7 @@
 	for name, odd := range map[string]string{
 		"deep": deepNesting, "deep field": `{"service":"plain","x":` + deepNesting + `}`, "large number": `{"service":"plain","slots":1e999}`,
 		"port out of range": `{"service":"plain","addr":"10.0.0.1:99999","zone":"a","state":"ready"}`, "other type": `7`, "unreadable": "{\"service\":\"\x00\"}",
+		"breaks off": `{"service":"plain","addr":"127.0.`, "closes too much": `}}],"currentRev":999999}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
