Bound the bodies of all requests together

What callers saw: many uploads of the allowed size at a time took a host over its memory. It was killed, and with it all uploads and the small requests of others were lost.

Cause: the announced length of each body was allocated and held until the answer was written, without a bound over all of them.

Change: bodies share 0.4 of the host's memory beyond their first 16 KiB each. They are held in pieces as they come and not joined. One that doesn't fit is refused as not run, and gives back what it held.

--- a/internal/core/bounder/bounder.go
+++ b/internal/core/bounder/bounder.go
@@ -121,36 +121,61 @@
 	return nil
 }
 
-// ReadAll reads r to its end and returns the number of bytes read. Its errors are those of Fill
-// without io.EOF; after one, the buffer holds only some of the bytes.
-func (b *Buffer) ReadAll(r io.Reader) (int, error) {
-	before, held := len(b.data), len(b.data)
-	var chunks [][]byte // Full ones, which are joined at the end: bytes without end are never copied.
+// Chunks are bytes in several pieces.
+type Chunks [][]byte
+
+// Len returns the number of bytes.
+func (c Chunks) Len() int {
+	n := 0
+	for _, chunk := range c {
+		n += len(chunk)
+	}
+	return n
+}
+
+// ReadChunks reads r to its end in pieces, which belong to the buffer until it is released. Its errors are those of
+// Fill without io.EOF; with one, the chunks are what was read before.
+func (b *Buffer) ReadChunks(r io.Reader) (Chunks, error) {
+	chunks, held := Chunks{b.data}, len(b.data)
+	b.data = nil
 	for {
-		if len(b.data) == cap(b.data) {
+		last := &chunks[len(chunks)-1]
+		if len(*last) == cap(*last) {
 			size := min(max(held, initialBytes), maxChunkBytes)
 			if err := b.take(held + size); err != nil {
-				return held - before, err
+				return chunks, err
 			}
-			chunks, b.data = append(chunks, b.data), make([]byte, 0, size)
+			chunks = append(chunks, make([]byte, 0, size))
+			last = &chunks[len(chunks)-1]
 		}
-		n, err := r.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
+		n, err := r.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
 		held += n
 		switch {
 		case held > b.limit:
-			return held - before, b.tooLong()
+			return chunks, b.tooLong()
 		case errors.Is(err, io.EOF):
-			if held > len(b.data) {
-				b.data = slices.Concat(append(chunks, b.data)...)
-			}
-			return held - before, nil
+			return chunks, nil
 		case err != nil:
-			return held - before, err
+			return chunks, err
 		}
 	}
 }
 
+// ReadAll reads r to its end and returns the number of bytes read. Its errors are those of Fill
+// without io.EOF; after one, the buffer holds only some of the bytes.
+func (b *Buffer) ReadAll(r io.Reader) (int, error) {
+	before := len(b.data)
+	chunks, err := b.ReadChunks(r) // Bytes without end are never copied.
+	n := chunks.Len()
+	if err == nil && n > len(chunks[len(chunks)-1]) {
+		b.data = slices.Concat(chunks...)
+	} else {
+		b.data = chunks[len(chunks)-1]
+	}
+	return n - before, err
+}
+
 func (b *Buffer) tooLong() error { return newError(KindTooLong, "more than %d bytes", b.limit) }
 
 // Discard removes the first n bytes.
--- a/internal/relay/decider/admission.go
+++ b/internal/relay/decider/admission.go
@@ -475,8 +475,9 @@
 }
 
 func (s *State) onRequestUnread(ev RequestUnread) {
-	s.log("request not read", ev.ID, "received", ev.Received, "detail", ev.Detail, "stopping", s.stopping)
-	if ev.Interrupted {
-		s.refuse(&request{number: ev.Number, id: ev.ID, arrivedAt: s.now}, RefusalLeaving, transientRetryAfter)
+	s.log("request not read", ev.ID, "received", ev.Received, "cause", string(ev.Cause), "detail", ev.Detail, "stopping", s.stopping)
+	kind, ok := map[UnreadCause]RefusalKind{UnreadLeaving: RefusalLeaving, UnreadNoMemory: RefusalMemory}[ev.Cause]
+	if ok {
+		s.refuse(&request{number: ev.Number, id: ev.ID, arrivedAt: s.now}, kind, transientRetryAfter)
 	}
 }
--- a/internal/relay/decider/effects.go
+++ b/internal/relay/decider/effects.go
@@ -66,6 +66,8 @@
 	RefusalLimited RefusalKind = "limit"
 	// RefusalLeaving means that this host stops and can't answer the request before it ends.
 	RefusalLeaving RefusalKind = "leaving"
+	// RefusalMemory means that this host has no memory for the body of the request.
+	RefusalMemory RefusalKind = "memory"
 )
 
 // Refuse ends a request with a refusal by this host.
--- a/internal/relay/decider/events.go
+++ b/internal/relay/decider/events.go
@@ -114,11 +114,25 @@
 	ID string
 	// Received is the number of bytes of the body that were read.
 	Received int64
+	Cause    UnreadCause
 	Detail   string
-	// Interrupted is true if this host has ended the upload, so that the caller can be answered.
-	Interrupted bool
 }
 
+// UnreadCause says why a request wasn't read to its end.
+type UnreadCause string
+
+// The causes of unread requests.
+const (
+	// UnreadBroken means that the connection ended, or that the body isn't valid.
+	UnreadBroken UnreadCause = "broken"
+	// UnreadTooLong means that the body exceeds the configured limit.
+	UnreadTooLong UnreadCause = "too-long"
+	// UnreadLeaving means that this host has ended the upload as it stops.
+	UnreadLeaving UnreadCause = "leaving"
+	// UnreadNoMemory means that all bodies together would exceed their share of this host's memory.
+	UnreadNoMemory UnreadCause = "no-memory"
+)
+
 // ConfigListed reports a version of the configuration.
 type ConfigListed struct{ Config *descriptor.Config }
 
--- a/internal/relay/fingerprinter/fingerprinter.go
+++ b/internal/relay/fingerprinter/fingerprinter.go
@@ -17,8 +17,9 @@
 	Method string
 	Host   string
 	// URI is the path and query as the caller sent them.
-	URI  string
-	Body []byte
+	URI string
+	// Body is the body in any number of pieces.
+	Body [][]byte
 }
 
 // Sum returns the fingerprint of a request, in hexadecimal. Callers can't construct another request with the
@@ -28,14 +29,20 @@
 	writeField(h, []byte(r.Method))
 	writeField(h, []byte(r.Host))
 	writeField(h, []byte(r.URI))
-	writeField(h, r.Body)
+	writeField(h, r.Body...)
 	return hex.EncodeToString(h.Sum(nil)[:size])
 }
 
 // writeField writes a field with its length, so that a field can't continue in the next one.
-func writeField(h hash.Hash, field []byte) {
+func writeField(h hash.Hash, pieces ...[]byte) {
+	n := 0
+	for _, piece := range pieces {
+		n += len(piece)
+	}
 	var length [8]byte
-	binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+	binary.LittleEndian.PutUint64(length[:], uint64(n))
 	_, _ = h.Write(length[:]) // Writes to a hash never fail.
-	_, _ = h.Write(field)
+	for _, piece := range pieces {
+		_, _ = h.Write(piece)
+	}
 }
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -721,7 +721,9 @@
 		t, err := decoder.Target(o.Name, o.Spec)
 		if err != nil {
 			w.skipEntry(o.Name, err)
-			ev.Removed = append(ev.Removed, o.Name) // It no longer names a target to use.
+			if !full {
+				ev.Removed = append(ev.Removed, o.Name) // It no longer names a target to use.
+			}
 			continue
 		}
 		ev.Targets = append(ev.Targets, t)
--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/core/failer"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
@@ -93,7 +95,7 @@
 // RoundTrip sends a request to its target and returns the response with its body
 // unread. lastEvent is the ID of the last stream event that the caller has received, or
 // empty. Cancelling ctx closes the connection and so aborts the request.
-func (f *Forwarder) RoundTrip(ctx context.Context, send decider.Send, req *translator.Request, body []byte, lastEvent string) (*Response, *Failure) {
+func (f *Forwarder) RoundTrip(ctx context.Context, send decider.Send, req *translator.Request, body bounder.Chunks, lastEvent string) (*Response, *Failure) {
 	left := send.Deadline.Sub(f.cfg.Now())
 	if left <= 0 {
 		return nil, &Failure{Reason: decider.FailureDeadline, NotRun: true, Detail: "deadline already passed"}
@@ -112,7 +114,7 @@
 		Weights: send.Weights, Sources: send.Sources, Sinks: send.Sinks, SourceUntil: send.SourceUntil, LastEvent: lastEvent,
 	}
 	defer func() { c.reused = true }()
-	head := translator.AppendRequest(make([]byte, 0, 1024), req, &placement, len(body))
+	head := translator.AppendRequest(make([]byte, 0, 1024), req, &placement, body.Len())
 	if err := r.write(head, body); err != nil {
 		r.Abort()
 		return nil, f.failure(ctx, "write", err)
@@ -143,15 +145,15 @@
 
 // write sends the head and the body. A long request is written concurrently with
 // the reading of the response.
-func (r *Response) write(head, body []byte) error {
-	if len(body) < concurrentWriteSize {
-		_, err := r.conn.Write(append(head, body...))
+func (r *Response) write(head []byte, body bounder.Chunks) error {
+	if body.Len() < concurrentWriteSize {
+		_, err := r.conn.Write(slices.Concat(append(bounder.Chunks{head}, body...)...))
 		return err
 	}
 	r.written = make(chan struct{})
 	go func() {
 		defer close(r.written)
-		buffers := net.Buffers{head, body}
+		buffers := append(net.Buffers{head}, body...)
 		_, _ = buffers.WriteTo(r.conn) // A failure also fails the reading of the response.
 	}()
 	return nil
--- a/internal/relay/forwarder/forwarder_test.go
+++ b/internal/relay/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cardamomscale.example/cardamomscale/internal/core/bounder"
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/dialer"
@@ -81,7 +82,7 @@
 func roundTrip(f *Forwarder, addr netip.AddrPort, id string, repeatable bool, body []byte) (*Response, *Failure) {
 	req := &translator.Request{ID: id, Method: http.MethodPost, Host: "h", URI: "/p", Header: http.Header{"Request-Id": {id}}}
 	send := decider.Send{Target: "i", StartedAt: startedAt, Address: addr, Deadline: time.Now().Add(5 * time.Second), Repeatable: repeatable}
-	return f.RoundTrip(context.Background(), send, req, body, "")
+	return f.RoundTrip(context.Background(), send, req, bounder.Chunks{body}, "")
 }
 
 // readBody reads the body of a response and releases or aborts the connection.
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -17,6 +17,8 @@
 	DroppedLines func() int64
 	// BufferedBytes returns the number of bytes of responses that are held back. It may be nil.
 	BufferedBytes func() int64
+	// BodyBytes returns the number of bytes of callers' requests that are held. It may be nil.
+	BodyBytes func() int64
 	// WatchAges returns the time since the last answer to each watch of the platform, by kind of
 	// object. It may be nil.
 	WatchAges func() map[string]time.Duration
@@ -77,6 +79,12 @@
 			func() float64 { return float64(cfg.BufferedBytes()) },
 		))
 	}
+	if cfg.BodyBytes != nil {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "cardamom_body_bytes", Help: "Bytes of the bodies of requests, without the first 16 KiB of each."},
+			func() float64 { return float64(cfg.BodyBytes()) },
+		))
+	}
 	if cfg.WatchAges != nil {
 		m.registry.MustRegister(watchAges{cfg.WatchAges})
 	}
--- a/internal/relay/runner/runner.go
+++ b/internal/relay/runner/runner.go
@@ -70,6 +70,9 @@
 	// are held back, beyond the first 16 KiB of each, and that for responses to the host's own
 	// calls while they are read.
 	bufferedShare = 1.0 / 16
+	// bodiesShare is the share of the host's memory for the bodies of callers' requests, beyond the first 16 KiB of
+	// each. The rest is for what the collector hasn't freed yet, and for everything else.
+	bodiesShare = 0.4
 )
 
 // Config configures a Runner.
@@ -107,9 +110,10 @@
 	}
 	bufferBytes := int64(bufferedShare * float64(cfg.Settings.MemoryMB) * (1 << 20))
 	buffers := bounder.NewBudget(bufferBytes)
+	bodies := bounder.NewBudget(int64(bodiesShare * float64(cfg.Settings.MemoryMB) * (1 << 20)))
 	r := &Runner{cfg: cfg, callSlots: make(chan struct{}, maxConcurrentCalls)}
 	r.meter = meter.New(meter.Config{
-		DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used,
+		DroppedLines: cfg.DroppedLines, BufferedBytes: buffers.Used, BodyBytes: bodies.Used,
 		WatchAges:      func() map[string]time.Duration { return r.follower.WatchAges() },
 		GivenUpCalls:   func() map[string]int64 { return r.follower.GivenUpCalls() },
 		SkippedEntries: func() map[string]int64 { return r.follower.SkippedEntries() },
@@ -142,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.server = server.New(server.Config{Decider: r.executor, Forwarder: r.forwarder, Clock: cfg.Clock, Meter: r.meter, Buffers: buffers})
+	r.server = server.New(server.Config{Decider: r.executor, Forwarder: r.forwarder, Clock: cfg.Clock, Meter: r.meter, Buffers: buffers, Bodies: bodies})
 	return r, nil
 }
 
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,8 +37,8 @@
 	Forwarder *forwarder.Forwarder
 	Clock     timer.Clock
 	Meter     *meter.Meter
-	// Buffers bounds the memory for parts of responses that are held back.
-	Buffers *bounder.Budget
+	// Buffers bounds the memory for parts of responses that are held back, Bodies that for the bodies of requests.
+	Buffers, Bodies *bounder.Budget
 }
 
 const (
@@ -108,6 +107,7 @@
 		server: s, w: w, req: &req, number: s.lastNumber.Add(1), began: s.cfg.Clock.Now(),
 		position: position{id: req.LastEvent},
 	}
+	defer func() { x.buffer.Release() }()
 	if x.readBody(r) {
 		x.run(r.Context())
 	}
@@ -134,39 +134,43 @@
 
 // readBody reads the body. It returns false if it has refused the request.
 func (x *exchange) readBody(r *http.Request) bool {
+	limit := defaultMaxBodyBytes
+	if limits := x.server.cfg.Decider.Limits(); limits != nil && limits.MaxBodyBytes > 0 {
+		limit = limits.MaxBodyBytes
+	}
+	x.buffer = x.server.cfg.Bodies.NewBuffer(limit)
 	if r.ContentLength == 0 {
 		return true
 	}
-	limit := int64(defaultMaxBodyBytes)
-	if limits := x.server.cfg.Decider.Limits(); limits != nil && limits.MaxBodyBytes > 0 {
-		limit = int64(limits.MaxBodyBytes)
-	}
-	if r.ContentLength > limit {
-		x.refuseTooLong()
+	if r.ContentLength > int64(limit) {
+		x.refuseUnread(0, decider.UnreadTooLong, errBodyTooLong)
 		return false
 	}
 	resume := x.interruptible()
-	var err error
-	if r.ContentLength > 0 {
-		x.body = make([]byte, r.ContentLength)
-		var n int
-		n, err = io.ReadFull(r.Body, x.body)
-		x.body = x.body[:n]
-	} else {
-		x.body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	}
+	body, err := x.buffer.ReadChunks(r.Body)
 	interrupted := !resume()
-	switch {
-	case err != nil:
-		x.refuseUnread(err, interrupted && errors.Is(err, os.ErrDeadlineExceeded))
-		return false
-	case int64(len(x.body)) > limit:
-		x.refuseTooLong()
+	if err != nil {
+		x.refuseUnread(body.Len(), unreadCause(err, interrupted), err)
 		return false
 	}
+	x.body = body
 	return true
 }
 
+// unreadCause returns why a body wasn't read. Interrupted is true if this host has ended the reading.
+func unreadCause(err error, interrupted bool) decider.UnreadCause {
+	var bound *bounder.Error
+	switch {
+	case errors.As(err, &bound) && bound.Kind == bounder.KindTooLong:
+		return decider.UnreadTooLong
+	case errors.As(err, &bound):
+		return decider.UnreadNoMemory
+	case interrupted && errors.Is(err, os.ErrDeadlineExceeded):
+		return decider.UnreadLeaving
+	}
+	return decider.UnreadBroken
+}
+
 // interruptible lets EndUnanswered interrupt the reading of the body. The function that it returns ends that, and
 // returns false if it was interrupted.
 func (x *exchange) interruptible() func() bool {
@@ -176,26 +180,21 @@
 	})
 }
 
-// errBodyTooLong reports a body above the configured limit.
+// errBodyTooLong reports an announced length above the configured limit.
 var errBodyTooLong = errors.New("the body is too long")
 
-func (x *exchange) refuseTooLong() {
-	x.postUnread(errBodyTooLong, false)
-	writeRefusal(x.w, x.req.ID, http.StatusRequestEntityTooLarge, 0)
-}
-
-// refuseUnread ends a request whose body wasn't read to its end because of err: with a refusal if this host has
-// interrupted it, and by aborting the connection otherwise, as the caller has disconnected.
-func (x *exchange) refuseUnread(err error, interrupted bool) {
-	refusal, ok := x.postUnread(err, interrupted).(decider.Refuse)
-	if !ok {
+// refuseUnread ends a request of whose body only some bytes were read. If its caller has disconnected, it panics.
+func (x *exchange) refuseUnread(received int, cause decider.UnreadCause, err error) {
+	effect := x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(received), Cause: cause, Detail: err.Error()})
+	x.buffer.Release()
+	switch refusal, ok := effect.(decider.Refuse); {
+	case ok:
+		x.refuse(refusal)
+	case cause == decider.UnreadTooLong:
+		writeRefusal(x.w, x.req.ID, http.StatusRequestEntityTooLarge, 0)
+	default:
 		panic(http.ErrAbortHandler)
 	}
-	x.refuse(refusal)
-}
-
-func (x *exchange) postUnread(err error, interrupted bool) decider.Effect {
-	return x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(len(x.body)), Detail: err.Error(), Interrupted: interrupted})
 }
 
 // exchange is the state of one request.
@@ -203,7 +202,9 @@
 	server *Server
 	w      http.ResponseWriter
 	req    *translator.Request
-	body   []byte
+	body   bounder.Chunks
+	// buffer holds the body until the request has ended.
+	buffer *bounder.Buffer
 	number int64
 	began  time.Time
 	// headerSent is true once the response header was written, with the given status.
