--- a/internal/bench/soaker/stops.go
+++ b/internal/bench/soaker/stops.go
@@ -87,10 +87,7 @@
 }
 
 // uploader is a caller that opens connections to any host, also one that stops, and uploads its requests in pieces.
-type uploader struct {
-	*caller
-	dialed int
-}
+type uploader struct{ *caller }
 
 func newUploader(cl *cluster, chk *checker, rng *rand.Rand, number int) *uploader {
 	u := &uploader{caller: newCaller(cl, chk, rng, number)}
