Share the listener in memory of three tests

Cause: the tests of silent outages had a third copy of the same fake listener. Change: internal/testing/piper has it; the two older copies are gone.

--- a/internal/entry/server/write_timeout_test.go
+++ b/internal/entry/server/write_timeout_test.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +22,7 @@
 	"cardamomscale.example/cardamomscale/internal/entry/tracer"
 	"cardamomscale.example/cardamomscale/internal/target/caller"
 	"cardamomscale.example/cardamomscale/internal/target/messenger"
+	"cardamomscale.example/cardamomscale/internal/testing/piper"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -57,29 +58,6 @@
 	}
 }
 
-// pipeListener accepts a single connection, such as one end of an unbuffered pipe.
-type pipeListener struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (*pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 type unusedCaches struct{ Caches }
 
 type unusedClaims struct{ Claims }
@@ -99,12 +77,12 @@
 		Meter: requestMeter, Tracer: requestTracer,
 	})
 	assert.NilError(t, err)
-	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-	clientConn, serverConn := net.Pipe()
-	listener.conns <- serverConn
+	listener := piper.New(netip.AddrPort{})
 	srv := &http.Server{Handler: s}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(listener) }()
+	clientConn, err := listener.Dial(t.Context())
+	assert.NilError(t, err)
 	t.Cleanup(func() {
 		clientConn.Close()
 		srv.Close()
--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -24,6 +24,7 @@
 	"cardamomscale.example/cardamomscale/internal/entry/certifier"
 	"cardamomscale.example/cardamomscale/internal/peer/describer"
 	"cardamomscale.example/cardamomscale/internal/standin/issuer"
+	"cardamomscale.example/cardamomscale/internal/testing/piper"
 	"cardamomscale.example/cardamomscale/internal/testing/sampler"
 )
 
@@ -35,16 +36,16 @@
 // network connects exchangers through in-memory pipes.
 type network struct {
 	mu        sync.Mutex
-	listeners map[netip.AddrPort]*pipeListener
+	listeners map[netip.AddrPort]*piper.Listener
 	conns     []*silentConn
 }
 
 func newNetwork() *network {
-	return &network{listeners: make(map[netip.AddrPort]*pipeListener)}
+	return &network{listeners: make(map[netip.AddrPort]*piper.Listener)}
 }
 
 func (n *network) listen(addr netip.AddrPort) net.Listener {
-	l := &pipeListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	l := piper.New(addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners[addr] = l
@@ -58,15 +59,11 @@
 	if l == nil {
 		return nil, errors.New("no listener at the address")
 	}
-	near, far := net.Pipe()
-	conn := &silentConn{Conn: near}
-	select {
-	case l.conns <- far:
-	case <-l.done:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	near, err := l.Dial(ctx)
+	if err != nil {
+		return nil, err
 	}
+	conn := &silentConn{Conn: near}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns = append(n.conns, conn)
@@ -88,29 +85,6 @@
 	return len(n.conns)
 }
 
-type pipeListener struct {
-	addr  netip.AddrPort
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
-
 // silentConn can drop all data while it stays open.
 type silentConn struct {
 	net.Conn
--- a/internal/relay/follower/silence_test.go
+++ b/internal/relay/follower/silence_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,49 +17,11 @@
 
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
+	"cardamomscale.example/cardamomscale/internal/testing/piper"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
 
-// pipeListener accepts connections in memory, so that calls take virtual time only.
-type pipeListener struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // virtualClock is the clock of a synctest bubble.
 type virtualClock struct{}
 
@@ -68,14 +29,18 @@
 
 // startVirtual starts a follower in a synctest bubble, behind a handler. It returns the function that stops it.
 func startVirtual(t *testing.T, handler http.Handler, watches func() bool, send func([]WatchUpdate)) (*Follower, *eventLog, func()) {
-	l := newPipeListener()
+	addr := netip.MustParseAddrPort("127.0.0.1:1")
+	l := piper.New(addr)
 	srv := &http.Server{Handler: handler}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = srv.Serve(l) // Ends when the test closes it.
 	}()
-	c, err := caller.New(caller.Config{Platform: netip.MustParseAddrPort("127.0.0.1:1"), Dial: l.dial, Timeout: time.Second})
+	c, err := caller.New(caller.Config{
+		Platform: addr, Timeout: time.Second,
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) { return l.Dial(ctx) },
+	})
 	assert.NilError(t, err)
 	events := &eventLog{}
 	f := New(Config{
