Read pieces of a body without indirection

Cause: the loop that reads bodies in pieces addressed the last piece through the list, for each read.

Change: the last piece is a local variable until it is full.

--- a/internal/core/bounder/bounder.go
+++ b/internal/core/bounder/bounder.go
@@ -136,28 +136,27 @@
 // ReadChunks reads r to its end in pieces, which belong to the buffer until it is released. Its errors are those of
 // Fill without io.EOF; with one, the chunks are what was read before.
 func (b *Buffer) ReadChunks(r io.Reader) (Chunks, error) {
-	chunks, held := Chunks{b.data}, len(b.data)
+	var full Chunks
+	last, held := b.data, len(b.data)
 	b.data = nil
 	for {
-		last := &chunks[len(chunks)-1]
-		if len(*last) == cap(*last) {
+		if len(last) == cap(last) {
 			size := min(max(held, initialBytes), maxChunkBytes)
 			if err := b.take(held + size); err != nil {
-				return chunks, err
+				return append(full, last), err
 			}
-			chunks = append(chunks, make([]byte, 0, size))
-			last = &chunks[len(chunks)-1]
+			full, last = append(full, last), make([]byte, 0, size)
 		}
-		n, err := r.Read((*last)[len(*last):cap(*last)])
-		*last = (*last)[:len(*last)+n]
+		n, err := r.Read(last[len(last):cap(last)])
+		last = last[:len(last)+n]
 		held += n
 		switch {
 		case held > b.limit:
-			return chunks, b.tooLong()
+			return append(full, last), b.tooLong()
 		case errors.Is(err, io.EOF):
-			return chunks, nil
+			return append(full, last), nil
 		case err != nil:
-			return chunks, err
+			return append(full, last), err
 		}
 	}
 }
