--- a/internal/relay/runner/bodies_test.go
+++ b/internal/relay/runner/bodies_test.go
@@ -65,15 +65,17 @@
 			}
 		})
 	}
-	r.waitFor("all uploads are held or refused", func() bool { return sent.Load()+refused.Load() >= uploads })
+	share := bodiesShare * hostMemoryMB * (1 << 20)
+	r.waitFor("what doesn't fit is refused", func() bool {
+		// Sent bytes may wait in the system's buffers before the host has read them.
+		return sent.Load() > 0 && float64((uploads-refused.Load())*sentBytes) <= share+uploads*(16<<10)
+	})
 	began := time.Now()
 	status, _, err := r.send("/pay/1", "small", "key", "order")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	assert.Assert(t, time.Since(began) < time.Second, "a small request takes %s", time.Since(began))
-	share := bodiesShare * hostMemoryMB * (1 << 20)
-	held := uploads - refused.Load()
-	assert.Assert(t, held > 0 && float64(held*sentBytes) <= share+uploads*(16<<10), "%d uploads of %d bytes are held", held, sentBytes)
+	assert.Assert(t, refused.Load() < uploads)
 	close(finish)
 	g.Wait()
 	assert.Assert(t, answered.Load() > 0)
