--- /dev/null
+++ b/review/stage/leak.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { plays["leak"] = playLeak }
+
+const (
+	leakTime = 85 * time.Second
+	// leakParts parts of leakTokens tokens each fit into the head of a request and the memory of an engine.
+	leakParts, leakTokens = 2000, 16
+	leakCallers           = 10
+	// leavingCallers is the share of callers that leave, as on the days, and leaveTime when they do.
+	leavingCallers = 3
+	leaveTime      = 60 * time.Millisecond
+	leakPause      = 50 * time.Millisecond
+	leakMemoryMB   = 284
+)
+
+// playLeak lets some callers of long prompts leave before the prompt was read.
+func playLeak(s *stage, trouble bool) (bool, error) {
+	stores := map[string]*kvStore{}
+	capacities := map[string]int{}
+	for n, capacity := range []int{176859, 2100206} {
+		addr := s.address(200+n, storePort)
+		st := newKVStore(capacity)
+		stores[addr.String()], capacities[addr.String()] = st, capacity
+		if err := s.serve(addr, st, nil); err != nil {
+			return false, err
+		}
+	}
+	s.writeConfig(configuration{version: 7, keys: map[string]string{"key-stays": "jeye930"}, stores: capacities})
+	for range 4 {
+		if err := s.addWorker(&worker{service: engineName, model: modelName, takes: 10 * time.Millisecond, stores: stores}); err != nil {
+			return false, err
+		}
+	}
+	h, err := s.addHost(0, leakMemoryMB)
+	if err != nil {
+		return false, err
+	}
+	if err := s.awaitReady(20 * time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // The host saves nothing to stores that may have just started.
+	return s.sendLongPrompts(h, trouble), nil
+}
+
+// sendLongPrompts sends prompts with parts that nobody has sent before, and reports whether the process came to hold
+// more memory than its machine has.
+func (s *stage) sendLongPrompts(h *host, trouble bool) bool {
+	end := time.Now().Add(leakTime)
+	var exceeded atomic.Bool
+	var callers sync.WaitGroup
+	var sent, left, served, part atomic.Int64
+	for n := range leakCallers {
+		c := s.newCaller(true)
+		callers.Go(func() {
+			for time.Now().Before(end) && !exceeded.Load() {
+				q := usualPrompt(int(sent.Load()))
+				if n < leavingCallers {
+					q = longPrompt(&part)
+					if trouble {
+						q.leaves = leaveTime
+					}
+				}
+				sent.Add(1)
+				switch a := c.send(h, q); {
+				case a.err != nil:
+					left.Add(1)
+				case a.status == http.StatusOK:
+					served.Add(1)
+				}
+				time.Sleep(leakPause)
+			}
+		})
+	}
+	for time.Now().Before(end) && !exceeded.Load() {
+		time.Sleep(500 * time.Millisecond)
+		held := h.memory() >> 20
+		s.note("%d requests sent, %d served, %d left by their callers; the process holds %d MB", sent.Load(), served.Load(), left.Load(), held)
+		exceeded.Store(held > leakMemoryMB || h.hasEnded())
+	}
+	callers.Wait()
+	time.Sleep(10 * time.Second)
+	s.note("10 s after the last request, the process holds %d MB; its machine has %d MB", h.memory()>>20, leakMemoryMB)
+	return exceeded.Load()
+}
+
+// usualPrompt is a prompt like those of the farm shop's customers.
+func usualPrompt(n int) request {
+	return request{
+		method: http.MethodPost, path: routeAsk, key: "key-stays", body: "x", deadline: 5 * time.Second,
+		header: http.Header{"Model": {modelName}, "Token-Count": {"1460,80"}, "Prefix-Hash": {fmt.Sprintf("a%x:800,b%x:410,c%x:250", n%4, n%40, n)}},
+	}
+}
+
+func longPrompt(part *atomic.Int64) request {
+	var list strings.Builder
+	first := part.Add(leakParts)
+	for n := range int64(leakParts) {
+		fmt.Fprintf(&list, "%x:%d,", first+n, leakTokens)
+	}
+	list.WriteString("e4402b7d:16")
+	tokens := fmt.Sprintf("%d,8", (leakParts+1)*leakTokens)
+	return request{
+		method: http.MethodPost, path: routeAsk, key: "key-stays", body: "x", deadline: 5 * time.Second,
+		header: http.Header{"Model": {modelName}, "Token-Count": {tokens}, "Prefix-Hash": {list.String()}},
+	}
+}
