--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -7,8 +7,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
+	"time"
 )
 
 // The exit codes of a case.
@@ -50,10 +53,29 @@
 		return exitNotRun
 	}
 	s.note("case %s, with the disruption: %v", *name, trouble)
+	s.endAtSignal()
 	broken, err := p(s, trouble)
 	return s.finish(broken, err)
 }
 
+// maxCaseTime bounds a case.
+const maxCaseTime = 115 * time.Second
+
+// endAtSignal ends all processes and the case at a signal, or if the case takes too long.
+func (s *stage) endAtSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxCaseTime):
+		case <-s.closed:
+			return
+		}
+		os.Exit(s.finish(false, errors.New("the case was ended before its time")))
+	}()
+}
+
 // finish ends all processes, writes the outcome and returns the exit code.
 func (s *stage) finish(broken bool, err error) int {
 	s.close()
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -50,6 +50,8 @@
 	mu     sync.Mutex
 	record *bufio.Writer
 	closed chan struct{}
+	// closeOnce guards closed.
+	closeOnce sync.Once
 }
 
 // zones are the data centres of hosts and workers, in turn.
@@ -125,7 +127,9 @@
 }
 
 // close ends all processes and stand-ins.
-func (s *stage) close() {
+func (s *stage) close() { s.closeOnce.Do(s.closeAll) }
+
+func (s *stage) closeAll() {
 	close(s.closed)
 	for _, h := range s.hosts {
 		h.kill()
