--- a/review/stage/cold.go
+++ b/review/stage/cold.go
@@ -12,8 +12,8 @@
 	// coldPerS is the cold limit of the service, and coldBound what one second may bring by the rules.
 	coldPerS    = 13.0
 	coldBound   = 24.5
-	coldCallers = 24
-	coldPause   = 100 * time.Millisecond
+	coldCallers = 36
+	coldPause   = 60 * time.Millisecond
 	coldWork    = 60 * time.Millisecond
 	// breakingRate is the rate, well above coldPerS, at which a cold worker crashes.
 	breakingRate = 40
--- a/review/stage/prefix.go
+++ b/review/stage/prefix.go
@@ -11,24 +11,30 @@
 func init() { plays["prefix"] = playPrefix }
 
 const (
-	prefixCallers = 900
-	prefixTime    = 20 * time.Second
-	headerLimit   = 15500
+	// prefixHosts, prefixEngines and prefixMemoryMB are those of the sheet.
+	prefixHosts    = 7
+	prefixEngines  = 9
+	prefixMemoryMB = 134
+	prefixCallers  = 900
+	prefixTime     = 20 * time.Second
+	headerLimit    = 15500
 )
 
 // playPrefix sends prompts whose heads are of legal size and list very many short parts.
 func playPrefix(s *stage, trouble bool) (bool, error) {
 	keys := map[string]string{"key-stays": "jeye930"}
 	s.writeConfig(configuration{version: 7, keys: keys})
-	for range 4 {
-		if err := s.addWorker(&worker{service: engineName, model: modelName, takes: 8 * time.Second}); err != nil {
+	for range prefixEngines {
+		if err := s.addWorker(&worker{service: engineName, model: modelName, takes: 10 * time.Second}); err != nil {
 			return false, err
 		}
 	}
-	h, err := s.addHost(0, 134)
-	if err != nil {
-		return false, err
+	for n := range prefixHosts {
+		if _, err := s.addHost(n, prefixMemoryMB); err != nil {
+			return false, err
+		}
 	}
+	h := s.hosts[0]
 	if err := s.awaitReady(20 * time.Second); err != nil {
 		return false, err
 	}
@@ -72,5 +78,5 @@
 	}
 	callers.Wait()
 	s.note("%d parts in each prompt, statuses %v, the process held %d MB at most", parts, statuses, peak>>20)
-	return h.hasEnded() || peak > 134<<20, nil
+	return h.hasEnded() || peak > prefixMemoryMB<<20, nil
 }
