Review: judge what is lost when a host outgrows its machine

Cause: cases 6 and 10 judged the memory of a process, which is a fault but no rule of its own.

Change: the scripts play the platform's part and kill a process that is over the memory of its machine, and count the requests on kept connections that workers were running (LOST). Case 6 has 20 callers, 6 of which leave.

--- a/review/stage/caller.go
+++ b/review/stage/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 	id     string
 	sentAt time.Time
 	status int
+	// kept is true if the request was not the first one on its connection.
+	kept   bool
 	sealed bool
 	body   string
 	err    error
@@ -126,6 +129,7 @@
 	for name, values := range q.header {
 		req.Header[name] = values
 	}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.kept = c.Reused }}))
 	client := c.client
 	client.Timeout = cmp.Or(q.leaves, q.deadline)
 	resp, err := client.Do(req)
--- a/review/stage/host.go
+++ b/review/stage/host.go
@@ -169,6 +169,27 @@
 	return nil
 }
 
+// enforceMemory plays the platform's part: it kills the process once that holds more memory than its machine has. It
+// returns the most that the process held, in bytes, and whether it was killed, when done is closed or that happens.
+func (h *host) enforceMemory(done chan struct{}) (peak int64, killed bool) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return peak, false
+		case <-ticker.C:
+		}
+		held := h.memory()
+		peak = max(peak, held)
+		if held > int64(h.memoryMB)<<20 {
+			h.stage.note("%s holds %d MB, its machine has %d MB; the platform kills it", h.name, held>>20, h.memoryMB)
+			h.kill()
+			return peak, true
+		}
+	}
+}
+
 // memory returns the resident memory of the process in bytes.
 func (h *host) memory() int64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", h.cmd.Process.Pid))
--- a/review/stage/leak.go
+++ b/review/stage/leak.go
@@ -12,15 +12,17 @@
 func init() { plays["leak"] = playLeak }
 
 const (
-	leakTime = 85 * time.Second
+	leakTime = 70 * time.Second
 	// leakParts parts of leakTokens tokens each fit into the head of a request and the memory of an engine.
 	leakParts, leakTokens = 2000, 16
-	leakCallers           = 10
+	leakCallers           = 20
 	// leavingCallers is the share of callers that leave, as on the days, and leaveTime when they do.
-	leavingCallers = 3
+	leavingCallers = 6
 	leaveTime      = 60 * time.Millisecond
 	leakPause      = 50 * time.Millisecond
 	leakMemoryMB   = 284
+	// restTime is how long the process is watched after the last request.
+	restTime = 3 * time.Second
 )
 
 // playLeak lets some callers of long prompts leave before the prompt was read.
@@ -52,52 +54,55 @@
 	return s.sendLongPrompts(h, trouble), nil
 }
 
-// sendLongPrompts sends prompts with parts that nobody has sent before, and reports whether the process came to hold
-// more memory than its machine has.
+// sendLongPrompts sends prompts with parts that nobody has sent before beside usual ones, and reports whether usual ones
+// on kept connections were lost because the process came to hold more memory than its machine has.
 func (s *stage) sendLongPrompts(h *host, trouble bool) bool {
 	end := time.Now().Add(leakTime)
-	var exceeded atomic.Bool
+	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	var sent, left, served, part atomic.Int64
+	var mu sync.Mutex
+	var usual []answer
+	var left, part atomic.Int64
 	for n := range leakCallers {
 		c := s.newCaller(true)
 		callers.Go(func() {
-			for time.Now().Before(end) && !exceeded.Load() {
-				q := usualPrompt(int(sent.Load()))
-				if n < leavingCallers {
-					q = longPrompt(&part)
+			for i := n; time.Now().Before(end) && !h.hasEnded(); i += leakCallers {
+				if n >= leavingCallers {
+					a := c.send(h, usualPrompt(i))
+					mu.Lock()
+					usual = append(usual, a)
+					mu.Unlock()
+				} else {
+					q := longPrompt(&part)
 					if trouble {
 						q.leaves = leaveTime
 					}
-				}
-				sent.Add(1)
-				switch a := c.send(h, q); {
-				case a.err != nil:
-					left.Add(1)
-				case a.status == http.StatusOK:
-					served.Add(1)
+					if a := c.send(h, q); a.err != nil {
+						left.Add(1)
+					}
 				}
 				time.Sleep(leakPause)
 			}
 		})
 	}
-	for time.Now().Before(end) && !exceeded.Load() {
-		time.Sleep(500 * time.Millisecond)
-		held := h.memory() >> 20
-		s.note("%d requests sent, %d served, %d left by their callers; the process holds %d MB", sent.Load(), served.Load(), left.Load(), held)
-		exceeded.Store(held > leakMemoryMB || h.hasEnded())
-	}
+	go func() {
+		callers.Wait()
+		time.Sleep(restTime)
+		close(stop)
+	}()
+	peak, killed := h.enforceMemory(stop)
 	callers.Wait()
-	time.Sleep(10 * time.Second)
-	s.note("10 s after the last request, the process holds %d MB; its machine has %d MB", h.memory()>>20, leakMemoryMB)
-	return exceeded.Load()
+	lost := s.runs.lostOnKept(usual)
+	s.note("%d long prompts left by their callers; the process held %d MB at most, its machine has %d MB; killed %v; %d of %d usual prompts on kept connections were lost, %d are allowed",
+		left.Load(), peak>>20, h.memoryMB, killed, lost, len(usual), maxLost)
+	return lost > maxLost
 }
 
 // usualPrompt is a prompt like those of the farm shop's customers.
 func usualPrompt(n int) request {
 	return request{
 		method: http.MethodPost, path: routeAsk, key: "key-stays", body: "x", deadline: 5 * time.Second,
-		header: http.Header{"Model": {modelName}, "Token-Count": {"1460,80"}, "Prefix-Hash": {fmt.Sprintf("a%x:800,b%x:410,c%x:250", n%4, n%40, n)}},
+		header: http.Header{"Model": {modelName}, "Token-Count": {"1460,200"}, "Prefix-Hash": {fmt.Sprintf("a%x:800,b%x:410,c%x:250", n%4, n%40, n)}},
 	}
 }
 
--- a/review/stage/prefix.go
+++ b/review/stage/prefix.go
@@ -29,6 +29,9 @@
 			return false, err
 		}
 	}
+	if err := s.addWorker(&worker{service: plainName, takes: 15 * time.Millisecond}); err != nil {
+		return false, err
+	}
 	for n := range prefixHosts {
 		if _, err := s.addHost(n, prefixMemoryMB); err != nil {
 			return false, err
@@ -39,36 +42,39 @@
 		return false, err
 	}
 	var list strings.Builder
-	parts := 0
-	for list.Len() < headerLimit {
-		fmt.Fprintf(&list, "%x:1,", parts)
-		parts++
+	for part := 0; list.Len() < headerLimit; part++ {
+		fmt.Fprintf(&list, "%x:1,", part)
 	}
 	prefix := list.String() + "ffff:8"
 	if !trouble {
 		prefix = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
 	}
-	c := s.newCaller(true)
+	return s.sendCrowd(h, prefix), nil
+}
+
+// sendCrowd sends prompts with a prefix from many callers, each on a connection that has been used before. It reports
+// whether prompts were lost because the process came to hold more memory than its machine has.
+func (s *stage) sendCrowd(h *host, prefix string) bool {
 	end := time.Now().Add(prefixTime)
+	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	var peak int64
-	callers.Go(func() {
-		for time.Now().Before(end) {
-			peak = max(peak, h.memory())
-			time.Sleep(20 * time.Millisecond)
-		}
-	})
 	var mu sync.Mutex
+	var answers []answer
 	statuses := map[int]int{}
 	for range prefixCallers {
+		c := s.newCaller(true)
 		callers.Go(func() {
-			for time.Now().Before(end) {
-				a := c.send(h, request{
-					method: http.MethodPost, path: routeAsk, key: "key-stays", body: "x", deadline: 15 * time.Second,
-					header: http.Header{"Model": {modelName}, "Token-Count": {"8,1"}, "Prefix-Hash": {prefix}},
-				})
+			for first := true; time.Now().Before(end) && !h.hasEnded(); first = false {
+				q := pay("key-stays")
+				if !first {
+					q = request{
+						method: http.MethodPost, path: routeAsk, key: "key-stays", body: "x", deadline: 15 * time.Second,
+						header: http.Header{"Model": {modelName}, "Token-Count": {"8,1"}, "Prefix-Hash": {prefix}},
+					}
+				}
+				a := c.send(h, q)
 				mu.Lock()
-				statuses[a.status]++
+				answers, statuses[a.status] = append(answers, a), statuses[a.status]+1
 				mu.Unlock()
 				if a.status != http.StatusOK {
 					time.Sleep(time.Second)
@@ -76,7 +82,14 @@
 			}
 		})
 	}
+	go func() {
+		callers.Wait()
+		close(stop)
+	}()
+	peak, killed := h.enforceMemory(stop)
 	callers.Wait()
-	s.note("%d parts in each prompt, statuses %v, the process held %d MB at most", parts, statuses, peak>>20)
-	return h.hasEnded() || peak > prefixMemoryMB<<20, nil
+	lost := s.runs.lostOnKept(answers)
+	s.note("statuses %v; the process held %d MB at most, its machine has %d MB; killed %v; %d prompts on kept connections were lost, %d are allowed",
+		statuses, peak>>20, h.memoryMB, killed, lost, maxLost)
+	return lost > maxLost
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -172,6 +172,24 @@
 	l.stage.note("%s runs %s of tenant %q", r.worker, r.id, r.tenant)
 }
 
+// lostOnKept counts the answers that are missing for requests on kept connections that were passed on to a worker.
+func (l *runLog) lostOnKept(answers []answer) int {
+	ran := map[string]bool{}
+	for _, r := range l.of(func(run) bool { return true }) {
+		ran[r.id] = true
+	}
+	lost := 0
+	for _, a := range answers {
+		if a.kept && a.err != nil && ran[a.id] {
+			lost++
+		}
+	}
+	return lost
+}
+
+// maxLost is how many such requests the rule LOST allows.
+const maxLost = 3
+
 // of returns the runs for which keep returns true.
 func (l *runLog) of(keep func(run) bool) []run {
 	l.mu.Lock()
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -178,7 +178,7 @@
 	}
 	w.saveParts(r)
 	if w.model != "" {
-		_, _ = fmt.Fprintf(rw, "id: 1\ndata: answer to %s\n\n", id) // Fails only when the caller has disconnected.
+		w.stream(rw, r)
 		return
 	}
 	_, _ = fmt.Fprintf(rw, "answer to %s", id) // Fails only when the caller has disconnected.
@@ -213,6 +213,27 @@
 	return list
 }
 
+// stream sends the first and the last event of an answer.
+func (w *worker) stream(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	_, _ = fmt.Fprintf(rw, "id: 1\ndata: answer to %s\n\n", id) // Fails only when the caller has disconnected.
+	_ = http.NewResponseController(rw).Flush()                  // The same.
+	_, out, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	tokens, err := strconv.Atoi(out)
+	if err != nil {
+		return
+	}
+	select {
+	case <-time.After(time.Duration(tokens) * tokenTime):
+	case <-r.Context().Done():
+		return
+	}
+	_, _ = fmt.Fprintf(rw, "id: 2\ndata: end of the answer to %s\n\n", id) // Fails only when the caller has disconnected.
+}
+
+// tokenTime is how long an engine makes a token of an answer.
+const tokenTime = 10 * time.Millisecond
+
 // tokensPerSecond is the rate at which engines read prompts, as on the sheet of the farm shop.
 const tokensPerSecond = 110000
 
