Review: count only requests without any answer as lost

Cause: case 6 counted streams that had begun, while the rule LOST is broken by connections that are closed without an answer.

Change: a request counts if nothing of an answer had come and its caller had not left, in cases 6 and 10. Case 6 has twenty more callers, whose orders are answered whole.

--- a/review/stage/caller.go
+++ b/review/stage/caller.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -143,6 +145,14 @@
 	return a
 }
 
+// closedUnanswered reports whether the connection ended before any of the answer came. A caller that left has closed it
+// itself.
+func (a answer) closedUnanswered() bool {
+	var failure net.Error
+	left := errors.As(a.err, &failure) && failure.Timeout()
+	return a.err != nil && a.status == 0 && !left
+}
+
 func (a answer) String() string {
 	switch {
 	case a.status == 0:
--- a/review/stage/leak.go
+++ b/review/stage/leak.go
@@ -15,12 +15,15 @@
 	leakTime = 70 * time.Second
 	// leakParts parts of leakTokens tokens each fit into the head of a request and the memory of an engine.
 	leakParts, leakTokens = 2000, 16
-	leakCallers           = 20
+	leakCallers           = 40
 	// leavingCallers is the share of callers that leave, as on the days, and leaveTime when they do.
 	leavingCallers = 6
-	leaveTime      = 60 * time.Millisecond
-	leakPause      = 50 * time.Millisecond
-	leakMemoryMB   = 284
+	// orderingCallers send orders, which take orderWork and are answered whole.
+	orderingCallers = 20
+	orderWork       = 60 * time.Millisecond
+	leaveTime       = 60 * time.Millisecond
+	leakPause       = 50 * time.Millisecond
+	leakMemoryMB    = 284
 	// restTime is how long the process is watched after the last request.
 	restTime = 3 * time.Second
 )
@@ -43,6 +46,11 @@
 			return false, err
 		}
 	}
+	for range 3 {
+		if err := s.addWorker(&worker{service: plainName, takes: orderWork}); err != nil {
+			return false, err
+		}
+	}
 	h, err := s.addHost(0, leakMemoryMB)
 	if err != nil {
 		return false, err
@@ -54,7 +62,7 @@
 	return s.sendLongPrompts(h, trouble), nil
 }
 
-// sendLongPrompts sends prompts with parts that nobody has sent before beside usual ones, and reports whether usual ones
+// sendLongPrompts sends prompts with parts that nobody has sent before beside usual ones, and reports whether usual requests
 // on kept connections were lost because the process came to hold more memory than its machine has.
 func (s *stage) sendLongPrompts(h *host, trouble bool) bool {
 	end := time.Now().Add(leakTime)
@@ -67,19 +75,23 @@
 		c := s.newCaller(true)
 		callers.Go(func() {
 			for i := n; time.Now().Before(end) && !h.hasEnded(); i += leakCallers {
+				q := usualPrompt(i)
+				switch {
+				case n < leavingCallers:
+					q = longPrompt(&part)
+					if trouble {
+						q.leaves = leaveTime
+					}
+				case n < leavingCallers+orderingCallers:
+					q = pay("key-stays")
+				}
+				a := c.send(h, q)
 				if n >= leavingCallers {
-					a := c.send(h, usualPrompt(i))
 					mu.Lock()
 					usual = append(usual, a)
 					mu.Unlock()
-				} else {
-					q := longPrompt(&part)
-					if trouble {
-						q.leaves = leaveTime
-					}
-					if a := c.send(h, q); a.err != nil {
-						left.Add(1)
-					}
+				} else if a.err != nil {
+					left.Add(1)
 				}
 				time.Sleep(leakPause)
 			}
@@ -93,7 +105,7 @@
 	peak, killed := h.enforceMemory(stop)
 	callers.Wait()
 	lost := s.runs.lostOnKept(usual)
-	s.note("%d long prompts left by their callers; the process held %d MB at most, its machine has %d MB; killed %v; %d of %d usual prompts on kept connections were lost, %d are allowed",
+	s.note("%d long prompts left by their callers; the process held %d MB at most, its machine has %d MB; killed %v; %d of %d usual requests were passed on and got no answer as their kept connection was closed, %d are allowed",
 		left.Load(), peak>>20, h.memoryMB, killed, lost, len(usual), maxLost)
 	return lost > maxLost
 }
--- a/review/stage/prefix.go
+++ b/review/stage/prefix.go
@@ -89,7 +89,7 @@
 	peak, killed := h.enforceMemory(stop)
 	callers.Wait()
 	lost := s.runs.lostOnKept(answers)
-	s.note("statuses %v; the process held %d MB at most, its machine has %d MB; killed %v; %d prompts on kept connections were lost, %d are allowed",
+	s.note("statuses %v; the process held %d MB at most, its machine has %d MB; killed %v; %d prompts were passed on and got no answer as their kept connection was closed, %d are allowed",
 		statuses, peak>>20, h.memoryMB, killed, lost, maxLost)
 	return lost > maxLost
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -172,7 +172,8 @@
 	l.stage.note("%s runs %s of tenant %q", r.worker, r.id, r.tenant)
 }
 
-// lostOnKept counts the answers that are missing for requests on kept connections that were passed on to a worker.
+// lostOnKept counts the requests on kept connections that were passed on to a worker and whose connection was closed
+// without an answer. An answer that had begun doesn't count, and neither does a request whose caller left.
 func (l *runLog) lostOnKept(answers []answer) int {
 	ran := map[string]bool{}
 	for _, r := range l.of(func(run) bool { return true }) {
@@ -180,7 +181,7 @@
 	}
 	lost := 0
 	for _, a := range answers {
-		if a.kept && a.err != nil && ran[a.id] {
+		if a.kept && a.closedUnanswered() && ran[a.id] {
 			lost++
 		}
 	}
