Require keys while a configuration has a list of teams

What callers saw: after a configuration whose list of teams is empty, requests with a revoked key, an unknown key or none ran on all routes, without the team's name. Cause: whether keys are required was derived from the number of entries, so that an empty list was taken for one that is left out; the check of configurations derived the same. Change: the presence of the list decides. An empty list, null and a list without readable entries accept no key. The check reports an empty list, and shows the list itself as a difference, instead of an effect at each team; the tests of these effects have the new places.

--- a/internal/operator/checker/checker_test.go
+++ b/internal/operator/checker/checker_test.go
@@ -117,6 +117,10 @@
 		{"store without room", config([]string{goodRoute}, []string{goodService, `{"name":"p","kvStoreAddr":"127.0.0.1:1","kvCapacity":-1}`}, []string{goodTeam}, goodLimits),
 			[]string{"4 services[1] error: the store has a capacity of -1 tokens, want at least 0"}},
 		{"team without keys", good("team", `{"name":"t"}`), []string{`4 tenants[0] never-matches: team "t" has no keys`}},
+		{"empty list of teams", config([]string{goodRoute}, []string{goodService}, nil, goodLimits),
+			[]string{"3 tenants never-matches: the list of teams is empty, so that no key is valid; without the list, routes need no key"}},
+		{"null for the list of teams", `{"version":1,"tenants":null}`,
+			[]string{"1 tenants never-matches: the list of teams is empty, so that no key is valid; without the list, routes need no key"}},
 		{"unreadable keys", good("team", `{"name":"t","apiKeys":5}`), []string{"4 tenants[0].apiKeys error: is of type number, want array"}},
 		{"empty key", good("team", `{"name":"t","apiKeys":[""]}`), []string{"4 tenants[0].apiKeys[0] error: the key is empty"}},
 		{"duplicate key", config([]string{goodRoute}, []string{goodService}, []string{goodTeam, `{"name":"u","apiKeys":["k"]}`}, goodLimits),
@@ -226,5 +230,5 @@
 	after = draft(t, config([]string{goodRoute}, []string{goodService}, teams, goodLimits))
 	r = Check(Input{Draft: after, InForce: &before})
 	assert.Equal(t, len(r.Differences), MaxDifferences)
-	assert.Equal(t, r.DifferencesOmitted, MaxDifferences+3)
+	assert.Equal(t, r.DifferencesOmitted, MaxDifferences+4) // The route, the service, the limits and the list of teams.
 }
--- a/internal/operator/checker/difference.go
+++ b/internal/operator/checker/difference.go
@@ -84,7 +84,7 @@
 	c.oldServices, c.newServices = servicesByName(before), servicesByName(after)
 	c.oldTeams, c.newTeams = teamsByName(before), teamsByName(after)
 	c.oldOwners, c.newOwners = owners(before), owners(after)
-	c.oldKeysRequired, c.keysRequired = len(before.Teams) > 0 || !before.TeamsWhole, len(after.Teams) > 0 || !after.TeamsWhole
+	c.oldKeysRequired, c.keysRequired = before.TeamsListed || !before.TeamsWhole, after.TeamsListed || !after.TeamsWhole
 	result := c.diffVersion()
 	result = append(result, listDiff{
 		noun: "route", beforeWhole: before.RoutesWhole, afterWhole: after.RoutesWhole,
@@ -96,6 +96,7 @@
 		before: entriesOf(c.oldServices, func(s *descriptor.DraftService) *descriptor.DraftEntry { return &s.DraftEntry }),
 		after:  entriesOf(c.newServices, func(s *descriptor.DraftService) *descriptor.DraftEntry { return &s.DraftEntry }), effects: c.serviceEffects,
 	}.run()...)
+	result = append(result, c.diffTeamList()...)
 	result = append(result, listDiff{
 		noun: "team", beforeWhole: before.TeamsWhole, afterWhole: after.TeamsWhole,
 		before: entriesOf(c.oldTeams, func(t *descriptor.DraftTeam) *descriptor.DraftEntry { return &t.DraftEntry }),
@@ -165,6 +166,23 @@
 	return []Difference{d}
 }
 
+// diffTeamList returns the difference between a configuration with a list of teams, which may be empty, and one without.
+func (c *configs) diffTeamList() []Difference {
+	if !c.before.TeamsWhole || !c.after.TeamsWhole || c.oldKeysRequired == c.keysRequired {
+		return nil
+	}
+	if c.keysRequired {
+		return []Difference{{
+			Action: ActionAdded, Entry: "list of teams", Key: c.after.TeamsAt.Key, Line: c.after.TeamsAt.Line,
+			Effects: []string{"callers without a key lose access to all routes that aren't public"},
+		}}
+	}
+	return []Difference{{
+		Action: ActionRemoved, Entry: "list of teams", Key: c.before.TeamsAt.Key, Line: c.before.TeamsAt.Line,
+		Effects: []string{"all routes need no key"},
+	}}
+}
+
 func (c *configs) diffLimits() []Difference {
 	if !c.before.LimitsRead || !c.after.LimitsRead {
 		return nil
--- a/internal/operator/checker/difference_test.go
+++ b/internal/operator/checker/difference_test.go
@@ -88,10 +88,22 @@
 			"4 removed team t; 1 of 1 keys of the team belong to another team", `4 added team u, apiKeys  -> ["sha256:8254c329"], name  -> "u"`,
 		}},
 		{"last team", good(), config([]string{goodRoute}, []string{goodService}, nil, goodLimits), []string{
-			"4 removed team t; no team is left, so that all routes need no key",
+			"4 removed team t; the team loses access; no team is left, so that only public routes can be used",
+		}},
+		{"last team and the list", `{"version":1,"tenants":[` + goodTeam + `]}`, `{"version":1}`, []string{
+			"1 removed list of teams; all routes need no key", "1 removed team t",
 		}},
 		{"first team", config([]string{goodRoute}, []string{goodService}, nil, goodLimits), good("team", `{"name":"t"}`), []string{
-			`4 added team t, name  -> "t"; callers without a key lose access to all routes that aren't public`,
+			`4 added team t, name  -> "t"`,
+		}},
+		{"first team and the list", `{"version":1}`, `{"version":1,"tenants":[{"name":"t"}]}`, []string{
+			"1 added list of teams; callers without a key lose access to all routes that aren't public", `1 added team t, name  -> "t"`,
+		}},
+		{"empty list of teams", `{"version":1}`, `{"version":1,"tenants":[]}`, []string{
+			"1 added list of teams; callers without a key lose access to all routes that aren't public",
+		}},
+		{"empty list of teams removed", `{"version":1,"tenants":null}`, `{"version":1}`, []string{
+			"1 removed list of teams; all routes need no key",
 		}},
 		{"isolated", good(), good("team", `{"name":"t","apiKeys":["k"],"isolated":true}`), []string{"4 changed team t, isolated  -> true; " + rereadEffect}},
 		{"isolated team removed", config(nil, nil, []string{goodTeam, `{"name":"u","isolated":true}`}, "{}"), config(nil, nil, []string{goodTeam}, "{}"), []string{
--- a/internal/operator/checker/effects.go
+++ b/internal/operator/checker/effects.go
@@ -70,9 +70,6 @@
 func (c *configs) teamEffects(before, after *descriptor.DraftEntry, _ []Change) []string {
 	var effects []string
 	if before == nil {
-		if c.before.TeamsWhole && !c.oldKeysRequired {
-			effects = append(effects, "callers without a key lose access to all routes that aren't public")
-		}
 		if c.newTeams[after.Name].Isolated {
 			effects = append(effects, rereadEffect)
 		}
@@ -87,8 +84,8 @@
 	if wasIsolated != isIsolated {
 		effects = append(effects, rereadEffect)
 	}
-	if after == nil && c.after.TeamsWhole && !c.keysRequired {
-		effects = append(effects, "no team is left, so that all routes need no key")
+	if after == nil && c.after.TeamsListed && c.after.TeamsWhole && len(c.after.Teams) == 0 {
+		effects = append(effects, "no team is left, so that only public routes can be used")
 	}
 	return effects
 }
--- a/internal/operator/checker/entries.go
+++ b/internal/operator/checker/entries.go
@@ -164,5 +164,8 @@
 			owners[k.Key] = k
 		}
 	}
+	if c.draft.TeamsListed && c.draft.TeamsWhole && len(c.draft.Teams) == 0 {
+		c.reportf(KindNeverMatches, c.draft.TeamsAt, "the list of teams is empty, so that no key is valid; without the list, routes need no key")
+	}
 	c.checkNames("team", entries)
 }
--- a/internal/relay/descriptor/descriptor.go
+++ b/internal/relay/descriptor/descriptor.go
@@ -120,7 +120,8 @@
 	// others, sorted.
 	IsolatedTeams []string
 	Limits        Limits
-	// KeysRequired is true if requests require a key.
+	// KeysRequired is true if requests require a key, except on public routes. It is independent of Keys, which may be
+	// empty.
 	KeysRequired bool
 }
 
--- a/internal/relay/descriptor/draft.go
+++ b/internal/relay/descriptor/draft.go
@@ -114,8 +114,11 @@
 	Routes    []DraftRoute
 	Services  []DraftService
 	Teams     []DraftTeam
-	Limits    DraftLimits
-	Problems  []DraftProblem
+	// TeamsAt is the position of the list of teams, TeamsListed true if there is one. It may be empty.
+	TeamsAt     Position
+	TeamsListed bool
+	Limits      DraftLimits
+	Problems    []DraftProblem
 	// Repeated are names that an object has more than once, of which only the last counts.
 	Repeated []Position
 	// VersionRead, RoutesWhole, ServicesWhole, TeamsWhole and LimitsRead are false if the part or an entry in it can't be
