--- a/internal/relay/decider/keys_test.go
+++ b/internal/relay/decider/keys_test.go
@@ -29,6 +29,7 @@
 	}
 	keys := rapid.SampledFrom([]string{
 		``, `,"apiKeys":null`, `,"apiKeys":[]`, `,"apiKeys":["key-a"]`, `,"apiKeys":["key-b","key-a"]`, `,"apiKeys":7`, `,"apiKeys":[7,"key-a"]`,
+		`,"apiKeys":[""]`, `,"apiKeys":["key-b",null]`,
 	})
 	var teams []string
 	for n := range rapid.IntRange(1, 3).Draw(rt, "teams") {
