Confirm no configuration while the platform's can't be decoded

What callers saw: after a configuration that hosts can't decode, keys that it took away ran on without end. One whose only answer was damaged was not read before its next change. It was found by reading; no caller is known to have met it. Cause: calls without changes confirmed the configuration in force, although the watch had skipped a newer one. Why it works: without confirmation, the known rule for a store that is away ends the use of keys in time, and another list brings what one answer has lost.

--- a/internal/relay/decider/keys_test.go
+++ b/internal/relay/decider/keys_test.go
@@ -100,3 +100,17 @@
 		}
 	})
 }
+
+// TestRequestBeforeConfigurationRuns guards against requests that run before the host knows a configuration, and so
+// whether they need a key.
+func TestRequestBeforeConfigurationRuns(t *testing.T) {
+	h := newUnconfiguredHost(t, "a", "a")
+	h.handle(TargetsListed{Targets: []descriptor.Target{plainTarget(1)}, Whole: true})
+	h.handle(ConfigConfirmed{AsOf: h.clock})
+	assert.Assert(t, !h.Ready())
+	for _, key := range []string{"", "key-a"} {
+		h.lastNumber++
+		effect := requestEffect(h.handle(RequestArrived{Number: h.lastNumber, Host: "h", Path: "/pay/", Key: key, Timeout: time.Second}))
+		assert.Equal(t, effect.(Refuse).Kind, RefusalUnconfigured)
+	}
+}
--- a/internal/relay/follower/follower.go
+++ b/internal/relay/follower/follower.go
@@ -205,6 +205,8 @@
 	answered chan struct{}
 	// changed is true if the last answer had changes.
 	changed bool
+	// unreadable is true if the configuration that the platform has can't be decoded.
+	unreadable bool
 	// lastUpdate is when the last update of another host was received.
 	lastUpdate time.Time
 	// behind is true if an update showed that this host lacks changes.
@@ -256,6 +258,10 @@
 			pause(ctx, unwatchedPause)
 			continue
 		}
+		if w.unreadable {
+			sleep(ctx, unreadablePause)
+			w.forgetRevision()
+		}
 		if w.updatedByPeers() {
 			w.waitForUpdate(ctx)
 			continue
@@ -700,23 +706,6 @@
 	}
 }
 
-func (w *watch) postConfig(objects []caller.Object, fresh freshness) {
-	for _, o := range objects {
-		if o.Name != caller.ConfigName || o.Removed {
-			continue
-		}
-		cfg, skipped, err := decoder.Config(o.Spec)
-		if err != nil {
-			w.cfg.Logger.Error("invalid configuration ignored", "revision", o.Revision, "error", err.Error())
-			w.skipped.count(w.kind, 1)
-			return
-		}
-		w.skipEntries(skipped)
-		w.cfg.Post(decider.ConfigListed{Config: cfg})
-	}
-	w.cfg.Post(decider.ConfigConfirmed{Era: w.era, AsOf: fresh.asOf, FromPeer: fresh.fromPeer, ReceivedAt: fresh.receivedAt})
-}
-
 func (w *watch) postTargets(objects []caller.Object, full bool, fresh freshness) {
 	ev := decider.TargetsListed{Era: w.era, Whole: full, ReturnUntil: fresh.returnUntil}
 	for _, o := range objects {
