Fail answers whose connection fails during the upload

What callers saw: a target that answers a long upload at once, without a length, and resets the connection while the upload goes on: the part of its answer came as a complete one. Cause: the system reports a reset to one call only. The writer of a long request dropped its error, and the reader then saw an orderly end. Change: at the end of a body without framing, the reader waits for the writer of the request and takes its failure for its own. Ends that length or chunks show are believed at once. Why it works: whichever of both calls gets the report, the body fails, and nothing is decided between the failure and its record.

--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -87,9 +87,7 @@
 	forwarder  *Forwarder
 	addr       netip.AddrPort
 	stopCancel func() bool
-	// written is closed once the request body is written. It is nil if the request was
-	// written before the response was read.
-	written chan struct{}
+	upload     *upload
 }
 
 // RoundTrip sends a request to its target and returns the response with its body
@@ -150,12 +148,7 @@
 		_, err := r.conn.Write(slices.Concat(append(bounder.Chunks{head}, body...)...))
 		return err
 	}
-	r.written = make(chan struct{})
-	go func() {
-		defer close(r.written)
-		buffers := append(net.Buffers{head}, body...)
-		_, _ = buffers.WriteTo(r.conn) // A failure also fails the reading of the response.
-	}()
+	r.upload = startUpload(r.conn, append(net.Buffers{head}, body...))
 	return nil
 }
 
@@ -194,6 +187,9 @@
 			r.discard()
 			return nil, failure
 		}
+		if r.upload != nil && r.Framing == decider.FramingConnection {
+			r.Body = &unframedBody{ReadCloser: r.Body, upload: r.upload}
+		}
 		return r, nil
 	}
 	r.Abort()
@@ -302,7 +298,7 @@
 // Release returns the connection to the pool if it can be reused, and closes it
 // otherwise. The body must have been read to its end.
 func (r *Response) Release() {
-	if !r.stopCancel() || !r.isWritten() || r.Close || r.conn.r.Buffered() > 0 || !r.conn.mayReuse() {
+	if !r.stopCancel() || !r.upload.isWritten() || r.Close || r.conn.r.Buffered() > 0 || !r.conn.mayReuse() {
 		_ = r.conn.Close() // It can't be reused.
 		return
 	}
@@ -312,15 +308,3 @@
 	}
 	r.forwarder.put(r.addr, r.conn, keepAlive)
 }
-
-func (r *Response) isWritten() bool {
-	if r.written == nil {
-		return true
-	}
-	select {
-	case <-r.written:
-		return true
-	default:
-		return false
-	}
-}
