Fail plain calls whose connection fails during the upload

What callers saw: in the embedded mode, a part of a plain service's answer was delivered and recorded as complete, if the service answered a long call at once, without a length, and reset the connection. Cause: as in the relay. net/http writes a request and reads its response side by side, and the end of a body without framing was taken for complete whatever became of the request. Change: at that end, the outcome of writing the request is awaited, and its failure taken for that of the body. Why it works: net/http reports the outcome of each request that it has begun to write, with the error that the reader may have missed.

--- a/internal/target/dialer/pool.go
+++ b/internal/target/dialer/pool.go
@@ -61,11 +61,13 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	cfg := &p.dialer.cfg
 	activity := newActivityTimer(cfg.Clock, cfg.HandshakeTimeout, inactivityTimeoutOf(ctx, cfg.InactivityTimeout), cancel)
+	written := newWrittenRequest()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			attachTracker(info.Conn, tracker)
 			activity.reset()
 		},
+		WroteRequest: written.end,
 	})
 	response, err := p.transport.RoundTrip(preventReplay(r.WithContext(ctx), activity))
 	if err != nil {
@@ -79,9 +81,13 @@
 		onData = func() { p.confirmation.record(cfg.Clock.Now()) }
 	}
 	onData()
+	body := response.Body
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		body = &unframedBody{ReadCloser: body, request: written, ctx: ctx}
+	}
 	response.Body = &responseBody{
 		onData:     onData,
-		ReadCloser: response.Body,
+		ReadCloser: body,
 		activity:   activity,
 		tracker:    tracker,
 		ctx:        r.Context(),
