Fail answers whose status is none

What callers saw: nothing before their deadline after a status below 100; its body as the answer, if that looked like one (MIXED); statuses from 600 on as they were. Cause: all answers with a status below 200 were skipped as informational, and no upper bound was checked. Change: only 100 to 199 without 101 are skipped, and 200 to 599 are answers. Anything else fails the attempt and closes the connection. Why it works: nothing is read from a connection after a head whose meaning isn't known.

--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -196,7 +196,11 @@
 	return nil, f.failure(ctx, "read answer", errors.New("only responses to other requests"))
 }
 
-// readResponse reads the headers of the next response and skips informational (1xx) ones.
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
+// readResponse reads the headers of the next response and skips informational (1xx) ones. A response with another
+// status, or one that switches protocols, which no request asks for, is an error: it isn't known what follows it.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.beginHead()
 	for {
@@ -204,7 +208,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch code := resp.StatusCode; {
+		case code < http.StatusContinue || code > maxStatus || code == http.StatusSwitchingProtocols:
+			return nil, errors.Newf("%03d is no status of a response", code)
+		case code >= http.StatusOK:
 			return resp, c.endHead()
 		}
 	}
@@ -246,7 +253,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	}
-	return status < http.StatusOK
+	return false
 }
 
 // failure describes an error of a request that may have reached its target.
