Fail calls whose answer has an invalid status

What callers saw: in the embedded mode, a plain service's status of 0 to 99 cut the caller's connection, also when the recorded answer was asked for again; 101 and 600 to 999 were delivered. Cause: net/http accepts every status of three digits, and none was checked. Change: the transport to targets fails calls whose status isn't from 200 to 599, and closes the connection.

--- a/internal/target/dialer/pool.go
+++ b/internal/target/dialer/pool.go
@@ -70,6 +70,9 @@
 		WroteRequest: written.end,
 	})
 	response, err := p.transport.RoundTrip(preventReplay(r.WithContext(ctx), activity))
+	if err == nil {
+		err = p.checkStatus(response)
+	}
 	if err != nil {
 		activity.stop()
 		cancel()
@@ -95,6 +98,20 @@
 	return response, nil
 }
 
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
+// checkStatus returns an error for a response whose status isn't that of a final response. It closes its connection,
+// as it isn't known what follows.
+func (p *pool) checkStatus(response *http.Response) error {
+	if code := response.StatusCode; code < http.StatusOK || code > maxStatus {
+		err := errors.CombineErrors(errors.Newf("%03d is no status of a response", code), response.Body.Close())
+		p.retire()
+		return err
+	}
+	return nil
+}
+
 // attachTracker attaches a request's tracker to its connection. It must be called
 // before the first byte is written.
 func attachTracker(conn net.Conn, tracker *SentTracker) {
