Soak: take all teams away, and answer with invalid statuses

Change: in a quarter of the runs all teams are taken away for 7 s, one after the other; targets that spoil their answers may give them a status that no answer has, with a body that looks like another answer. Both have random numbers of their own or are drawn by the spoiled answers' stream; keys have a file of their own.

--- a/internal/bench/soaker/cluster.go
+++ b/internal/bench/soaker/cluster.go
@@ -337,43 +337,6 @@
 	c.platform.Put(imitator.KindConfig, imitator.ConfigName, imitator.ConfigSpec(c.revision, c.activeKeys, c.storeAddrs, storeTokens))
 }
 
-// rotateKey revokes the oldest key except that of the isolated team, issues a new one to
-// the same team, and returns the revoked one.
-func (c *cluster) rotateKey() string {
-	c.mu.Lock()
-	key := c.keyOrder[1]
-	team := c.activeKeys[key]
-	delete(c.activeKeys, key)
-	c.revokedKeys[key] = team
-	c.lastKey++
-	added := fmt.Sprint("key-", c.lastKey)
-	c.activeKeys[added] = team
-	c.keyOrder = append(slices.Delete(c.keyOrder, 1, 2), added)
-	c.issuedAt[added] = time.Now()
-	c.mu.Unlock()
-	c.writeConfig()
-	c.checker.setTime(c.checker.revokedAt, key, time.Now())
-	return key
-}
-
-// pickKey draws a valid key or, one time in revokedKeyEvery, returns a revoked one.
-func (c *cluster) pickKey(rng *rand.Rand) (key, team string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	const revokedKeyEvery = 8
-	if rng.IntN(revokedKeyEvery) == 0 {
-		for key, team = range c.revokedKeys {
-			return key, team
-		}
-	}
-	for {
-		key = c.keyOrder[rng.IntN(len(c.keyOrder))]
-		if time.Since(c.issuedAt[key]) > maxConfigTime { // Some hosts may not know newer keys yet.
-			return key, c.activeKeys[key]
-		}
-	}
-}
-
 func (c *cluster) weightVersion() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -38,13 +38,24 @@
 	maxClockStep = 4 * time.Second
 )
 
-// goBackStream and spoilStream are the streams of random numbers of letStoreGoBack and
-// spoilAnswers.
+const (
+	// noTeamsShare is the share of runs in which all teams are taken away once, for noTeamsTime, which is longer than
+	// the bound for revoked keys.
+	noTeamsShare = 0.25
+	noTeamsTime  = maxRevokeTime + 2*time.Second
+)
+
+// goBackStream, spoilStream and teamsStream are the streams of random numbers of letStoreGoBack, spoilAnswers and
+// removeTeams.
 const (
 	goBackStream = 1 << 32
 	spoilStream  = 1 << 33
+	teamsStream  = 1 << 34
 )
 
+// invalidStatuses are statuses that no answer has.
+var invalidStatuses = []string{"000", "020", "099", "101", "600", "999"}
+
 // fault is a fault or a planned operation such as a drain. run starts it and returns
 // when it is over.
 type fault struct {
@@ -64,6 +75,7 @@
 	g.Go(func() { s.letStoreGoBack(faultCtx) })
 	g.Go(func() { s.spoilAnswers(faultCtx) })
 	g.Go(func() { s.changeLimits(faultCtx) })
+	g.Go(func() { s.removeTeams(faultCtx) })
 	for sleep(faultCtx, time.Duration(s.rng.Float64()*2*float64(meanFaultInterval))) {
 		f := s.drawFault()
 		duration := time.Duration(s.rng.Float64() * float64(maxFaultDuration))
@@ -129,10 +141,15 @@
 	for sleep(ctx, time.Duration(rng.Float64()*2*float64(meanSpoilInterval))) {
 		t, duration := all[rng.IntN(len(all))], time.Duration(rng.Float64()*float64(maxFaultDuration))
 		t.worker.SetFailureShare(spoiledShare)
-		if kind := rng.IntN(2 * imitator.FloodKinds); kind < imitator.FloodKinds {
+		switch kind := rng.IntN(3 * imitator.FloodKinds); {
+		case kind < imitator.FloodKinds:
 			s.recordEvent("flood by "+t.name, "flood", kind, "duration", duration.String())
 			t.worker.SetFlood(imitator.NewFlood(kind))
-		} else {
+		case kind < 2*imitator.FloodKinds:
+			status := invalidStatuses[rng.IntN(len(invalidStatuses))]
+			s.recordEvent("status "+status+" by "+t.name, "duration", duration.String())
+			t.worker.SetInvalidStatus(status)
+		default:
 			s.recordEvent("answers without framing by "+t.name, "duration", duration.String())
 			t.worker.SetUnframed(true)
 		}
@@ -146,6 +163,21 @@
 	t.worker.SetFailureShare(0)
 	t.worker.SetFlood(nil)
 	t.worker.SetUnframed(false)
+	t.worker.SetInvalidStatus("")
+}
+
+// removeTeams takes all teams away in some runs, and gives them new keys after noTeamsTime, or when ctx ends. It has
+// random numbers of its own, so that the other faults of a seed stay the same.
+func (s *Soaker) removeTeams(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, teamsStream))
+	if rng.Float64() >= noTeamsShare || !sleep(ctx, time.Duration(rng.Float64()*float64(max(0, s.cfg.FaultDuration-noTeamsTime)))) {
+		return
+	}
+	s.recordEvent("all teams are taken away")
+	teams := s.cluster.removeTeams()
+	sleep(ctx, noTeamsTime)
+	s.recordEvent("teams get new keys")
+	s.cluster.restoreTeams(teams)
 }
 
 // drawFault draws the next fault and the component that it affects.
