Describe when a request has no upload

Cause: the field for requests that are written while their response is read had no comment. Change: comments only. Measured: the tests of the forwarder pass.

--- a/internal/relay/forwarder/forwarder.go
+++ b/internal/relay/forwarder/forwarder.go
@@ -87,7 +87,8 @@
 	forwarder  *Forwarder
 	addr       netip.AddrPort
 	stopCancel func() bool
-	upload     *upload
+	// upload is nil if the request was written before the response was read.
+	upload *upload
 }
 
 // RoundTrip sends a request to its target and returns the response with its body
--- a/internal/relay/forwarder/upload.go
+++ b/internal/relay/forwarder/upload.go
@@ -24,8 +24,7 @@
 	return u
 }
 
-// isWritten reports whether the request has ended, whole or not. A nil upload is one that was written before the
-// response was read.
+// isWritten reports whether the request has ended, whole or not. It is true for a nil upload.
 func (u *upload) isWritten() bool {
 	if u == nil {
 		return true
