Reserve the ports of relays under test

Six processes side by side reproduced it; the relays had ended with "bind: address already in use". Change: the ports come from the reserver, which locks them across processes, and a relay that ends at its start fails its test with the error. Measured: six processes of eight runs each, side by side, failed before and pass now.

--- a/internal/relay/runner/runner_test.go
+++ b/internal/relay/runner/runner_test.go
@@ -23,6 +23,7 @@
 	"cardamomscale.example/cardamomscale/internal/relay/decider"
 	"cardamomscale.example/cardamomscale/internal/relay/descriptor"
 	"cardamomscale.example/cardamomscale/internal/relay/timer"
+	"cardamomscale.example/cardamomscale/internal/standin/reserver"
 	"cardamomscale.example/cardamomscale/platform/caller"
 	"cardamomscale.example/cardamomscale/platform/imitator"
 )
@@ -53,27 +54,16 @@
 	done  chan error
 }
 
-// givenPorts are the ports that freeAddr has returned.
-var givenPorts sync.Map
-
-// freeAddr returns a loopback address with a port that is free for TCP and UDP and wasn't returned
-// before, as a relay takes its ports only once it has started.
+// freeAddr returns a loopback address with a port that is free for TCP and UDP and that no other test gets, in this
+// process or another, as a relay takes its ports only once it has started.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		assert.NilError(t, err)
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
-		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
-		assert.NilError(t, l.Close())
-		if err != nil {
-			continue // The UDP port is in use.
-		}
-		assert.NilError(t, udp.Close())
-		if _, given := givenPorts.LoadOrStore(addr.Port(), true); !given {
-			return addr
-		}
-	}
+	ports, err := reserver.New(reserver.Config{First: reserver.DefaultFirst, Last: reserver.DefaultLast})
+	assert.NilError(t, err)
+	t.Cleanup(ports.Close)
+	addr, err := ports.Reserve()
+	assert.NilError(t, err)
+	return addr
 }
 
 func startRelay(t *testing.T, targets ...*imitator.Target) *testRelay {
@@ -120,7 +110,14 @@
 	r.stop, r.url, r.ready = stop, "http://"+callers.String(), "http://"+ready.String()+"/v1/readyz"
 	go func() { r.done <- r.relay.Run(ctx) }()
 	t.Cleanup(func() { stop(); platform.CloseClientConnections(); platform.Close() })
-	r.waitFor("ready", func() bool { return r.statusOf(r.ready) == http.StatusOK })
+	r.waitFor("ready", func() bool {
+		select {
+		case err := <-r.done:
+			t.Fatalf("the relay ended at its start: %v", err)
+		default:
+		}
+		return r.statusOf(r.ready) == http.StatusOK
+	})
 	return r
 }
 
