Free what a refused body has taken at once

What callers saw: uploads that together exceed a host's memory could all be refused with 503, though some of them fit. Cause: a body that didn't fit counted with all that it had taken until its refusal was posted. Whoever asked for more meanwhile was refused too. Change: all that a refused body has taken is free in the same step, and its buffer is released before the post. TestStalledCallersMakeRoom fills the account without a refusal now, to the same bytes; its checks are the same, and it passes before and after. Why it works: the last body that is left always has the whole account. Evidence: TestRefusedBodiesRefuseOthers failed before. The overloader's tests pass.

--- a/internal/core/accountant/account_test.go
+++ b/internal/core/accountant/account_test.go
@@ -56,6 +56,15 @@
 	return nil
 }
 
+// fits reports whether a connection can take n bytes without an eviction.
+func (f *fixture) fits(c *Conn, n int64) bool {
+	share := largeShare
+	if c.held+n <= smallBytes {
+		share = smallShare
+	}
+	return f.account.Used()+n <= int64(share*testBytes)
+}
+
 func kindOf(err error) Kind {
 	var e *Error
 	if errors.As(err, &e) {
@@ -94,7 +103,8 @@
 		assert.NilError(t, read(c, there, "POST / HTTP/1.1\r\n"))
 		ObserveState(c, http.StateActive)
 		c.BeginBody()
-		for c.Reserve(64 << 10) {
+		for f.fits(c, 64<<10) {
+			assert.Assert(t, c.Reserve(64<<10))
 		}
 		stalled = append(stalled, c)
 	}
@@ -107,6 +117,48 @@
 	assert.Equal(t, f.account.Ended()[string(CauseStalled)], int64(1))
 }
 
+// TestRefusedBodiesRefuseOthers guards against bodies that are refused together although some of them fit: what a refused
+// one has taken counted until its refusal was over, so that all that asked for more meanwhile were refused too.
+func TestRefusedBodiesRefuseOthers(t *testing.T) {
+	f := newFixture(t)
+	const piece = 64 << 10
+	conns := map[*Conn]int64{} // What each body has taken.
+	for range 4 {
+		c, there := f.connect()
+		assert.NilError(t, read(c, there, "POST / HTTP/1.1\r\n"))
+		ObserveState(c, http.StateActive)
+		c.BeginBody()
+		conns[c] = 0
+	}
+	refused := map[*Conn]int64{}
+	for len(conns) > 1 {
+		for c := range conns {
+			if c.Reserve(piece) {
+				conns[c] += piece
+				continue
+			}
+			refused[c] = conns[c]
+			delete(conns, c)
+			assert.Assert(t, len(conns) > 0, "all bodies are refused")
+		}
+	}
+	var bodies int64
+	for c, taken := range conns {
+		for taken < testBytes/2 {
+			assert.Assert(t, c.Reserve(piece), "a body of %d bytes is refused beside bodies that are refused", taken)
+			taken += piece
+		}
+		bodies += taken
+	}
+	assert.Equal(t, f.account.Bodies(), bodies)
+	used := f.account.Used()
+	for c, taken := range refused {
+		c.Return(int(taken))
+	}
+	assert.Equal(t, f.account.Used(), used, "what a refused body has taken is given back twice")
+	assert.Equal(t, f.account.Bodies(), bodies)
+}
+
 // TestServedRequestsAreKept guards against a request that is cut while a target works on it.
 func TestServedRequestsAreKept(t *testing.T) {
 	f := newFixture(t)
--- a/internal/core/accountant/conn.go
+++ b/internal/core/accountant/conn.go
@@ -52,8 +52,9 @@
 	phase phase
 	// evicted is true if the connection was ended for others, cut if that was during a write.
 	evicted, cut bool
-	// held is what the connection has taken from the account, headHeld the part for the head of the request.
-	held, headHeld int64
+	// held is what the connection has taken from the account, headHeld and bodyHeld the parts for the head and the body
+	// of the request.
+	held, headHeld, bodyHeld int64
 	// headBytes and headLines are those of the head that is being read.
 	headBytes, headLines int
 	// requestAt is the time of the request's first byte, progressAt that of the last progress, and received the bytes
@@ -147,26 +148,34 @@
 	return c.account.reserve(c, n, share)
 }
 
-// Reserve takes n bytes of a body from the account. It returns false if there is no room.
+// Reserve takes n bytes of a body from the account. If there is no room, it returns false, and what the body has taken
+// before counts as free at once: bodies that are being refused must not make others be refused too.
 func (c *Conn) Reserve(n int) bool {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
 	if c.take(int64(n)) {
+		c.bodyHeld += int64(n)
 		c.account.bodies += int64(n)
 		return true
 	}
 	if !c.evicted {
 		c.account.count(CauseNoMemory)
 	}
+	c.giveBodyBack(c.bodyHeld)
 	return false
 }
 
-// Return gives back what Reserve has taken.
+// Return gives back what Reserve has taken. It has no effect after Reserve has failed.
 func (c *Conn) Return(n int) {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	c.account.bodies -= int64(n)
-	c.account.giveBack(c, int64(n))
+	c.giveBodyBack(min(int64(n), c.bodyHeld))
+}
+
+func (c *Conn) giveBodyBack(n int64) {
+	c.bodyHeld -= n
+	c.account.bodies -= n
+	c.account.giveBack(c, n)
 }
 
 // ReserveHeader takes the cost of a parsed header from the account, and says that its request is being served. The HTTP
--- a/internal/relay/server/server.go
+++ b/internal/relay/server/server.go
@@ -215,8 +215,8 @@
 
 // refuseUnread ends a request of whose body only some bytes were read. If its caller has disconnected, it panics.
 func (x *exchange) refuseUnread(received int, cause decider.UnreadCause, err error) {
+	x.buffer.Release() // The post may have to wait.
 	effect := x.post(decider.RequestUnread{Number: x.number, ID: x.req.ID, Received: int64(received), Cause: cause, Detail: err.Error()})
-	x.buffer.Release()
 	switch refusal, ok := effect.(decider.Refuse); {
 	case ok:
 		x.refuse(refusal)
