Reject empty lists of a team's services

What operators saw: in the project's own format, a team whose last service is taken away, with an empty list left, was allowed all services. It was found by reading; nobody is known to have met it. Cause: the list is left out when it is encoded, and an absent list allows all services. Change: an empty list is rejected with its key, and the page says so, where it said that empty means all. Why it works: what is written has either no list, or one that restricts. Evidence: TestEmptyListOfServicesAllowsAll and a case of TestProblemsReportKeyAndReason failed before.

--- a/internal/config/specifier/specifier_test.go
+++ b/internal/config/specifier/specifier_test.go
@@ -123,6 +123,8 @@
 			editEntry(f.Teams, "honey", func(m *Team) { m.Services = []identifier.Service{"x"} })
 		},
 			`teams.honey.services[0]: names "x", which does not exist, want one of the services: assistant, order-application`},
+		{"empty list of services of a team", func(f *Fleet) { editEntry(f.Teams, "honey", func(m *Team) { m.Services = []identifier.Service{} }) },
+			`teams.honey.services: is empty, want at least one service, or no list for all services`},
 		{"version", func(f *Fleet) { editEntry(f.Models, "shop-assistant", func(m *Model) { m.Version = "" }) },
 			`models.shop-assistant.version: is empty, want the weight version in force`},
 		{"block size", func(f *Fleet) { editEntry(f.Models, "shop-assistant", func(m *Model) { m.BlockBytes = 0 }) },
@@ -248,3 +250,19 @@
 		assert.Equal(t, len(Diff(fleet, decoded)), 0)
 	})
 }
+
+// TestEmptyListOfServicesAllowsAll guards against a team whose last allowed service is taken away and that may use all
+// services from then on: an empty list was taken for one that is left out.
+func TestEmptyListOfServicesAllowsAll(t *testing.T) {
+	whole, err := json.Marshal(readExampleFleet(t))
+	assert.NilError(t, err)
+	for list, valid := range map[string]bool{``: true, `,"services":["assistant"]`: true, `,"services":[]`: false, `,"services":null`: false} {
+		var fields map[string]json.RawMessage
+		assert.NilError(t, json.Unmarshal(whole, &fields))
+		fields["teams"] = json.RawMessage(`{"honey":{"key-hashes":["` + strings.Repeat("a", 64) + `"]` + list + `}}`)
+		text, err := json.Marshal(fields)
+		assert.NilError(t, err)
+		_, err = Decode("f.json", bytes.NewReader(text))
+		assert.Check(t, (err == nil) == valid, "%s: %v", list, err)
+	}
+}
--- a/internal/config/specifier/team.go
+++ b/internal/config/specifier/team.go
@@ -20,7 +20,7 @@
 	RequestsPerSecond float64 `json:"requests-per-second"`
 	// TokensPerSecond is the team's token rate limit in the whole fleet; 0 means no limit.
 	TokensPerSecond float64 `json:"tokens-per-second"`
-	// Services lists the services that the team may use; empty means all.
+	// Services lists the services that the team may use, at least one; all if left out.
 	Services []identifier.Service `json:"services,omitempty"`
 }
 
@@ -41,6 +41,9 @@
 	decoder.CheckRange(&v.Reporter, at("weight"), t.Weight, minTeamWeight, maxTeamWeight)
 	v.checkNonNegative(at("requests-per-second"), t.RequestsPerSecond)
 	v.checkNonNegative(at("tokens-per-second"), t.TokensPerSecond)
+	if t.Services != nil && len(t.Services) == 0 {
+		v.Reportf(at("services"), "is empty, want at least one service, or no list for all services")
+	}
 	checkDistinct(v, at("services"), t.Services)
 	for i, service := range t.Services {
 		checkReference(v, decoder.IndexKey(at("services"), i), service, v.fleet.Services, "services")
