Drop two review cases that earlier ones show

The record names why a host ended by itself, as one run ended with a host that didn't start, and its two ports are chosen together.

--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -20,7 +20,7 @@
 	// The figures of the deployment are those of the label platform's sheet.
 	hostMemoryMB = 134
 	engineCount  = 9
-	deskCount    = 2
+	deskCount    = 3
 	engineTokens = 63372
 	storeTokens  = 1573921
 	prefillPerMs = 110
@@ -28,6 +28,7 @@
 	// eventTokens is the number of tokens in an event of a stream.
 	eventTokens   = 16
 	deskTime      = 15 * time.Millisecond
+	orderTime     = 60 * time.Millisecond
 	heartbeatTime = 1200 * time.Millisecond
 	// settleTime is longer than hosts wait before they save parts to a store that they have just found.
 	settleTime = 4 * time.Second
@@ -37,6 +38,7 @@
 	modelName  = "daka510000"
 	pathPrompt = "/ask/"
 	pathLookUp = "/look/"
+	pathOrder  = "/order/"
 )
 
 // configuration has a route to engines, one to plain workers, and the stores of kept KV cache.
@@ -47,12 +49,13 @@
 	}
 	return fmt.Sprintf(`{"version":7,"routes":[
 		{"name":"ask","host":%[1]q,"pathPrefix":%[2]q,"kind":"stream","timeoutMs":5000,"goalMs":300,"priority":1,"service":"engines","attempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":150},
-		{"name":"look","host":%[1]q,"pathPrefix":%[3]q,"kind":"safe","timeoutMs":1000,"goalMs":150,"priority":2,"service":"desk","attempts":2,"public":false}],
+		{"name":"look","host":%[1]q,"pathPrefix":%[3]q,"kind":"safe","timeoutMs":1000,"goalMs":150,"priority":2,"service":"desk","attempts":2,"public":false},
+		{"name":"order","host":%[1]q,"pathPrefix":%[8]q,"kind":"unsafe","timeoutMs":1000,"goalMs":150,"priority":2,"service":"desk","attempts":1,"public":false}],
 		"services":[
 		{"name":"engines","healthPath":"/healthz","maxConns":300,"proto":"h1","tls":false,"coldS":3.0,"coldPerS":13.0,"engine":{"slots":48,"kvCapacity":%[4]d,"tokenKvBytes":192512,"linkMbps":1500000.0,"managed":true,"models":[{"name":%[5]q}]}},
 		{"name":"desk","healthPath":"/healthz","maxConns":100,"proto":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}%[6]s],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-		"tenants":[{"name":"jeye930","apiKeys":[%[7]q],"priority":1}]}`, routeHost, pathPrompt, pathLookUp, engineTokens, modelName, kept.String(), callerKey)
+		"tenants":[{"name":"jeye930","apiKeys":[%[7]q],"priority":1}]}`, routeHost, pathPrompt, pathLookUp, engineTokens, modelName, kept.String(), callerKey, pathOrder)
 }
 
 // worker is a stand-in of a worker: of an engine, or of a plain one.
@@ -63,6 +66,8 @@
 	born              time.Time
 	arrivals, runs    atomic.Int64
 	rejected          atomic.Int64
+	// ran holds the IDs of the requests that plain workers have begun to work on.
+	ran *sync.Map
 }
 
 // entry is what the worker writes into the platform's store.
@@ -109,7 +114,12 @@
 		w.runPrompt(rw, in, out)
 	default:
 		w.runs.Add(1)
-		time.Sleep(deskTime)
+		w.ran.Store(r.Header.Get("Request-Id"), true)
+		if strings.HasPrefix(r.URL.Path, pathOrder) {
+			time.Sleep(orderTime)
+		} else {
+			time.Sleep(deskTime)
+		}
 		h.Set("Reply-Seal", "seal-"+w.id)
 		_, _ = io.WriteString(rw, "found")
 	}
@@ -149,6 +159,7 @@
 	workers []*worker
 	hosts   []*relay
 	lastID  atomic.Int64
+	ran     sync.Map
 }
 
 // newDeployment starts a deployment with a number of stores of kept KV cache. The caller must stop it, also after an error.
@@ -192,7 +203,7 @@
 }
 
 func (d *deployment) addWorker(ctx context.Context, n int) error {
-	w := &worker{id: fmt.Sprintf("i-%d", n), service: "engines", engine: true, zone: string(rune('a' + n%2)), born: time.Now()}
+	w := &worker{id: fmt.Sprintf("i-%d", n), service: "engines", engine: true, zone: string(rune('a' + n%2)), born: time.Now(), ran: &d.ran}
 	if n >= engineCount {
 		w.service, w.engine = "desk", false
 	}
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -62,14 +62,17 @@
 	return netip.AddrFrom4([4]byte{127, n.second, n.third, n.last})
 }
 
-// freePort returns a port of ip that is free for TCP and UDP.
-func freePort(ip netip.Addr) (netip.AddrPort, error) {
-	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
-	if err != nil {
-		return netip.AddrPort{}, err
+// freePorts returns two ports of ip that are free.
+func freePorts(ip netip.Addr) (ports [2]netip.AddrPort, err error) {
+	for i := range ports {
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
+		if err != nil {
+			return ports, err
+		}
+		defer func() { _ = l.Close() }() // Both stay taken until the end, so that they differ.
+		ports[i] = l.Addr().(*net.TCPAddr).AddrPort()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return ports, nil
 }
 
 // serve serves a handler on a free port of ip until the context ends, and returns the address.
@@ -106,13 +109,11 @@
 // newRelay returns a host that isn't running yet. Its settings are those of a small deployment.
 func newRelay(name, zone, daemon, dir string, ip netip.Addr, platform netip.AddrPort, record *recorder) (*relay, error) {
 	r := &relay{name: name, zone: zone, ip: ip, daemon: daemon, dir: dir, record: record}
-	var err error
-	if r.callers, err = freePort(ip); err != nil {
-		return nil, err
-	}
-	if r.ready, err = freePort(ip); err != nil {
+	ports, err := freePorts(ip)
+	if err != nil {
 		return nil, err
 	}
+	r.callers, r.ready = ports[0], ports[1]
 	r.settings = filepath.Join(dir, name+".conf")
 	return r, r.writeSettings(platform)
 }
@@ -157,13 +158,23 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if !r.killed {
-			r.record.printf("%s ended by itself: %v", r.name, err)
+			r.record.printf("%s ended by itself: %v: %s", r.name, err, lastLine(log.Name()))
 		}
 		close(ended)
 	}()
 	return nil
 }
 
+// lastLine returns the last line of a file, or why it can't be read.
+func lastLine(path string) string {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process, and whether it is to end it.
 func (r *relay) signal(sig syscall.Signal) {
 	r.mu.Lock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -40,9 +40,7 @@
 
 // cases maps the names of cases to what runs them.
 var cases = map[string]func(context.Context, *run) error{
-	"prompt-parts":  runPromptParts,
 	"token-count":   runTokenCount,
-	"short-parts":   runShortParts,
 	"trailer-names": runTrailerNames,
 }
 
