Show that one odd entry keeps a sound worker out of use for good

Cause: an entry with a later start counts as a newer process of its target, whatever service it names, and replaces the whole description. The worker's own entries are then those of an earlier process, which are ignored.

Another writer overwrites the entries of the three plain workers once, with a service that isn't named; they write theirs again within 1.2 s.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -40,6 +40,7 @@
 
 // cases maps the names of cases to what runs them.
 var cases = map[string]func(context.Context, *run) error{
+	"odd-entry":     runOddEntry,
 	"token-count":   runTokenCount,
 	"trailer-names": runTrailerNames,
 }
