--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -160,6 +160,8 @@
 	hosts   []*relay
 	lastID  atomic.Int64
 	ran     sync.Map
+	// beats counts the rounds of heartbeats.
+	beats atomic.Int64
 }
 
 // newDeployment starts a deployment with a number of stores of kept KV cache. The caller must stop it, also after an error.
@@ -222,6 +224,14 @@
 		for _, w := range d.workers {
 			d.store.Put("servers", w.id, w.entry(seq))
 		}
+		d.beats.Add(1)
+	}
+}
+
+// awaitHeartbeats waits until all workers have just written their entries.
+func (d *deployment) awaitHeartbeats(ctx context.Context) {
+	for before := d.beats.Load(); d.beats.Load() == before && ctx.Err() == nil; {
+		time.Sleep(time.Millisecond)
 	}
 }
 
--- a/review/standin3/entries.go
+++ b/review/standin3/entries.go
@@ -22,8 +22,8 @@
 	return fmt.Sprintf(`{"service":"nobody","addr":"127.0.0.1:9","zone":"a","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":0,"born":%d}`, time.Now().UnixMilli())
 }
 
-// runOddEntry lets another writer overwrite the entries of the plain workers once, which write theirs again with their next
-// heartbeats. No kind of request may be served less than a quarter as often as all.
+// runOddEntry lets another writer overwrite the entries of the plain workers once, just after their heartbeats. They write
+// theirs again with the next ones. No kind of request may be served less than a quarter as often as all.
 func runOddEntry(ctx context.Context, r *run) error {
 	d, err := newDeployment(ctx, r, 0)
 	defer d.stop()
@@ -41,6 +41,7 @@
 	}
 	time.Sleep(entryCalmTime)
 	d.record.printf("in calm: orders by status %v, prompts by status %v", &orders, &prompts)
+	d.awaitHeartbeats(playCtx)
 	for _, w := range d.workers {
 		if d.trouble && !w.engine {
 			entry := oddEntry()
